Skeleton: modules, sheet model, peer messages and the interfaces between parts

Cause: the repository was empty; several parts are to be built side by side, so the data and the interfaces between them have to stand first.

Ruled out: one module for all (nothing would hold the direction of imports); mutable beans for the sheet (traffic threads read it without locks).

Change: Maven modules as in the design, formatter, linter and compiler warnings as errors, sheet with checks and paths, result codes with their table held equal by a test, Thrift messages with generated code, blackboard, timer service, object store, claim, bill and peer interfaces, a test of import direction.

Before: nothing.

Conclusion: parts can be built against these interfaces.

--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.baobabcart.cli;
--- /dev/null
+++ b/launcher/src/main/java/org/baobabcart/launcher/package-info.java
@@ -0,0 +1,2 @@
+/** Starts local fleets of processes for the demo, tests and benchmarks. */
+package org.baobabcart.launcher;
--- /dev/null
+++ b/load/src/main/java/org/baobabcart/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load tool. */
+package org.baobabcart.load;
--- /dev/null
+++ b/model/src/main/java/org/baobabcart/model/platform/VirtualMachine.java
@@ -0,0 +1,36 @@
+package org.baobabcart.model.platform;
+
+/**
+ * An entry of the platform's list of VMs. Immutable.
+ *
+ * @param name the VM's name
+ * @param role what runs there
+ * @param dataCentre the data centre it stands in
+ * @param state whether it is live or leaving
+ * @param address {@code http://host:port} for upstreams, {@code host:port} of the peer port for routers
+ * @param model the model of an engine, otherwise empty
+ * @param version the version of an engine, otherwise empty
+ * @param service the service's name, otherwise empty
+ */
+public record VirtualMachine(
+        String name,
+        Role role,
+        String dataCentre,
+        State state,
+        String address,
+        String model,
+        String version,
+        String service) {
+    /** What runs on a VM. */
+    public enum Role {
+        ROUTER,
+        ENGINE,
+        SERVICE
+    }
+
+    /** The platform's view of a VM, which lags. */
+    public enum State {
+        LIVE,
+        LEAVING
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/baobabcart/model/sheet/Lists.java
@@ -0,0 +1,19 @@
+package org.baobabcart.model.sheet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Immutable list helpers of the sheet's records. */
+final class Lists {
+    private Lists() {}
+
+    static <T> List<T> copyOrEmpty(List<T> values) {
+        return values == null ? List.of() : List.copyOf(values);
+    }
+
+    static <T> List<T> append(List<T> values, T value) {
+        List<T> result = new ArrayList<>(values);
+        result.add(value);
+        return List.copyOf(result);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/baobabcart/model/sheet/WhenControllerLost.java
@@ -0,0 +1,9 @@
+package org.baobabcart.model.sheet;
+
+/** What becomes of a roll-out while no router controls it. */
+public enum WhenControllerLost {
+    /** The share of the current stage stays. */
+    REST,
+    /** Another router takes control and goes on. */
+    CONTINUE
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/control/Sections.java
@@ -0,0 +1,37 @@
+package org.baobabcart.router.control;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.rollout.RollOutState;
+import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.router.member.Member;
+import org.baobabcart.router.member.Members;
+
+/** The sections of the blackboard and who writes them. */
+public final class Sections {
+    /** The sheet in force; written by the sheet controller. */
+    public static final Section<Optional<PublishedSheet>> SHEET = Section.named("sheet", Optional.empty());
+
+    /** Progress of roll-outs and withdrawals; written by the roll-out controller. */
+    public static final Section<RollOutState> ROLL_OUTS = Section.named("roll-outs", RollOutState.empty());
+
+    /** The known routers; written by the membership controller. */
+    public static final Section<Members> MEMBERS =
+            Section.named("members", Members.alone(new Member("", 0, Member.State.ALIVE, "", "", "")));
+
+    /** The platform's list of VMs as last read; written by the list controller. */
+    public static final Section<List<VirtualMachine>> VIRTUAL_MACHINES = Section.named("virtual-machines", List.of());
+
+    /** Whether the last calls to the platform were answered; written by the platform controller. */
+    public static final Section<Boolean> PLATFORM_REACHABLE = Section.named("platform-reachable", false);
+
+    /** Fingerprints that no upstream gets any more; written by the crash controller. */
+    public static final Section<Set<String>> QUARANTINED = Section.named("quarantined", Set.of());
+
+    /** Whether a planned stop has begun; written by the process. */
+    public static final Section<Boolean> STOPPING = Section.named("stopping", false);
+
+    private Sections() {}
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control thread's tools: blackboard, sections, timers and controllers. */
+package org.baobabcart.router.control;
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/member/package-info.java
@@ -0,0 +1,2 @@
+/** Membership of routers. */
+package org.baobabcart.router.member;
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/peer/ClaimHandler.java
@@ -0,0 +1,21 @@
+package org.baobabcart.router.peer;
+
+import io.smallrye.mutiny.Uni;
+import org.baobabcart.wire.AttemptReply;
+import org.baobabcart.wire.AttemptRequest;
+import org.baobabcart.wire.ClaimReply;
+import org.baobabcart.wire.ClaimRequest;
+import org.baobabcart.wire.SettleReply;
+import org.baobabcart.wire.SettleRequest;
+
+/** Serves claims of idempotency keys to other routers. Implementations are thread-safe. */
+public interface ClaimHandler {
+    /** Claims a key of a partition that this node owns. */
+    Uni<ClaimReply> claim(ClaimRequest request);
+
+    /** Stores how an attempt ended. */
+    Uni<SettleReply> settle(SettleRequest request);
+
+    /** Tells what became of an attempt of this node. */
+    Uni<AttemptReply> attemptState(AttemptRequest request);
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Calls between routers. */
+package org.baobabcart.router.peer;
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Access to the platform's versioned object API. */
+package org.baobabcart.router.platform;
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** Events of this process. */
+package org.baobabcart.router.timeline;
