Stand-ins for the outside systems and a launcher of local fleets

The routers need something to talk to before any of them is ready. Each role is one class with a shared base for the ready line, the list of runs and the faults; the launcher starts them as processes and ends them all.

--- /dev/null
+++ b/launcher/src/main/java/org/baobabcart/launcher/EngineSettings.java
@@ -0,0 +1,36 @@
+package org.baobabcart.launcher;
+
+/**
+ * How an engine stand-in is started. Immutable.
+ *
+ * @param model the model it serves
+ * @param version the version it serves
+ * @param slots the number of requests that run together
+ * @param tokenMillis the time of a step while one request runs, in milliseconds
+ * @param quality the quality that its answers state
+ */
+public record EngineSettings(String model, String version, int slots, double tokenMillis, double quality) {
+    private static final int SLOTS = 8;
+    private static final double LARGE_TOKEN_MILLIS = 4;
+    private static final double SMALL_TOKEN_MILLIS = 1;
+
+    /** An engine of the large model. */
+    public static EngineSettings large(String version) {
+        return new EngineSettings("layout-large", version, SLOTS, LARGE_TOKEN_MILLIS, 0.95);
+    }
+
+    /** An engine of the small model. */
+    public static EngineSettings small(String version) {
+        return new EngineSettings("layout-small", version, SLOTS, SMALL_TOKEN_MILLIS, 0.7);
+    }
+
+    /** The same engine with other slots and speed. */
+    public EngineSettings withCapacity(int newSlots, double newTokenMillis) {
+        return new EngineSettings(model, version, newSlots, newTokenMillis, quality);
+    }
+
+    /** The same engine with another quality. */
+    public EngineSettings withQuality(double newQuality) {
+        return new EngineSettings(model, version, slots, tokenMillis, newQuality);
+    }
+}
--- /dev/null
+++ b/launcher/src/main/java/org/baobabcart/launcher/FleetProcesses.java
@@ -0,0 +1,97 @@
+package org.baobabcart.launcher;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Command lines of the processes of a local fleet. Immutable. */
+final class FleetProcesses {
+    private static final String STAND_IN_MAIN = "org.baobabcart.standins.StandInMain";
+    private static final String ROUTER_MAIN = "org.baobabcart.router.RouterMain";
+    private static final List<String> STAND_IN_FLAGS =
+            List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
+    private static final List<String> ROUTER_FLAGS = List.of("-Xmx192m", "-XX:+UseSerialGC", "-Xshare:auto");
+
+    private final Path root;
+    private final Path logs;
+
+    FleetProcesses(Path root, String fleetName) {
+        this.root = root;
+        this.logs = Path.of("target", "fleets", fleetName).toAbsolutePath();
+    }
+
+    /** A stand-in of a kind. */
+    ProcessSettings standIn(String kind, String name, String... arguments) {
+        List<String> all = new ArrayList<>(List.of(kind, "--name", name));
+        all.addAll(List.of(arguments));
+        return new ProcessSettings(
+                name,
+                RepositoryRoot.classPath(root, "standins"),
+                STAND_IN_MAIN,
+                STAND_IN_FLAGS,
+                all,
+                Map.of("http", "--port"),
+                Map.of(),
+                logs);
+    }
+
+    /** A fault proxy before a port. */
+    ProcessSettings proxy(String name, int targetPort) {
+        ProcessSettings plain = standIn("fault-proxy", name, "--target", "127.0.0.1:" + targetPort);
+        return new ProcessSettings(
+                name,
+                plain.classPath(),
+                plain.mainClass(),
+                plain.virtualMachineFlags(),
+                plain.arguments(),
+                Map.of("http", "--port", "proxy", "--proxy-port"),
+                Map.of(),
+                logs);
+    }
+
+    /** An engine. */
+    ProcessSettings engine(String name, String dataCentre, EngineSettings engine) {
+        return standIn(
+                "engine",
+                name,
+                "--data-centre",
+                dataCentre,
+                "--model",
+                engine.model(),
+                "--version",
+                engine.version(),
+                "--slots",
+                Integer.toString(engine.slots()),
+                "--token-millis",
+                Double.toString(engine.tokenMillis()),
+                "--quality",
+                Double.toString(engine.quality()));
+    }
+
+    /** A router. */
+    ProcessSettings router(String name, String dataCentre, String platform, String machines, String ratings) {
+        List<String> arguments = List.of(
+                "--name",
+                name,
+                "--data-centre",
+                dataCentre,
+                "--listen-address",
+                "127.0.0.1",
+                "--platform",
+                platform,
+                "--virtual-machines",
+                machines,
+                "--ratings",
+                ratings);
+        return new ProcessSettings(
+                name,
+                RepositoryRoot.classPath(root, "router"),
+                ROUTER_MAIN,
+                ROUTER_FLAGS,
+                arguments,
+                Map.of("caller", "--caller-port", "admin", "--admin-port", "peer", "--peer-port"),
+                Map.of(),
+                logs);
+    }
+}
--- /dev/null
+++ b/launcher/src/main/java/org/baobabcart/launcher/LocalFleet.java
@@ -0,0 +1,232 @@
+package org.baobabcart.launcher;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.baobabcart.model.platform.VirtualMachine;
+
+/**
+ * A whole fleet of real processes on loopback: stand-ins, upstreams and routers. Not thread-safe; ending it ends every
+ * process that it started.
+ */
+public final class LocalFleet implements AutoCloseable {
+    private static final String HTTP = "http";
+    private static final String PROXY = "proxy";
+
+    private final FleetSettings settings;
+    private final FleetProcesses processes;
+    private final DefaultSheet defaultSheet;
+    private final JsonCalls calls = JsonCalls.create();
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final List<ManagedProcess> started = new ArrayList<>();
+    private final Map<String, FleetNode> routers = new LinkedHashMap<>();
+    private final Map<String, FleetNode> engines = new LinkedHashMap<>();
+    private final Map<String, FleetNode> services = new LinkedHashMap<>();
+    private final Map<String, ManagedProcess> platformProxies = new LinkedHashMap<>();
+    private ManagedProcess platform;
+    private ManagedProcess virtualMachines;
+    private ManagedProcess ratings;
+
+    private LocalFleet(FleetSettings settings) {
+        this.settings = settings;
+        this.processes = new FleetProcesses(RepositoryRoot.find(), settings.name());
+        this.defaultSheet = DefaultSheet.of(settings.seed(), settings.services());
+    }
+
+    /** Starts all processes and registers upstreams and routers in the list of VMs. */
+    public static LocalFleet start(FleetSettings settings) {
+        LocalFleet fleet = new LocalFleet(settings);
+        try {
+            fleet.startAll();
+        } catch (RuntimeException exception) {
+            fleet.close();
+            throw exception;
+        }
+        return fleet;
+    }
+
+    /** The platform stand-in. */
+    public ManagedProcess platform() {
+        return platform;
+    }
+
+    /** The stand-in for the list of VMs. */
+    public ManagedProcess virtualMachines() {
+        return virtualMachines;
+    }
+
+    /** The rating service stand-in. */
+    public ManagedProcess ratings() {
+        return ratings;
+    }
+
+    /** The fault proxy by which a data centre reaches the platform, where the settings ask for them. */
+    public ManagedProcess platformProxy(String dataCentre) {
+        return platformProxies.get(dataCentre);
+    }
+
+    /** The routers in the order of their start. */
+    public List<FleetNode> routers() {
+        return List.copyOf(routers.values());
+    }
+
+    /** The engines in the order of their start. */
+    public List<FleetNode> engines() {
+        return List.copyOf(engines.values());
+    }
+
+    /** The plain services in the order of their start. */
+    public List<FleetNode> services() {
+        return List.copyOf(services.values());
+    }
+
+    /** The settings. */
+    public FleetSettings settings() {
+        return settings;
+    }
+
+    /** The sheet that fits this fleet, with its workspaces' keys. */
+    public DefaultSheet defaultSheet() {
+        return defaultSheet;
+    }
+
+    /** Calls to the fleet's processes. */
+    public JsonCalls calls() {
+        return calls;
+    }
+
+    /** Publishes a sheet by conditional update; the result is its generation. */
+    public long publish(JsonNode sheet) {
+        return new SheetPublisher(calls, platform.url(HTTP)).publish(sheet);
+    }
+
+    /** Sets faults of a stand-in or proxy. */
+    public void fault(ManagedProcess process, String faults) {
+        calls.post(process.url(HTTP) + "/standin/faults", faults);
+    }
+
+    /** The requests that an upstream began. */
+    public JsonNode runs(FleetNode upstream) {
+        return calls.get(upstream.http() + "/standin/runs").body();
+    }
+
+    /** Starts one more router. */
+    public FleetNode startRouter(String name, String dataCentre) {
+        String platformUrl =
+                settings.platformProxies() ? platformProxies.get(dataCentre).url(PROXY) : platform.url(HTTP);
+        ManagedProcess process =
+                launch(processes.router(name, dataCentre, platformUrl, virtualMachines.url(HTTP), ratings.url(HTTP)));
+        VirtualMachine machine = new VirtualMachine(
+                name,
+                VirtualMachine.Role.ROUTER,
+                dataCentre,
+                VirtualMachine.State.LIVE,
+                "127.0.0.1:" + process.port("peer"),
+                "",
+                "",
+                "");
+        return register(routers, machine, process);
+    }
+
+    /** Starts one more engine. */
+    public FleetNode startEngine(String name, String dataCentre, EngineSettings engine) {
+        ManagedProcess process = launch(processes.engine(name, dataCentre, engine));
+        VirtualMachine machine = new VirtualMachine(
+                name,
+                VirtualMachine.Role.ENGINE,
+                dataCentre,
+                VirtualMachine.State.LIVE,
+                process.url(HTTP),
+                engine.model(),
+                engine.version(),
+                "");
+        return register(engines, machine, process);
+    }
+
+    /** Starts one more upstream of a plain service. */
+    public FleetNode startService(String name, String dataCentre, String service) {
+        ManagedProcess process = launch(processes.standIn("service", name, "--service", service));
+        VirtualMachine machine = new VirtualMachine(
+                name,
+                VirtualMachine.Role.SERVICE,
+                dataCentre,
+                VirtualMachine.State.LIVE,
+                process.url(HTTP),
+                "",
+                "",
+                service);
+        return register(services, machine, process);
+    }
+
+    /** Starts a fault proxy before a port of this fleet; its ports are {@code http} for faults and {@code proxy}. */
+    public ManagedProcess startProxy(String name, int targetPort) {
+        return launch(processes.proxy(name, targetPort));
+    }
+
+    /** Writes an entry of the list of VMs. */
+    public void putVirtualMachine(VirtualMachine machine) {
+        calls.put(virtualMachines.url(HTTP) + "/vms/" + machine.name(), mapper.valueToTree(machine));
+    }
+
+    /** Removes an entry of the list of VMs. */
+    public void removeVirtualMachine(String name) {
+        calls.delete(virtualMachines.url(HTTP) + "/vms/" + name);
+    }
+
+    /** What a check needs to drive the fleet from outside. */
+    public JsonNode describe() {
+        return FleetDescription.of(this);
+    }
+
+    @Override
+    public void close() {
+        started.forEach(ManagedProcess::close);
+    }
+
+    private void startAll() {
+        platform = launch(processes.standIn("platform", "platform"));
+        virtualMachines = launch(processes.standIn("virtual-machines", "virtual-machines"));
+        ratings = launch(processes.standIn("ratings", "ratings"));
+        settings.dataCentres().forEach(this::startUpstreams);
+        if (settings.platformProxies()) {
+            settings.dataCentres().forEach(this::startPlatformProxy);
+        }
+        settings.dataCentres().forEach(this::startRouters);
+    }
+
+    private void startUpstreams(String dataCentre) {
+        for (int index = 0; index < settings.enginesPerDataCentre(); index++) {
+            EngineSettings engine =
+                    settings.engines().get(index % settings.engines().size());
+            startEngine("engine-" + dataCentre + "-" + (index + 1), dataCentre, engine);
+        }
+        settings.services().forEach(service -> startService(service + "-" + dataCentre + "-1", dataCentre, service));
+    }
+
+    private void startPlatformProxy(String dataCentre) {
+        String name = "platform-proxy-" + dataCentre;
+        platformProxies.put(dataCentre, startProxy(name, platform.port(HTTP)));
+    }
+
+    private void startRouters(String dataCentre) {
+        for (int index = 1; index <= settings.routersPerDataCentre(); index++) {
+            startRouter("router-" + dataCentre + "-" + index, dataCentre);
+        }
+    }
+
+    private ManagedProcess launch(ProcessSettings process) {
+        ManagedProcess managed = ManagedProcess.start(process);
+        started.add(managed);
+        return managed;
+    }
+
+    private FleetNode register(Map<String, FleetNode> nodes, VirtualMachine machine, ManagedProcess process) {
+        FleetNode node = new FleetNode(machine, process);
+        nodes.put(machine.name(), node);
+        putVirtualMachine(machine);
+        return node;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabcart/standins/engine/EngineStandIn.java
@@ -0,0 +1,182 @@
+package org.baobabcart.standins.engine;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import org.baobabcart.model.request.Headers;
+import org.baobabcart.model.request.RequestIds;
+import org.baobabcart.standins.base.RunLog;
+import org.baobabcart.standins.base.StandInSettings;
+import org.baobabcart.standins.base.UpstreamServer;
+
+/** A model engine with an OpenAI-compatible API that generates text without a model. Confined to the event loop. */
+public final class EngineStandIn extends UpstreamServer {
+    /** Tells whether a leading part of the prompt was in the prefix cache. */
+    public static final String PREFIX_HIT = "Baobabcart-Prefix-Hit";
+
+    private static final int PREFILL_TOKENS_PER_STEP = 64;
+    private static final long LOAD_REPORT_MILLIS = 500;
+    private static final double BAD_QUALITY = 0.2;
+    private static final int DEFAULT_PRIORITY = 1;
+
+    private final ContinuousBatch batch;
+    private final PrefixCache prefixes;
+    private final OrderGate orderGate;
+    private final JsonArray orders = new JsonArray();
+    private JsonObject loadReport = new JsonObject();
+    private String model;
+    private String version;
+    private long prefixHits;
+    private boolean badQuality;
+    private boolean stepping;
+
+    private EngineStandIn(Vertx vertx, StandInSettings settings) {
+        super(vertx, settings);
+        StandInSettings.Engine engine = settings.engine();
+        batch = ContinuousBatch.of(engine.slots(), engine.tokenMillis());
+        prefixes = PrefixCache.of(engine.prefixBlocks());
+        orderGate = OrderGate.of(engine.ignoreFencing());
+        model = engine.model();
+        version = engine.version();
+        loadReport = load();
+    }
+
+    /** An engine that has not started yet. */
+    public static EngineStandIn create(Vertx vertx, StandInSettings settings) {
+        return new EngineStandIn(vertx, settings);
+    }
+
+    @Override
+    protected void addRoutes(Router router) {
+        router.post("/v1/chat/completions").handler(context -> generate(context, true));
+        router.post("/v1/completions").handler(context -> generate(context, false));
+        router.get("/health").handler(this::health);
+        router.get("/load").handler(context -> whenThawed(() -> answer(context, 200, loadReport)));
+        router.post("/orders").handler(this::takeOrder);
+        router.get("/standin/orders").handler(context -> answer(context, 200, orders.encode()));
+        vertx().setPeriodic(LOAD_REPORT_MILLIS, ignored -> loadReport = load());
+    }
+
+    @Override
+    protected void applyFaults(JsonObject faults) {
+        super.applyFaults(faults);
+        badQuality = faults.getBoolean("bad-quality", badQuality);
+    }
+
+    private void generate(RoutingContext context, boolean chat) {
+        if (refusedAsLeaving(context) || refusedAsOtherVersion(context)) {
+            return;
+        }
+        Prompt prompt;
+        try {
+            prompt = Prompt.of(context.body().asJsonObject(), chat);
+        } catch (DecodeException | ClassCastException | NullPointerException exception) {
+            answer(context, 400, new JsonObject().put("error", "not a completion request"));
+            return;
+        }
+        RunLog.Run run = runs().begin(context.request(), version);
+        crashIfAsked(prompt.text());
+        enqueue(context, prompt, run);
+    }
+
+    private boolean refusedAsOtherVersion(RoutingContext context) {
+        String asked = context.request().getHeader(Headers.VERSION);
+        boolean other = asked != null && !asked.equals(version);
+        if (other) {
+            context.response().putHeader(NOT_RUN, "true");
+            answer(context, 409, new JsonObject().put("error", "this engine serves version " + version));
+        }
+        return other;
+    }
+
+    private void enqueue(RoutingContext context, Prompt prompt, RunLog.Run run) {
+        int known = prefixes.lookUpAndKeep(prompt.text());
+        prefixHits += known > 0 ? 1 : 0;
+        int unknownTokens = Prompt.tokensOf(prompt.text().length() - known);
+        int prefillSteps = unknownTokens / PREFILL_TOKENS_PER_STEP;
+        Generation generation = new Generation(prompt, run, writer(context, prompt), priority(context), prefillSteps);
+        batch.add(generation);
+        setHeaders(context, known > 0);
+        context.response().closeHandler(ignored -> batch.remove(generation));
+        scheduleStep();
+    }
+
+    private AnswerWriter writer(RoutingContext context, Prompt prompt) {
+        double quality = badQuality ? BAD_QUALITY : settings().engine().quality();
+        String opening = model + "@" + version + " quality=" + quality + " tokens:";
+        return new AnswerWriter(
+                context.response(), () -> isSilent(context), prompt, "cmpl-" + RequestIds.next(), model, opening);
+    }
+
+    private void setHeaders(RoutingContext context, boolean prefixHit) {
+        echo(context, Headers.REQUEST_ID);
+        echo(context, Headers.ATTEMPT_ID);
+        context.response().headersEndHandler(ignored -> context.response().putHeader(Headers.LOAD, loadNow()));
+        context.response()
+                .putHeader(Headers.MODEL, model)
+                .putHeader(Headers.VERSION, version)
+                .putHeader(PREFIX_HIT, Boolean.toString(prefixHit));
+    }
+
+    private void scheduleStep() {
+        if (stepping) {
+            return;
+        }
+        stepping = true;
+        batch.admit();
+        long millis = Math.max(1, Math.round(batch.nextStepMillis() * slowFactor()));
+        vertx().setTimer(millis, ignored -> whenThawed(this::step));
+    }
+
+    private void step() {
+        stepping = false;
+        batch.step().forEach(this::end);
+        if (!batch.isEmpty()) {
+            scheduleStep();
+        }
+    }
+
+    private void end(Generation generation) {
+        if (failing()) {
+            generation.fail();
+        } else {
+            generation.finish();
+        }
+    }
+
+    private void takeOrder(RoutingContext context) {
+        JsonObject order = context.body().asJsonObject();
+        boolean obeyed = orderGate.admits(order.getLong("fencing", 0L));
+        orders.add(order.copy().put("obeyed", obeyed));
+        if (!obeyed) {
+            answer(context, 409, new JsonObject().put("error", "old fencing number"));
+            return;
+        }
+        if (order.getString("order", "").equals("load-model")) {
+            model = order.getString("model", model);
+            version = order.getString("version", version);
+        }
+        answer(context, 200, new JsonObject().put("model", model).put("version", version));
+    }
+
+    private String loadNow() {
+        return batch.running() + "/" + batch.waiting() + "/" + batch.slots();
+    }
+
+    private JsonObject load() {
+        return new JsonObject()
+                .put("running", batch.running())
+                .put("waiting", batch.waiting())
+                .put("slots", batch.slots())
+                .put("prefixes", prefixes.size())
+                .put("prefixHits", prefixHits);
+    }
+
+    private static int priority(RoutingContext context) {
+        String priority = context.request().getHeader(Headers.PRIORITY);
+        return priority != null && priority.matches("[0-9]{1,4}") ? Integer.parseInt(priority) : DEFAULT_PRIORITY;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabcart/standins/engine/Prompt.java
@@ -0,0 +1,43 @@
+package org.baobabcart.standins.engine;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * What an OpenAI-compatible request asks for. Immutable.
+ *
+ * @param text the whole prompt
+ * @param tokens the number of tokens to generate
+ * @param stream whether the answer is sent as server-sent events
+ * @param chat whether the request came by the chat path
+ */
+record Prompt(String text, int tokens, boolean stream, boolean chat) {
+    private static final int DEFAULT_TOKENS = 16;
+    private static final int MAXIMUM_TOKENS = 8192;
+    private static final int CHARACTERS_PER_TOKEN = 4;
+
+    static Prompt of(JsonObject body, boolean chat) {
+        Integer limit = body.getInteger("max_tokens", body.getInteger("max_completion_tokens"));
+        int tokens = limit == null ? DEFAULT_TOKENS : Math.max(1, Math.min(MAXIMUM_TOKENS, limit));
+        String text = chat ? messages(body.getJsonArray("messages")) : String.valueOf(body.getValue("prompt"));
+        return new Prompt(text, tokens, body.getBoolean("stream", false), chat);
+    }
+
+    int promptTokens() {
+        return tokensOf(text.length());
+    }
+
+    static int tokensOf(int characters) {
+        return (characters + CHARACTERS_PER_TOKEN - 1) / CHARACTERS_PER_TOKEN;
+    }
+
+    private static String messages(JsonArray messages) {
+        StringBuilder text = new StringBuilder();
+        for (int index = 0; messages != null && index < messages.size(); index++) {
+            JsonObject message = messages.getJsonObject(index);
+            text.append(message.getString("role")).append(": ");
+            text.append(message.getValue("content")).append('\n');
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabcart/standins/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for the platform's versioned object API. */
+package org.baobabcart.standins.platform;
--- /dev/null
+++ b/standins/src/main/java/org/baobabcart/standins/proxy/FaultProxy.java
@@ -0,0 +1,83 @@
+package org.baobabcart.standins.proxy;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import io.vertx.ext.web.Router;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.baobabcart.standins.base.StandInServer;
+import org.baobabcart.standins.base.StandInSettings;
+
+/** A TCP proxy before one target, with faults set over HTTP on a port of its own. Confined to the event loop. */
+public final class FaultProxy extends StandInServer {
+    private final NetClient client;
+    private final Set<ProxyLink> links = new HashSet<>();
+    private ProxyFaults faults = ProxyFaults.none();
+
+    private FaultProxy(Vertx vertx, StandInSettings settings) {
+        super(vertx, settings);
+        client = vertx.createNetClient();
+    }
+
+    /** A proxy that has not started yet. */
+    public static FaultProxy create(Vertx vertx, StandInSettings settings) {
+        return new FaultProxy(vertx, settings);
+    }
+
+    @Override
+    public Future<Map<String, Integer>> start() {
+        Future<NetServer> proxy = vertx().createNetServer()
+                .connectHandler(this::accept)
+                .listen(settings().proxyPort(), LISTEN_ADDRESS);
+        return proxy.compose(
+                server -> super.start().map(ports -> Map.of("http", ports.get("http"), "proxy", server.actualPort())));
+    }
+
+    @Override
+    protected void addRoutes(Router router) {
+        router.get("/standin/links")
+                .handler(context -> answer(context, 200, new JsonObject().put("open", links.size())));
+    }
+
+    @Override
+    protected void applyFaults(JsonObject changes) {
+        faults = faults.with(changes);
+        if (changes.getBoolean("silent-connections", false)) {
+            links.forEach(ProxyLink::silence);
+        }
+        List.copyOf(links).forEach(link -> link.apply(faults));
+    }
+
+    private void accept(NetSocket caller) {
+        if (faults.cut()) {
+            caller.close();
+            return;
+        }
+        caller.pause();
+        client.connect(SocketAddress.inetSocketAddress(targetPort(), targetHost()))
+                .onSuccess(target -> join(caller, target))
+                .onFailure(ignored -> caller.close());
+    }
+
+    private void join(NetSocket caller, NetSocket target) {
+        ProxyLink link = ProxyLink.of(vertx(), caller, target, links::remove);
+        links.add(link);
+        link.apply(faults);
+    }
+
+    private String targetHost() {
+        return settings().target().substring(0, settings().target().lastIndexOf(':'));
+    }
+
+    private int targetPort() {
+        return Integer.parseInt(
+                settings().target().substring(settings().target().lastIndexOf(':') + 1));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabcart/standins/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** TCP proxy that injects network faults. */
+package org.baobabcart.standins.proxy;
