--- a/standins/src/main/java/org/baobabcart/standins/engine/ContinuousBatch.java
+++ b/standins/src/main/java/org/baobabcart/standins/engine/ContinuousBatch.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.PriorityQueue;
 
 /**
@@ -41,6 +42,11 @@
         arrivals++;
     }
 
+    /** The request that gets the next free slot. */
+    Optional<Generation> nextInLine() {
+        return Optional.ofNullable(waiting.peek()).map(Waiting::generation);
+    }
+
     /** Takes a cancelled request out. */
     void remove(Generation generation) {
         running.remove(generation);
@@ -50,7 +56,7 @@
     /** Fills free slots, the most urgent request first and in order of arrival among equals. */
     void admit() {
         while (running.size() < slots && !waiting.isEmpty()) {
-            running.add(waiting.poll().generation());
+            running.add(waiting.remove().generation());
         }
     }
 
--- /dev/null
+++ b/standins/src/test/java/org/baobabcart/standins/service/RatingStandInTest.java
@@ -0,0 +1,26 @@
+package org.baobabcart.standins.service;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.vertx.core.json.JsonObject;
+import org.baobabcart.standins.base.RunningStandIn;
+import org.junit.jupiter.api.Test;
+
+class RatingStandInTest {
+    @Test
+    void readsTheQualityThatAnAnswerStates() throws Exception {
+        try (RunningStandIn ratings = RunningStandIn.start(RatingStandIn::create, RunningStandIn.settings())) {
+            String whole = new JsonObject()
+                    .put("answer", "m@v quality=0.7 tokens: t1 end")
+                    .encode();
+            String other = new JsonObject().put("answer", "no figure").encode();
+            assertThat(rating(ratings, whole), equalTo(0.7));
+            assertThat(rating(ratings, other), equalTo(0.0));
+        }
+    }
+
+    private static double rating(RunningStandIn ratings, String request) throws Exception {
+        return new JsonObject(ratings.call("POST", "/ratings", request).body()).getDouble("rating");
+    }
+}
