--- a/launcher/src/main/java/org/baobabcart/launcher/LocalFleet.java
+++ b/launcher/src/main/java/org/baobabcart/launcher/LocalFleet.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.baobabcart.model.platform.VirtualMachine;
 
 /**
@@ -115,50 +117,17 @@
 
     /** Starts one more router. */
     public FleetNode startRouter(String name, String dataCentre) {
-        String platformUrl =
-                settings.platformProxies() ? platformProxies.get(dataCentre).url(PROXY) : platform.url(HTTP);
-        ManagedProcess process =
-                launch(processes.router(name, dataCentre, platformUrl, virtualMachines.url(HTTP), ratings.url(HTTP)));
-        VirtualMachine machine = new VirtualMachine(
-                name,
-                VirtualMachine.Role.ROUTER,
-                dataCentre,
-                VirtualMachine.State.LIVE,
-                "127.0.0.1:" + process.port("peer"),
-                "",
-                "",
-                "");
-        return register(routers, machine, process);
+        return launchAll(List.of(plannedRouter(name, dataCentre))).get(0);
     }
 
     /** Starts one more engine. */
     public FleetNode startEngine(String name, String dataCentre, EngineSettings engine) {
-        ManagedProcess process = launch(processes.engine(name, dataCentre, engine));
-        VirtualMachine machine = new VirtualMachine(
-                name,
-                VirtualMachine.Role.ENGINE,
-                dataCentre,
-                VirtualMachine.State.LIVE,
-                process.url(HTTP),
-                engine.model(),
-                engine.version(),
-                "");
-        return register(engines, machine, process);
+        return launchAll(List.of(plannedEngine(name, dataCentre, engine))).get(0);
     }
 
     /** Starts one more upstream of a plain service. */
     public FleetNode startService(String name, String dataCentre, String service) {
-        ManagedProcess process = launch(processes.standIn("service", name, "--service", service));
-        VirtualMachine machine = new VirtualMachine(
-                name,
-                VirtualMachine.Role.SERVICE,
-                dataCentre,
-                VirtualMachine.State.LIVE,
-                process.url(HTTP),
-                "",
-                "",
-                service);
-        return register(services, machine, process);
+        return launchAll(List.of(plannedService(name, dataCentre, service))).get(0);
     }
 
     /** Starts a fault proxy before a port of this fleet; its ports are {@code http} for faults and {@code proxy}. */
@@ -187,23 +156,37 @@
     }
 
     private void startAll() {
-        platform = launch(processes.standIn("platform", "platform"));
-        virtualMachines = launch(processes.standIn("virtual-machines", "virtual-machines"));
-        ratings = launch(processes.standIn("ratings", "ratings"));
-        settings.dataCentres().forEach(this::startUpstreams);
+        List<ManagedProcess> outside = ParallelStart.of(
+                List.of(
+                        processes.standIn("platform", "platform"),
+                        processes.standIn("virtual-machines", "virtual-machines"),
+                        processes.standIn("ratings", "ratings")),
+                started);
+        platform = outside.get(0);
+        virtualMachines = outside.get(1);
+        ratings = outside.get(2);
+        launchAll(
+                settings.dataCentres().stream().flatMap(this::plannedUpstreams).toList());
         if (settings.platformProxies()) {
             settings.dataCentres().forEach(this::startPlatformProxy);
         }
-        settings.dataCentres().forEach(this::startRouters);
+        launchAll(settings.dataCentres().stream().flatMap(this::plannedRouters).toList());
     }
 
-    private void startUpstreams(String dataCentre) {
-        for (int index = 0; index < settings.enginesPerDataCentre(); index++) {
-            EngineSettings engine =
-                    settings.engines().get(index % settings.engines().size());
-            startEngine("engine-" + dataCentre + "-" + (index + 1), dataCentre, engine);
-        }
-        settings.services().forEach(service -> startService(service + "-" + dataCentre + "-1", dataCentre, service));
+    private Stream<PlannedNode> plannedUpstreams(String dataCentre) {
+        Stream<PlannedNode> plannedEngines = IntStream.range(0, settings.enginesPerDataCentre())
+                .mapToObj(index -> plannedEngine(
+                        "engine-" + dataCentre + "-" + (index + 1),
+                        dataCentre,
+                        settings.engines().get(index % settings.engines().size())));
+        Stream<PlannedNode> plannedServices = settings.services().stream()
+                .map(service -> plannedService(service + "-" + dataCentre + "-1", dataCentre, service));
+        return Stream.concat(plannedEngines, plannedServices);
+    }
+
+    private Stream<PlannedNode> plannedRouters(String dataCentre) {
+        return IntStream.rangeClosed(1, settings.routersPerDataCentre())
+                .mapToObj(index -> plannedRouter("router-" + dataCentre + "-" + index, dataCentre));
     }
 
     private void startPlatformProxy(String dataCentre) {
@@ -211,22 +194,56 @@
         platformProxies.put(dataCentre, startProxy(name, platform.port(HTTP)));
     }
 
-    private void startRouters(String dataCentre) {
-        for (int index = 1; index <= settings.routersPerDataCentre(); index++) {
-            startRouter("router-" + dataCentre + "-" + index, dataCentre);
-        }
+    private PlannedNode plannedRouter(String name, String dataCentre) {
+        String platformUrl =
+                settings.platformProxies() ? platformProxies.get(dataCentre).url(PROXY) : platform.url(HTTP);
+        ProcessSettings process =
+                processes.router(name, dataCentre, platformUrl, virtualMachines.url(HTTP), ratings.url(HTTP));
+        return new PlannedNode(process, routers, "peer", "", machine(name, VirtualMachine.Role.ROUTER, dataCentre));
+    }
+
+    private PlannedNode plannedEngine(String name, String dataCentre, EngineSettings engine) {
+        VirtualMachine machine = new VirtualMachine(
+                name,
+                VirtualMachine.Role.ENGINE,
+                dataCentre,
+                VirtualMachine.State.LIVE,
+                "",
+                engine.model(),
+                engine.version(),
+                "");
+        return new PlannedNode(processes.engine(name, dataCentre, engine), engines, HTTP, "http://", machine);
+    }
+
+    private PlannedNode plannedService(String name, String dataCentre, String service) {
+        VirtualMachine machine = new VirtualMachine(
+                name, VirtualMachine.Role.SERVICE, dataCentre, VirtualMachine.State.LIVE, "", "", "", service);
+        ProcessSettings process = processes.standIn("service", name, "--service", service);
+        return new PlannedNode(process, services, HTTP, "http://", machine);
+    }
+
+    private static VirtualMachine machine(String name, VirtualMachine.Role role, String dataCentre) {
+        return new VirtualMachine(name, role, dataCentre, VirtualMachine.State.LIVE, "", "", "", "");
     }
 
     private ManagedProcess launch(ProcessSettings process) {
-        ManagedProcess managed = ManagedProcess.start(process);
-        started.add(managed);
-        return managed;
+        return ParallelStart.of(List.of(process), started).get(0);
+    }
+
+    private List<FleetNode> launchAll(List<PlannedNode> planned) {
+        List<ManagedProcess> launched =
+                ParallelStart.of(planned.stream().map(PlannedNode::process).toList(), started);
+        List<FleetNode> nodes = new ArrayList<>();
+        for (int index = 0; index < planned.size(); index++) {
+            nodes.add(register(planned.get(index), launched.get(index)));
+        }
+        return nodes;
     }
 
-    private FleetNode register(Map<String, FleetNode> nodes, VirtualMachine machine, ManagedProcess process) {
-        FleetNode node = new FleetNode(machine, process);
-        nodes.put(machine.name(), node);
-        putVirtualMachine(machine);
+    private FleetNode register(PlannedNode planned, ManagedProcess process) {
+        FleetNode node = planned.nodeOn(process);
+        planned.nodes().put(node.name(), node);
+        putVirtualMachine(node.machine());
         return node;
     }
 }
