--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/testing/InMemoryObjectStore.java
@@ -0,0 +1,216 @@
+package org.baobabcart.router.testing;
+
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.MultiEmitter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.platform.ObjectStore;
+
+/**
+ * The platform's object API in memory, with faults. Thread-safe; answers come on the caller's thread.
+ *
+ * <p>{@link #setOutage} refuses every call and breaks every watch; {@link #setLoseAnswers} lets writes take effect and
+ * loses their answers; {@link #conflictNext} has the next write find a newer version.
+ */
+public final class InMemoryObjectStore implements ObjectStore {
+    private final Map<String, StoredObject> objects = new TreeMap<>();
+    private final List<Watcher> watchers = new ArrayList<>();
+    private long version;
+    private boolean outage;
+    private boolean loseAnswers;
+    private int answersToLose;
+    private boolean conflict;
+    private int reads;
+    private int writes;
+
+    private InMemoryObjectStore() {}
+
+    public static InMemoryObjectStore create() {
+        return new InMemoryObjectStore();
+    }
+
+    public synchronized void setOutage(boolean active) {
+        outage = active;
+        if (active) {
+            List<Watcher> broken = List.copyOf(watchers);
+            watchers.clear();
+            broken.forEach(watcher -> watcher.emitter().fail(failure(ResultCode.PLATFORM_UNAVAILABLE)));
+        }
+    }
+
+    public synchronized void setLoseAnswers(boolean active) {
+        loseAnswers = active;
+    }
+
+    public synchronized void loseNextAnswer() {
+        answersToLose++;
+    }
+
+    public synchronized void conflictNext() {
+        conflict = true;
+    }
+
+    public synchronized int reads() {
+        return reads;
+    }
+
+    public synchronized int writes() {
+        return writes;
+    }
+
+    public synchronized int watches() {
+        return watchers.size();
+    }
+
+    @Override
+    public Uni<StoredObject> read(String kind, String name) {
+        return deferred(() -> {
+            reads++;
+            return existing(kind, name);
+        });
+    }
+
+    @Override
+    public Uni<List<StoredObject>> list(String kind) {
+        return deferred(() -> {
+            reads++;
+            return objects.values().stream()
+                    .filter(object -> object.kind().equals(kind))
+                    .toList();
+        });
+    }
+
+    @Override
+    public Uni<StoredObject> create(StoredObject object) {
+        return deferred(() -> {
+            beginWrite();
+            if (objects.containsKey(key(object.kind(), object.name()))) {
+                throw failure(ResultCode.CONFLICT);
+            }
+            return answered(stored(object, ObjectEvent.Type.ADDED));
+        });
+    }
+
+    @Override
+    public Uni<StoredObject> update(StoredObject object) {
+        return deferred(() -> {
+            beginWrite();
+            requireSameVersion(object);
+            return answered(stored(object, ObjectEvent.Type.MODIFIED));
+        });
+    }
+
+    @Override
+    public Uni<Void> delete(StoredObject object) {
+        return deferred(() -> {
+            beginWrite();
+            requireSameVersion(object);
+            version++;
+            objects.remove(key(object.kind(), object.name()));
+            publish(new ObjectEvent(ObjectEvent.Type.DELETED, object));
+            answered(object);
+            return null;
+        });
+    }
+
+    @Override
+    public Multi<ObjectEvent> watch(String kind, String fromResourceVersion) {
+        return Multi.createFrom().emitter(emitter -> open(kind, fromResourceVersion, emitter));
+    }
+
+    private synchronized void open(String kind, String from, MultiEmitter<? super ObjectEvent> emitter) {
+        if (outage) {
+            emitter.fail(failure(ResultCode.PLATFORM_UNAVAILABLE));
+            return;
+        }
+        Watcher watcher = new Watcher(kind, emitter);
+        emitter.onTermination(() -> close(watcher));
+        watchers.add(watcher);
+        long seen = from.isEmpty() ? 0 : Long.parseLong(from);
+        objects.values().stream()
+                .filter(object -> object.kind().equals(kind))
+                .filter(object -> Long.parseLong(object.resourceVersion()) > seen)
+                .forEach(object -> emitter.emit(new ObjectEvent(ObjectEvent.Type.MODIFIED, object)));
+    }
+
+    private synchronized void close(Watcher watcher) {
+        watchers.remove(watcher);
+    }
+
+    private <T> Uni<T> deferred(Supplier<T> operation) {
+        return Uni.createFrom().item(() -> guarded(operation));
+    }
+
+    private synchronized <T> T guarded(Supplier<T> operation) {
+        if (outage) {
+            throw failure(ResultCode.PLATFORM_UNAVAILABLE);
+        }
+        return operation.get();
+    }
+
+    private void beginWrite() {
+        writes++;
+        if (conflict) {
+            conflict = false;
+            throw failure(ResultCode.CONFLICT);
+        }
+    }
+
+    private StoredObject answered(StoredObject object) {
+        if (loseAnswers) {
+            throw failure(ResultCode.WRITE_OUTCOME_UNKNOWN);
+        }
+        if (answersToLose > 0) {
+            answersToLose--;
+            throw failure(ResultCode.WRITE_OUTCOME_UNKNOWN);
+        }
+        return object;
+    }
+
+    private void requireSameVersion(StoredObject object) {
+        StoredObject current = existing(object.kind(), object.name());
+        if (!current.resourceVersion().equals(object.resourceVersion())) {
+            throw failure(ResultCode.CONFLICT);
+        }
+    }
+
+    private StoredObject existing(String kind, String name) {
+        StoredObject object = objects.get(key(kind, name));
+        if (object == null) {
+            throw failure(ResultCode.NOT_FOUND);
+        }
+        return object;
+    }
+
+    private StoredObject stored(StoredObject object, ObjectEvent.Type type) {
+        version++;
+        StoredObject stored = new StoredObject(object.kind(), object.name(), Long.toString(version), object.spec());
+        objects.put(key(object.kind(), object.name()), stored);
+        publish(new ObjectEvent(type, stored));
+        return stored;
+    }
+
+    private void publish(ObjectEvent event) {
+        List.copyOf(watchers).stream()
+                .filter(watcher -> watcher.kind().equals(event.object().kind()))
+                .forEach(watcher -> watcher.emitter().emit(event));
+    }
+
+    private static String key(String kind, String name) {
+        return kind + "/" + name;
+    }
+
+    private static BaobabcartException failure(ResultCode code) {
+        return BaobabcartException.of(code);
+    }
+
+    private record Watcher(String kind, MultiEmitter<? super ObjectEvent> emitter) {}
+}
