--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/platform/HttpObjectStore.java
@@ -0,0 +1,139 @@
+package org.baobabcart.router.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.ext.web.client.HttpRequest;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.router.control.Futures;
+
+/**
+ * The platform's object API over HTTP. Thread-safe; answers come on an event loop.
+ *
+ * <p>No call is repeated here: whether a repeat is safe is known to the caller alone.
+ */
+public final class HttpObjectStore implements ObjectStore {
+    static final String BASE_PATH = "/apis/baobabcart/v1";
+
+    private final String base;
+    private final PlatformSettings settings;
+    private final WebClient client;
+    private final WatchStream watches;
+
+    private HttpObjectStore(Vertx vertx, URI platform, PlatformSettings settings) {
+        this.base = platform.toString().replaceAll("/+$", "") + BASE_PATH;
+        this.settings = settings;
+        WebClientOptions options = new WebClientOptions()
+                .setConnectTimeout((int) settings.connectTimeout().toMillis())
+                .setKeepAlive(true);
+        this.client = WebClient.create(
+                vertx, options, new io.vertx.core.http.PoolOptions().setHttp1MaxSize(settings.connections()));
+        this.watches = WatchStream.create(vertx, settings);
+    }
+
+    /** A client of the platform at this address. */
+    public static HttpObjectStore create(Vertx vertx, URI platform, PlatformSettings settings) {
+        return new HttpObjectStore(vertx, platform, settings);
+    }
+
+    @Override
+    public Uni<StoredObject> read(String kind, String name) {
+        return call(HttpMethod.GET, path(kind, name), CallEffect.NONE)
+                .map(response -> ObjectJson.object(kind, response.body().getBytes()));
+    }
+
+    @Override
+    public Uni<List<StoredObject>> list(String kind) {
+        return call(HttpMethod.GET, path(kind), CallEffect.NONE).map(response -> items(kind, response));
+    }
+
+    @Override
+    public Uni<StoredObject> create(StoredObject object) {
+        return write(HttpMethod.POST, path(object.kind()), object);
+    }
+
+    @Override
+    public Uni<StoredObject> update(StoredObject object) {
+        return write(HttpMethod.PUT, path(object.kind(), object.name()), object);
+    }
+
+    @Override
+    public Uni<Void> delete(StoredObject object) {
+        String path = path(object.kind(), object.name()) + "?resourceVersion=" + encoded(object.resourceVersion());
+        return call(HttpMethod.DELETE, path, CallEffect.WRITE).replaceWithVoid();
+    }
+
+    @Override
+    public Multi<ObjectEvent> watch(String kind, String fromResourceVersion) {
+        String query = "?watch=true&timeoutSeconds=" + settings.watchDuration().toSeconds();
+        String from = fromResourceVersion.isEmpty() ? "" : "&resourceVersion=" + encoded(fromResourceVersion);
+        return watches.open(kind, path(kind) + query + from);
+    }
+
+    private Uni<StoredObject> write(HttpMethod method, String path, StoredObject object) {
+        Buffer body = Buffer.buffer(ObjectJson.bytes(object));
+        return Futures.toUni(() -> request(method, path)
+                        .putHeader("Content-Type", "application/json")
+                        .sendBuffer(body))
+                .onFailure()
+                .transform(CallEffect.WRITE::failure)
+                .map(response -> ObjectJson.object(object.kind(), checked(response, CallEffect.WRITE)));
+    }
+
+    private Uni<HttpResponse<Buffer>> call(HttpMethod method, String path, CallEffect effect) {
+        return Futures.toUni(() -> sent(method, path))
+                .onFailure()
+                .transform(effect::failure)
+                .invoke(response -> checked(response, effect));
+    }
+
+    private Future<HttpResponse<Buffer>> sent(HttpMethod method, String path) {
+        return request(method, path).send();
+    }
+
+    private HttpRequest<Buffer> request(HttpMethod method, String path) {
+        return client.requestAbs(method, path).timeout(settings.callTimeout().toMillis());
+    }
+
+    private static byte[] checked(HttpResponse<Buffer> response, CallEffect effect) {
+        byte[] body = response.body() == null ? new byte[0] : response.body().getBytes();
+        if (response.statusCode() / 100 != 2) {
+            throw effect.refusal(response.statusCode(), ObjectJson.message(body), response.getHeader("Retry-After"));
+        }
+        return body;
+    }
+
+    private static List<StoredObject> items(String kind, HttpResponse<Buffer> response) {
+        List<StoredObject> items = new ArrayList<>();
+        for (JsonNode item : ObjectJson.tree(response.body().getBytes()).path("items")) {
+            items.add(ObjectJson.object(kind, (ObjectNode) item));
+        }
+        return items;
+    }
+
+    private String path(String kind) {
+        return base + "/" + encoded(kind);
+    }
+
+    private String path(String kind, String name) {
+        return path(kind) + "/" + encoded(name);
+    }
+
+    private static String encoded(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/platform/HttpVirtualMachineList.java
@@ -0,0 +1,66 @@
+package org.baobabcart.router.platform;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.control.Futures;
+
+/** The list of VMs over HTTP. Thread-safe; answers come on an event loop. */
+public final class HttpVirtualMachineList implements VirtualMachineList {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .build();
+    private static final TypeReference<List<VirtualMachine>> LIST = new TypeReference<>() {};
+
+    private final String address;
+    private final PlatformSettings settings;
+    private final WebClient client;
+
+    private HttpVirtualMachineList(Vertx vertx, URI address, PlatformSettings settings) {
+        this.address = address.toString().replaceAll("/+$", "") + "/vms";
+        this.settings = settings;
+        int connectMillis = (int) settings.connectTimeout().toMillis();
+        this.client = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(connectMillis));
+    }
+
+    /** A client of the list at this address. */
+    public static HttpVirtualMachineList create(Vertx vertx, URI address, PlatformSettings settings) {
+        return new HttpVirtualMachineList(vertx, address, settings);
+    }
+
+    @Override
+    public Uni<List<VirtualMachine>> read() {
+        return Futures.toUni(() -> client.getAbs(address)
+                        .timeout(settings.callTimeout().toMillis())
+                        .send())
+                .map(HttpVirtualMachineList::machines)
+                .onFailure()
+                .transform(CallEffect.NONE::failure);
+    }
+
+    private static List<VirtualMachine> machines(HttpResponse<Buffer> response) {
+        if (response.statusCode() != 200) {
+            throw BaobabcartException.of(ResultCode.PLATFORM_UNAVAILABLE, "list of VMs: " + response.statusCode());
+        }
+        try {
+            return MAPPER.convertValue(
+                    MAPPER.readTree(response.body().getBytes()).path("virtualMachines"), LIST);
+        } catch (IOException | IllegalArgumentException exception) {
+            throw BaobabcartException.of(ResultCode.PLATFORM_UNAVAILABLE, "the list of VMs cannot be read")
+                    .withCause(exception);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
@@ -0,0 +1,94 @@
+package org.baobabcart.router.platform;
+
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.subscription.MultiEmitter;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.parsetools.RecordParser;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicReference;
+import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+
+/**
+ * Watches over HTTP: one long answer with one JSON object a line. Thread-safe.
+ *
+ * <p>A watch that stays silent past its agreed end is taken for broken, since its connection may have been forgotten
+ * by something between the two ends.
+ */
+final class WatchStream {
+    private static final int LONGEST_LINE_BYTES = 4 * 1024 * 1024;
+
+    private final HttpClient client;
+    private final Duration silence;
+
+    private WatchStream(Vertx vertx, PlatformSettings settings) {
+        HttpClientOptions options = new HttpClientOptions()
+                .setConnectTimeout((int) settings.connectTimeout().toMillis())
+                .setKeepAlive(false);
+        this.client = vertx.createHttpClient(options);
+        this.silence = settings.watchDuration().plus(settings.watchSilence());
+    }
+
+    static WatchStream create(Vertx vertx, PlatformSettings settings) {
+        return new WatchStream(vertx, settings);
+    }
+
+    Multi<ObjectEvent> open(String kind, String address) {
+        return Multi.createFrom().emitter(emitter -> begin(kind, address, emitter));
+    }
+
+    private void begin(String kind, String address, MultiEmitter<? super ObjectEvent> emitter) {
+        AtomicReference<HttpClientRequest> open = new AtomicReference<>();
+        emitter.onTermination(() -> close(open.get()));
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.GET)
+                .setAbsoluteURI(address)
+                .setIdleTimeout(silence.toMillis());
+        client.request(options)
+                .compose(request -> {
+                    open.set(request);
+                    return request.send();
+                })
+                .onSuccess(response -> receive(kind, response, emitter))
+                .onFailure(failure -> emitter.fail(CallEffect.NONE.failure(failure)));
+    }
+
+    private static void receive(String kind, HttpClientResponse response, MultiEmitter<? super ObjectEvent> emitter) {
+        if (response.statusCode() != 200) {
+            emitter.fail(CallEffect.NONE.refusal(response.statusCode(), "watch", response.getHeader("Retry-After")));
+            return;
+        }
+        RecordParser lines = RecordParser.newDelimited("\n", line -> emit(kind, line, emitter));
+        lines.maxRecordSize(LONGEST_LINE_BYTES);
+        lines.exceptionHandler(failure -> emitter.fail(CallEffect.NONE.failure(failure)));
+        response.exceptionHandler(failure -> emitter.fail(CallEffect.NONE.failure(failure)));
+        response.endHandler(ignored -> emitter.complete());
+        response.handler(lines::handle);
+    }
+
+    private static void emit(String kind, Buffer line, MultiEmitter<? super ObjectEvent> emitter) {
+        if (line.length() == 0) {
+            return;
+        }
+        try {
+            emitter.emit(ObjectJson.event(kind, line.getBytes()));
+        } catch (IllegalArgumentException | BaobabcartException exception) {
+            emitter.fail(BaobabcartException.of(ResultCode.PLATFORM_UNAVAILABLE, "the watch sent an unknown event")
+                    .withCause(exception));
+        }
+    }
+
+    private static void close(HttpClientRequest request) {
+        if (request != null) {
+            request.reset();
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/settings/RouterSettings.java
@@ -0,0 +1,61 @@
+package org.baobabcart.router.settings;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The settings of one router. Immutable; made by {@link SettingsParser}, which checks every value.
+ *
+ * @param name the router's name
+ * @param dataCentre the data centre it stands in
+ * @param listenAddress the address that all ports bind
+ * @param callerPort the port of the caller API, 0 for any
+ * @param adminPort the port of the operators' API, 0 for any
+ * @param peerPort the port that other routers call, 0 for any
+ * @param platform the platform's object API
+ * @param virtualMachines the platform's list of VMs
+ * @param ratings the service that rates answers, if there is one
+ * @param peers peer ports to join besides those in the list of VMs
+ * @param balancerDelay how long requests are still accepted after a planned stop has begun
+ * @param drainTimeout how long running requests may take to finish at a planned stop
+ */
+public record RouterSettings(
+        String name,
+        String dataCentre,
+        String listenAddress,
+        int callerPort,
+        int adminPort,
+        int peerPort,
+        URI platform,
+        URI virtualMachines,
+        Optional<URI> ratings,
+        List<String> peers,
+        Duration balancerDelay,
+        Duration drainTimeout) {
+    /** Copies the list. */
+    public RouterSettings {
+        peers = List.copyOf(peers);
+    }
+
+    /** Settings from texts that have been checked; every setting has an entry. */
+    static RouterSettings ofChecked(Map<Setting, String> values) {
+        return new RouterSettings(
+                values.get(Setting.NAME),
+                values.get(Setting.DATA_CENTRE),
+                values.get(Setting.LISTEN_ADDRESS),
+                Integer.parseInt(values.get(Setting.CALLER_PORT)),
+                Integer.parseInt(values.get(Setting.ADMIN_PORT)),
+                Integer.parseInt(values.get(Setting.PEER_PORT)),
+                URI.create(values.get(Setting.PLATFORM)),
+                URI.create(values.get(Setting.VIRTUAL_MACHINES)),
+                Optional.of(values.get(Setting.RATINGS))
+                        .filter(text -> !text.isEmpty())
+                        .map(URI::create),
+                ValueForm.split(values.get(Setting.PEERS)),
+                Duration.ofMillis(Long.parseLong(values.get(Setting.BALANCER_DELAY_MILLIS))),
+                Duration.ofMillis(Long.parseLong(values.get(Setting.DRAIN_TIMEOUT_MILLIS))));
+    }
+}
