Claim journals: pure rules for owners, claimants and held keys

Cause: a call that may not be repeated must run at most once though any router may take itself for the owner. Change: journals with an accumulated clock, idempotent operations, the owner as a state machine whose conditional update is the fence, the claimant's rule and the rule for held keys.

--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/claim/Attempt.java
@@ -0,0 +1,60 @@
+package org.baobabcart.policy.claim;
+
+/**
+ * An attempt as its claimant remembers it. Immutable.
+ *
+ * <p>The claimant's rule: an attempt is sent once at most, only while it holds a grant, and only within a bound since
+ * before the claim was asked for, measured on the claimant's own monotonic clock. An attempt that was once called
+ * abandoned is never sent, so that another attempt may take over its claim.
+ *
+ * @param state where the attempt stands
+ * @param askedNanos the claimant's monotonic time before it asked for the claim
+ */
+public record Attempt(State state, long askedNanos) {
+    /** Age in nanoseconds at which a grant that was not used becomes void. */
+    public static final long GRANT_BOUND_NANOS = 10_000_000_000L;
+
+    /** States of an attempt. */
+    public enum State {
+        /** The claim was asked for. */
+        ASKED,
+        /** The claim was granted and nothing sent. */
+        GRANTED,
+        /** The call may have been sent. */
+        DISPATCHED,
+        /** Nothing was sent and never will be. */
+        ABANDONED
+    }
+
+    /** An attempt whose claim is about to be asked for. */
+    public static Attempt asked(long nowNanos) {
+        return new Attempt(State.ASKED, nowNanos);
+    }
+
+    /** The attempt after a grant has arrived; an abandoned one stays abandoned. */
+    public Attempt granted() {
+        return state == State.ASKED ? new Attempt(State.GRANTED, askedNanos) : this;
+    }
+
+    /** The attempt at a time: a grant that is too old is abandoned. */
+    public Attempt at(long nowNanos) {
+        boolean unused = state == State.ASKED || state == State.GRANTED;
+        return unused && nowNanos - askedNanos > GRANT_BOUND_NANOS ? abandoned() : this;
+    }
+
+    /** The attempt after the claimant was asked to send it; dispatched only if it may be sent now. */
+    public Attempt dispatched(long nowNanos) {
+        Attempt current = at(nowNanos);
+        return current.state == State.GRANTED ? new Attempt(State.DISPATCHED, askedNanos) : current;
+    }
+
+    /** The attempt after it was given up; one that may have been sent stays as it is. */
+    public Attempt abandoned() {
+        return state == State.DISPATCHED ? this : new Attempt(State.ABANDONED, askedNanos);
+    }
+
+    /** The attempt after its claimant knows that no upstream received it. */
+    public Attempt notRun() {
+        return new Attempt(State.ABANDONED, askedNanos);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/claim/HeldJournal.java
@@ -0,0 +1,17 @@
+package org.baobabcart.policy.claim;
+
+/**
+ * A journal as it was read or written. Immutable.
+ *
+ * @param journal the content
+ * @param resourceVersion the platform's version, empty if the object does not exist
+ * @param obtainedNanos the owner's monotonic time at which the platform's answer had arrived
+ */
+public record HeldJournal(ClaimJournal journal, String resourceVersion, long obtainedNanos) {
+    private static final long NANOS_PER_MILLISECOND = 1_000_000;
+
+    /** The content, older by the time since it was obtained. */
+    public ClaimJournal at(long nowNanos) {
+        return journal.aged((nowNanos - obtainedNanos) / NANOS_PER_MILLISECOND);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/claim/JournalChange.java
@@ -0,0 +1,17 @@
+package org.baobabcart.policy.claim;
+
+import java.util.List;
+
+/**
+ * The effect of operations on a journal. Immutable.
+ *
+ * @param journal the journal after them
+ * @param results their results, in the order of the operations
+ * @param changed whether the journal has to be written for the results to hold
+ */
+public record JournalChange(ClaimJournal journal, List<ClaimResult> results, boolean changed) {
+    /** Copies the list. */
+    public JournalChange {
+        results = List.copyOf(results);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/claim/JournalDraft.java
@@ -0,0 +1,137 @@
+package org.baobabcart.policy.claim;
+
+import java.util.Map;
+import java.util.Optional;
+import org.baobabcart.policy.claim.ClaimResult.Kind;
+
+/** A journal under change. Confined to one call of {@link ClaimJournal#apply}. */
+final class JournalDraft {
+    private final long clockMillis;
+    private final Map<String, Claim> claims;
+    private int characters;
+    private boolean changed;
+
+    JournalDraft(long clockMillis, Map<String, Claim> claims, int characters) {
+        this.clockMillis = clockMillis;
+        this.claims = claims;
+        this.characters = characters;
+    }
+
+    Map<String, Claim> claims() {
+        return claims;
+    }
+
+    boolean changed() {
+        return changed;
+    }
+
+    ClaimResult apply(ClaimOperation operation) {
+        if (operation instanceof ClaimOperation.Acquire acquire) {
+            return acquire(acquire);
+        }
+        if (operation instanceof ClaimOperation.Finish finish) {
+            return finish(finish);
+        }
+        if (operation instanceof ClaimOperation.MarkUnknown unknown) {
+            return markUnknown(unknown);
+        }
+        return release(operation);
+    }
+
+    private ClaimResult acquire(ClaimOperation.Acquire acquire) {
+        Optional<Claim> present = Optional.ofNullable(claims.get(acquire.key().digest()));
+        if (present.isEmpty()) {
+            return add(acquire);
+        }
+        Claim claim = present.get();
+        if (claim.state() == Claim.State.OPEN && claim.isOf(acquire.attemptId())) {
+            return ClaimResult.of(Kind.GRANTED, claim);
+        }
+        if (claim.state() == Claim.State.OPEN && acquire.replaces().equals(Optional.of(claim.attemptId()))) {
+            remove(claim);
+            return add(acquire);
+        }
+        if (claim.state() == Claim.State.OPEN) {
+            return ClaimResult.of(Kind.HELD, claim);
+        }
+        if (!claim.callDigest().equals(acquire.callDigest())) {
+            return ClaimResult.of(Kind.KEY_REUSED, claim);
+        }
+        return ClaimResult.of(claim.state() == Claim.State.FINISHED ? Kind.REPLAY : Kind.OUTCOME_UNKNOWN, claim);
+    }
+
+    private ClaimResult finish(ClaimOperation.Finish finish) {
+        return of(finish)
+                .map(claim -> {
+                    if (claim.state() != Claim.State.FINISHED) {
+                        replace(claim, withinSize(claim, finish.answer()));
+                    }
+                    return ClaimResult.of(Kind.STORED);
+                })
+                .orElse(ClaimResult.of(Kind.NO_CLAIM));
+    }
+
+    private ClaimResult markUnknown(ClaimOperation.MarkUnknown unknown) {
+        return of(unknown)
+                .map(claim -> {
+                    if (claim.state() == Claim.State.OPEN) {
+                        replace(claim, claim.unknown(clockMillis));
+                    }
+                    return ClaimResult.of(Kind.STORED);
+                })
+                .orElse(ClaimResult.of(Kind.NO_CLAIM));
+    }
+
+    private ClaimResult release(ClaimOperation release) {
+        of(release).filter(claim -> claim.state() == Claim.State.OPEN).ifPresent(this::remove);
+        changed = true;
+        return ClaimResult.of(Kind.STORED);
+    }
+
+    private ClaimResult add(ClaimOperation.Acquire acquire) {
+        Claim claim = new Claim(
+                acquire.key(),
+                acquire.callDigest(),
+                acquire.attemptId(),
+                acquire.claimant(),
+                Claim.State.OPEN,
+                Optional.empty(),
+                clockMillis,
+                Math.max(acquire.retentionMillis(), ClaimJournal.SHORTEST_RETENTION_MILLIS));
+        if (characters + claim.characters() > ClaimJournal.LARGEST_CHARACTERS) {
+            return ClaimResult.of(Kind.UNAVAILABLE);
+        }
+        put(claim);
+        return ClaimResult.of(Kind.GRANTED, claim);
+    }
+
+    private Claim withinSize(Claim claim, KeptAnswer answer) {
+        Claim whole = claim.finished(answer, clockMillis);
+        if (characters + whole.characters() - claim.characters() <= ClaimJournal.LARGEST_CHARACTERS) {
+            return whole;
+        }
+        return claim.finished(new KeptAnswer(answer.status(), Map.of(), "", true), clockMillis);
+    }
+
+    private Optional<Claim> of(ClaimOperation operation) {
+        return Optional.ofNullable(claims.get(operation.key().digest()))
+                .filter(claim -> claim.isOf(operation.attemptId()));
+    }
+
+    private void replace(Claim claim, Claim replacement) {
+        remove(claim);
+        put(replacement);
+    }
+
+    private void put(Claim claim) {
+        claims.put(claim.key().digest(), claim);
+        characters += claim.characters();
+        changed = true;
+    }
+
+    private void remove(Claim claim) {
+        claims.remove(claim.key().digest());
+        characters -= claim.characters();
+        changed = true;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/claim/JournalWrite.java
@@ -0,0 +1,19 @@
+package org.baobabcart.policy.claim;
+
+import java.util.List;
+
+/**
+ * A conditional update that was sent to the platform. Immutable.
+ *
+ * @param batch the operations that it carries out
+ * @param change their effect, with the id of the write in its journal
+ */
+record JournalWrite(List<PendingOperation> batch, JournalChange change) {
+    String writeId() {
+        return change.journal().writeId();
+    }
+
+    List<OwnerStep.Answer> answers() {
+        return OwnerStep.answers(batch, change.results());
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/claim/KeptAnswer.java
@@ -0,0 +1,50 @@
+package org.baobabcart.policy.claim;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The answer of a finished call as a journal keeps it. Immutable.
+ *
+ * @param status the HTTP status
+ * @param headers the headers that are replayed
+ * @param body the body in Base64, empty if it was too large to keep
+ * @param bodyOmitted whether the body was too large to keep; status and headers are replayed without it
+ */
+public record KeptAnswer(int status, Map<String, String> headers, String body, boolean bodyOmitted) {
+    /** Largest answer, in characters of headers and Base64 body, that is kept whole. */
+    public static final int LARGEST_CHARACTERS = 4096;
+
+    private static final int FIXED_CHARACTERS = 64;
+    private static final int CHARACTERS_PER_HEADER = 8;
+
+    /** Copies the headers. */
+    public KeptAnswer {
+        headers = Map.copyOf(headers);
+    }
+
+    /** Keeps an answer whole if it is small enough, otherwise without its body and, if need be, its headers. */
+    public static KeptAnswer of(int status, Map<String, String> headers, String body) {
+        KeptAnswer whole = new KeptAnswer(status, headers, body, false);
+        if (whole.characters() <= LARGEST_CHARACTERS) {
+            return whole;
+        }
+        Map<String, String> kept = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        kept.putAll(headers);
+        kept.remove("Content-Length");
+        kept.remove("Content-Type");
+        KeptAnswer withoutBody = new KeptAnswer(status, kept, "", true);
+        if (withoutBody.characters() <= LARGEST_CHARACTERS) {
+            return withoutBody;
+        }
+        return new KeptAnswer(status, Map.of(), "", true);
+    }
+
+    /** About how many characters the answer takes in a journal. */
+    public int characters() {
+        int headerCharacters = headers.entrySet().stream()
+                .mapToInt(header -> header.getKey().length() + header.getValue().length() + CHARACTERS_PER_HEADER)
+                .sum();
+        return FIXED_CHARACTERS + headerCharacters + body.length();
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/claim/PendingOperation.java
@@ -0,0 +1,11 @@
+package org.baobabcart.policy.claim;
+
+/**
+ * An operation that waits for its result. Immutable.
+ *
+ * @param ticket identifies the operation to the one who submitted it
+ * @param operation the operation
+ * @param submittedNanos the owner's monotonic time of the submission
+ * @param deadlineNanos the owner's monotonic time after which nobody waits for the result
+ */
+public record PendingOperation(long ticket, ClaimOperation operation, long submittedNanos, long deadlineNanos) {}
