--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/session/package-info.java
@@ -0,0 +1,2 @@
+/** Signed session tokens. */
+package org.baobabcart.policy.session;
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/version/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the version of a model that a request runs on. */
+package org.baobabcart.policy.version;
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/AnswerText.java
@@ -0,0 +1,40 @@
+package org.baobabcart.router.traffic;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.Optional;
+
+/** Reads answers of engines. */
+final class AnswerText {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private AnswerText() {}
+
+    /** The JSON of a body or an event; empty if it is not a JSON object. */
+    static Optional<JsonNode> parse(byte[] json) {
+        try {
+            return Optional.of(MAPPER.readTree(json)).filter(JsonNode::isObject);
+        } catch (IOException exception) {
+            return Optional.empty();
+        }
+    }
+
+    /** The text of the first choice of a whole answer or of one event. */
+    static String text(JsonNode answer) {
+        JsonNode choice = answer.path("choices").path(0);
+        for (String field : new String[] {"message", "delta"}) {
+            if (choice.has(field)) {
+                return choice.path(field).path("content").asText("");
+            }
+        }
+        return choice.path("text").asText("");
+    }
+
+    /** All tokens of the usage; zero where the answer tells none. */
+    static long tokens(JsonNode answer) {
+        JsonNode usage = answer.path("usage");
+        return usage.path("prompt_tokens").asLong(0)
+                + usage.path("completion_tokens").asLong(0);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
@@ -0,0 +1,185 @@
+package org.baobabcart.router.traffic;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.request.Headers;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.Ran;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.upstream.AttemptException;
+import org.baobabcart.router.upstream.AttemptResult;
+import org.baobabcart.router.upstream.Slot;
+import org.baobabcart.router.upstream.UpstreamAnswer;
+import org.baobabcart.router.upstream.UpstreamRequest;
+import org.baobabcart.router.upstream.Work;
+import org.baobabcart.router.view.TrafficView;
+
+/**
+ * Makes the attempts of one step, one after the other, until one succeeds or none is allowed any more. Confined to the
+ * event loop of the caller's connection.
+ *
+ * @param <T> what an answer is turned into
+ */
+final class AttemptRunner<T> {
+    private final TrafficRuntime runtime;
+    private final CallerExchange exchange;
+    private final CallerContext context;
+    private final AttemptPlan plan;
+    private final Function<UpstreamAnswer, Future<T>> consumer;
+    private final Future<AttemptException> abandoned;
+
+    private AttemptRunner(
+            TrafficRuntime runtime,
+            CallerExchange exchange,
+            CallerContext context,
+            AttemptPlan plan,
+            Function<UpstreamAnswer, Future<T>> consumer) {
+        this.runtime = runtime;
+        this.exchange = exchange;
+        this.context = context;
+        this.plan = plan;
+        this.consumer = consumer;
+        this.abandoned = plan.repeatable() ? exchange.abandoned() : never();
+    }
+
+    static <T> AttemptRunner<T> create(
+            TrafficRuntime runtime,
+            CallerExchange exchange,
+            CallerContext context,
+            AttemptPlan plan,
+            Function<UpstreamAnswer, Future<T>> consumer) {
+        return new AttemptRunner<>(runtime, exchange, context, plan, consumer);
+    }
+
+    /** The result of the first attempt that succeeds, or a {@link BaobabcartException}. */
+    Future<T> run() {
+        return attempt(1, Set.of());
+    }
+
+    private static Future<AttemptException> never() {
+        return Promise.<AttemptException>promise().future();
+    }
+
+    private Future<T> attempt(int number, Set<String> failed) {
+        Work work = new Work(
+                exchange.requestId(),
+                plan.pool(),
+                context.rankIndex(),
+                context.workspace().name(),
+                context.workspace().weight(),
+                context.deadlineNanos(),
+                plan.affinity(),
+                failed);
+        return runtime.dispatcher()
+                .acquire(work)
+                .compose(slot -> send(slot).recover(failure -> {
+                    if (failure instanceof AttemptException attemptFailure) {
+                        return again(number, failed, slot.upstream(), attemptFailure);
+                    }
+                    return Future.failedFuture(failure);
+                }));
+    }
+
+    private Future<T> send(Slot slot) {
+        boolean mayHaveRunBefore = exchange.mayHaveRun();
+        long begun = System.nanoTime();
+        UpstreamRequest request = plan.request().apply(plan.attemptIds().get());
+        exchange.record(EventType.REQUEST_DISPATCHED, slot.upstream().name());
+        return runtime.upstreams()
+                .send(slot.upstream(), request, () -> passGate(slot.upstream()), abandoned)
+                .compose(answer -> {
+                    long latency = System.nanoTime() - begun;
+                    Optional<String> load = Optional.ofNullable(answer.headers().get(Headers.LOAD));
+                    return consumer.apply(answer)
+                            .onSuccess(ignored -> slot.release(AttemptResult.success(latency, load)));
+                })
+                .onFailure(failure -> release(slot, failure, mayHaveRunBefore));
+    }
+
+    private void release(Slot slot, Throwable failure, boolean mayHaveRunBefore) {
+        if (!(failure instanceof AttemptException attemptFailure) || abandoned.isComplete()) {
+            slot.release(AttemptResult.withoutEvidence());
+            return;
+        }
+        slot.release(AttemptResult.failure(attemptFailure.kind()));
+        if (attemptFailure.kind().ran() == Ran.NO) {
+            exchange.restoreSent(mayHaveRunBefore);
+        }
+    }
+
+    private void passGate(VirtualMachine upstream) {
+        TrafficView view = runtime.parts().views().current();
+        if (abandoned.isComplete()) {
+            throw abandoned.result();
+        }
+        if (context.deadlineNanos() - System.nanoTime() <= 0) {
+            throw BaobabcartException.of(ResultCode.DEADLINE_UNREACHABLE);
+        }
+        if (!view.upstreams().contains(upstream)) {
+            throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "leaving");
+        }
+        if (plan.fingerprint().filter(view.quarantined()::contains).isPresent()) {
+            throw BaobabcartException.of(ResultCode.REQUEST_QUARANTINED);
+        }
+        checkVersion(view);
+        plan.gate().run();
+        exchange.markSent();
+    }
+
+    private void checkVersion(TrafficView view) {
+        String model = plan.pool().model();
+        String version = plan.pool().version();
+        boolean bySheet = view.sheet()
+                .filter(published -> published.sheet().isWithdrawn(model, version))
+                .isPresent();
+        if (bySheet || view.rollOuts().isWithdrawn(model, version)) {
+            throw BaobabcartException.of(ResultCode.VERSION_WITHDRAWN);
+        }
+    }
+
+    private Future<T> again(int number, Set<String> failed, VirtualMachine upstream, AttemptException failure) {
+        if (abandoned.isComplete()) {
+            return Future.failedFuture(failure.toResult());
+        }
+        report(upstream, failure.kind());
+        boolean allowed = failure.kind().retryable(plan.repeatable())
+                && !exchange.started()
+                && number < runtime.settings().limits().attempts();
+        if (!allowed) {
+            return Future.failedFuture(failure.toResult());
+        }
+        exchange.record(EventType.REQUEST_RETRIED, failure.kind() + " at " + upstream.name());
+        Set<String> avoid = new HashSet<>(failed);
+        avoid.add(upstream.name());
+        return attempt(number + 1, avoid);
+    }
+
+    private void report(VirtualMachine upstream, FailureKind kind) {
+        switch (kind) {
+            case SILENT -> judge(upstream);
+            case NOT_CONNECTED -> runtime.parts().feedback().unreachable(upstream.name());
+            case BROKEN ->
+                plan.fingerprint()
+                        .ifPresent(fingerprint -> runtime.parts().feedback().crashed(upstream.name(), fingerprint));
+            default -> {}
+        }
+    }
+
+    private void judge(VirtualMachine upstream) {
+        runtime.upstreams().renewConnections(upstream.name());
+        runtime.upstreams()
+                .isHostAlive(upstream, runtime.settings().timeouts().connect())
+                .onSuccess(alive -> {
+                    if (!alive) {
+                        runtime.parts().feedback().unreachable(upstream.name());
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -0,0 +1,88 @@
+package org.baobabcart.router.traffic;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.DeploymentOptions;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.baobabcart.router.control.Futures;
+import org.baobabcart.router.upstream.Dispatcher;
+import org.baobabcart.router.upstream.UpstreamClient;
+
+/**
+ * The HTTP API for callers, served by several event loops. Thread-safe.
+ *
+ * <p>Chat and completions in the shape of the OpenAI API, the list of models, and plain services.
+ */
+public final class CallerApi {
+    private static final Duration DRAIN_POLL = Duration.ofMillis(10);
+    /** A negative port makes Vert.x take one free port for all event loops of a deployment. */
+    private static final int SHARED_FREE_PORT = -1;
+
+    private final Vertx vertx;
+    private final TrafficRuntime runtime;
+    private final List<CallerVerticle> verticles = new CopyOnWriteArrayList<>();
+
+    private CallerApi(Vertx vertx, TrafficRuntime runtime) {
+        this.vertx = vertx;
+        this.runtime = runtime;
+    }
+
+    /** An API that does not listen yet. */
+    public static CallerApi create(Vertx vertx, TrafficParts parts, TrafficSettings settings) {
+        Dispatcher dispatcher = Dispatcher.create(parts.views());
+        UpstreamClient upstreams =
+                UpstreamClient.create(vertx, settings.timeouts().connect());
+        TrafficRuntime runtime = new TrafficRuntime(vertx, parts, settings, dispatcher, upstreams, new Drain());
+        return new CallerApi(vertx, runtime);
+    }
+
+    /**
+     * Listens and serves.
+     *
+     * @param port the port, or zero for any free one
+     * @return the port
+     */
+    public Uni<Integer> listen(String host, int port) {
+        DeploymentOptions options =
+                new DeploymentOptions().setInstances(runtime.settings().node().eventLoops());
+        int sharedPort = port == 0 ? SHARED_FREE_PORT : port;
+        return Futures.toUni(() -> vertx.deployVerticle(() -> newVerticle(host, sharedPort), options)
+                .map(ignored -> verticles.get(0).actualPort()));
+    }
+
+    /**
+     * Stops accepting connections, lets running requests end, and closes.
+     *
+     * @param timeout after which connections are closed even if requests still run
+     */
+    public Uni<Void> drain(Duration timeout) {
+        runtime.drain().begin();
+        return Futures.toUni(() -> {
+            List<Future<Void>> closing = new ArrayList<>();
+            verticles.forEach(verticle -> closing.add(verticle.shutdown(timeout)));
+            long deadline = System.nanoTime() + timeout.toNanos();
+            return Future.join(closing)
+                    .otherwiseEmpty()
+                    .compose(ignored -> untilIdle(deadline))
+                    .compose(ignored -> runtime.upstreams().close());
+        });
+    }
+
+    private CallerVerticle newVerticle(String host, int port) {
+        CallerVerticle verticle = CallerVerticle.create(runtime, host, port);
+        verticles.add(verticle);
+        return verticle;
+    }
+
+    private Future<Void> untilIdle(long deadline) {
+        if (runtime.drain().running() == 0 || System.nanoTime() - deadline >= 0) {
+            return Future.succeededFuture();
+        }
+        return vertx.timer(DRAIN_POLL.toMillis(), TimeUnit.MILLISECONDS).compose(ignored -> untilIdle(deadline));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerContext.java
@@ -0,0 +1,84 @@
+package org.baobabcart.router.traffic;
+
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.Optional;
+import org.baobabcart.model.request.Headers;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.model.sheet.Rank;
+import org.baobabcart.model.sheet.Sheet;
+import org.baobabcart.model.sheet.Workspace;
+import org.baobabcart.router.view.TrafficView;
+
+/**
+ * Who asks and how urgently, as read from the request's headers. Immutable.
+ *
+ * @param sheet the sheet in force when the request arrived
+ * @param workspace the caller's workspace
+ * @param rank the rank
+ * @param rankIndex the rank's place, zero being the most urgent
+ * @param deadlineNanos when the answer must be complete
+ * @param session the session header
+ * @param idempotencyKey the idempotency key
+ */
+record CallerContext(
+        Sheet sheet,
+        Workspace workspace,
+        Rank rank,
+        int rankIndex,
+        long deadlineNanos,
+        Optional<String> session,
+        Optional<String> idempotencyKey) {
+    private static final int TEXT_LIMIT = 1024;
+
+    /** Reads and checks the headers. */
+    static CallerContext read(TrafficView view, TrafficSettings settings, HttpServerRequest request, long nowNanos) {
+        Sheet sheet = view.sheet()
+                .orElseThrow(() -> BaobabcartException.of(ResultCode.NOT_READY))
+                .sheet();
+        Workspace workspace = Authenticator.authenticate(sheet, request.getHeader("Authorization"));
+        String rankName = Optional.ofNullable(request.getHeader(Headers.RANK)).orElse(sheet.defaultRank());
+        Rank rank = sheet.rank(rankName).orElseThrow(() -> BaobabcartException.of(ResultCode.UNKNOWN_RANK));
+        Duration timeout = timeout(settings, request.getHeader(Headers.TIMEOUT_MILLIS));
+        return new CallerContext(
+                sheet,
+                workspace,
+                rank,
+                sheet.ranks().indexOf(rank),
+                nowNanos + timeout.toNanos(),
+                text(request, Headers.SESSION),
+                text(request, Headers.IDEMPOTENCY_KEY));
+    }
+
+    private static Duration timeout(TrafficSettings settings, String header) {
+        if (header == null) {
+            return settings.timeouts().whole();
+        }
+        try {
+            Duration asked = Duration.ofMillis(Long.parseLong(header.trim()));
+            Duration longest = settings.timeouts().wholeLongest();
+            if (asked.isNegative() || asked.isZero()) {
+                throw badHeader(Headers.TIMEOUT_MILLIS, "must be greater than 0");
+            }
+            return asked.compareTo(longest) > 0 ? longest : asked;
+        } catch (NumberFormatException exception) {
+            throw badHeader(Headers.TIMEOUT_MILLIS, "must be a whole number of milliseconds");
+        }
+    }
+
+    private static Optional<String> text(HttpServerRequest request, String name) {
+        String value = request.getHeader(name);
+        if (value == null) {
+            return Optional.empty();
+        }
+        if (value.isBlank() || value.length() > TEXT_LIMIT) {
+            throw badHeader(name, "must have 1 to " + TEXT_LIMIT + " characters");
+        }
+        return Optional.of(value);
+    }
+
+    private static BaobabcartException badHeader(String name, String detail) {
+        return BaobabcartException.of(ResultCode.BAD_HEADER, name + " " + detail);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -0,0 +1,162 @@
+package org.baobabcart.router.traffic;
+
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+
+/** One event loop of the caller API. */
+final class CallerVerticle extends VerticleBase {
+    private static final int REQUEST_LINE_BYTES = 8 * 1024;
+
+    private final TrafficRuntime runtime;
+    private final String host;
+    private final int port;
+    private ConnectionGuard guard;
+    private HttpServer server;
+
+    private CallerVerticle(TrafficRuntime runtime, String host, int port) {
+        this.runtime = runtime;
+        this.host = host;
+        this.port = port;
+    }
+
+    static CallerVerticle create(TrafficRuntime runtime, String host, int port) {
+        return new CallerVerticle(runtime, host, port);
+    }
+
+    int actualPort() {
+        return server.actualPort();
+    }
+
+    @Override
+    public Future<?> start() {
+        TrafficSettings.Timeouts timeouts = runtime.settings().timeouts();
+        guard = ConnectionGuard.create(vertx, timeouts.request(), timeouts.idleConnection());
+        HttpServerOptions options = new HttpServerOptions()
+                .setMaxHeaderSize(runtime.settings().limits().headerBytes())
+                .setMaxInitialLineLength(REQUEST_LINE_BYTES)
+                .setHandle100ContinueAutomatically(true)
+                .setTcpNoDelay(true)
+                .setTcpKeepAlive(true);
+        server = vertx.createHttpServer(options)
+                .connectionHandler(guard::opened)
+                .invalidRequestHandler(this::refuseInvalid)
+                .requestHandler(routes());
+        return server.listen(port, host);
+    }
+
+    /** Stops accepting connections and waits until the open ones are closed. */
+    Future<Void> shutdown(Duration timeout) {
+        return server.shutdown(timeout.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private Router routes() {
+        Router router = Router.router(vertx);
+        for (ModelRequest.Kind kind : ModelRequest.Kind.values()) {
+            router.route(HttpMethod.POST, kind.path()).handler(routing -> withBody(routing, model(kind)));
+            router.route(kind.path()).handler(routing -> refuse(routing, ResultCode.METHOD_NOT_ALLOWED));
+        }
+        router.route(HttpMethod.GET, "/v1/models").handler(this::listModels);
+        router.route("/v1/models").handler(routing -> refuse(routing, ResultCode.METHOD_NOT_ALLOWED));
+        router.route("/services/*").handler(routing -> withBody(routing, service(routing)));
+        router.route().handler(routing -> refuse(routing, ResultCode.UNKNOWN_PATH));
+        router.route().failureHandler(routing -> refuse(routing, ResultCode.BAD_REQUEST));
+        return router;
+    }
+
+    private BodyHandling model(ModelRequest.Kind kind) {
+        return (exchange, context, body) -> {
+            ModelRequest request = ModelRequest.parse(kind, body);
+            return ModelRun.create(runtime, exchange, context, request).run();
+        };
+    }
+
+    private BodyHandling service(RoutingContext routing) {
+        return (exchange, context, body) -> {
+            ServicePath path = ServicePath.parse(routing.normalizedPath());
+            return ServiceRun.create(runtime, exchange, context, path, body).run();
+        };
+    }
+
+    private void listModels(RoutingContext routing) {
+        CallerExchange exchange = begin(routing.request());
+        try {
+            ModelList.answer(
+                    exchange, context(exchange), runtime.parts().views().current());
+        } catch (RuntimeException failure) {
+            exchange.refuse(failure);
+        }
+    }
+
+    private void withBody(RoutingContext routing, BodyHandling handling) {
+        CallerExchange exchange = begin(routing.request());
+        CallerContext context;
+        try {
+            context = context(exchange);
+        } catch (RuntimeException failure) {
+            exchange.refuseUnread(failure);
+            return;
+        }
+        TrafficSettings settings = runtime.settings();
+        BodyReader.read(
+                        vertx,
+                        routing.request(),
+                        settings.limits().bodyBytes(),
+                        settings.timeouts().request())
+                .onFailure(exchange::refuseUnread)
+                .onSuccess(body -> run(exchange, context, body, handling));
+    }
+
+    private void run(CallerExchange exchange, CallerContext context, Buffer body, BodyHandling handling) {
+        exchange.startDeadline(context.deadlineNanos() - System.nanoTime());
+        try {
+            handling.handle(exchange, context, body).onFailure(exchange::refuse);
+        } catch (RuntimeException failure) {
+            exchange.refuse(failure);
+        }
+    }
+
+    private CallerContext context(CallerExchange exchange) {
+        return CallerContext.read(
+                runtime.parts().views().current(), runtime.settings(), exchange.request(), System.nanoTime());
+    }
+
+    private CallerExchange begin(HttpServerRequest request) {
+        guard.requestBegan(request.connection());
+        Handler<Void> ended = ignored -> guard.requestEnded(request.connection());
+        request.response().endHandler(ended);
+        return CallerExchange.create(runtime, request);
+    }
+
+    private void refuse(RoutingContext routing, ResultCode code) {
+        if (!routing.response().ended()) {
+            begin(routing.request()).refuseUnread(BaobabcartException.of(code));
+        }
+    }
+
+    private void refuseInvalid(HttpServerRequest request) {
+        Throwable cause = request.decoderResult().cause();
+        boolean large = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        ResultCode code = large ? ResultCode.HEADERS_TOO_LARGE : ResultCode.BAD_REQUEST;
+        begin(request).refuseUnread(BaobabcartException.of(code));
+    }
+
+    /** What is done with a request whose body has arrived. */
+    @FunctionalInterface
+    private interface BodyHandling {
+        Future<Void> handle(CallerExchange exchange, CallerContext context, Buffer body);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRequest.java
@@ -0,0 +1,148 @@
+package org.baobabcart.router.traffic;
+
+import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.util.stream.Collectors;
+import java.util.stream.StreamSupport;
+import org.baobabcart.model.request.KeyHash;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+
+/**
+ * A chat or completion request. Immutable by contract: nobody changes the tree after construction.
+ *
+ * @param kind which of the two
+ * @param body the body as sent
+ * @param model what the caller asks for
+ * @param stream whether the answer is streamed
+ * @param prompt the text of the prompt
+ */
+record ModelRequest(Kind kind, ObjectNode body, String model, boolean stream, String prompt) {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
+    private static final int AFFINITY_LENGTH = 256;
+    private static final int TOKENS_DEFAULT = 1024;
+
+    /** Kinds of requests to models. */
+    enum Kind {
+        CHAT("/v1/chat/completions", "messages", "chat"),
+        COMPLETION("/v1/completions", "prompt", "completion");
+
+        private final String path;
+        private final String promptField;
+        private final String text;
+
+        Kind(String path, String promptField, String text) {
+            this.path = path;
+            this.promptField = promptField;
+            this.text = text;
+        }
+
+        String path() {
+            return path;
+        }
+
+        String text() {
+            return text;
+        }
+    }
+
+    /** Reads a body; fails with {@code BAD_REQUEST}. */
+    static ModelRequest parse(Kind kind, Buffer body) {
+        ObjectNode tree = tree(body);
+        JsonNode model = tree.path("model");
+        if (!model.isTextual() || model.textValue().isBlank()) {
+            throw bad("$.model must be a text");
+        }
+        JsonNode stream = tree.path("stream");
+        if (!stream.isMissingNode() && !stream.isNull() && !stream.isBoolean()) {
+            throw bad("$.stream must be true or false");
+        }
+        JsonNode prompt = tree.path(kind.promptField);
+        boolean sound = kind == Kind.CHAT ? prompt.isArray() && !prompt.isEmpty() : isPrompt(prompt);
+        if (!sound) {
+            throw bad("$." + kind.promptField + " is missing or has the wrong type");
+        }
+        return new ModelRequest(kind, tree, model.textValue(), stream.asBoolean(false), text(prompt));
+    }
+
+    /** The body for an upstream that runs one model. */
+    Buffer upstreamBody(String upstreamModel) {
+        ObjectNode changed = body.deepCopy();
+        changed.put("model", upstreamModel);
+        if (stream) {
+            changed.withObjectProperty("stream_options").put("include_usage", true);
+        }
+        try {
+            return Buffer.buffer(MAPPER.writeValueAsBytes(changed));
+        } catch (JacksonException exception) {
+            throw BaobabcartException.of(ResultCode.INTERNAL).withCause(exception);
+        }
+    }
+
+    /** Whether the caller asked for the event that tells the usage. */
+    boolean wantsUsage() {
+        return body.path("stream_options").path("include_usage").asBoolean(false);
+    }
+
+    /** A digest that is the same for each sending of the same prompt. */
+    String fingerprint() {
+        return KeyHash.of(body.get(kind.promptField).toString());
+    }
+
+    /** The beginning of the prompt, which requests with a common prefix share. */
+    String affinity() {
+        return model + ":" + prompt.substring(0, Math.min(prompt.length(), AFFINITY_LENGTH));
+    }
+
+    /** The most tokens that the answer may have. */
+    int maximumTokens() {
+        JsonNode limit =
+                body.hasNonNull("max_completion_tokens") ? body.get("max_completion_tokens") : body.path("max_tokens");
+        return limit.canConvertToInt() && limit.intValue() > 0 ? limit.intValue() : TOKENS_DEFAULT;
+    }
+
+    private static boolean isPrompt(JsonNode prompt) {
+        return prompt.isTextual() || (prompt.isArray() && !prompt.isEmpty());
+    }
+
+    private static ObjectNode tree(Buffer body) {
+        try {
+            JsonNode tree = MAPPER.readTree(body.getBytes());
+            if (tree instanceof ObjectNode object) {
+                return object;
+            }
+            throw bad("the body must be a JSON object");
+        } catch (JacksonException exception) {
+            throw bad("the body is not JSON: " + exception.getOriginalMessage());
+        } catch (IOException exception) {
+            throw bad("the body cannot be read");
+        }
+    }
+
+    private static String text(JsonNode node) {
+        if (node.isTextual()) {
+            return node.textValue();
+        }
+        if (node.isArray()) {
+            return StreamSupport.stream(node.spliterator(), false)
+                    .map(ModelRequest::text)
+                    .collect(Collectors.joining("\n"));
+        }
+        if (node.has("content")) {
+            return text(node.get("content"));
+        }
+        return node.path("text").asText("");
+    }
+
+    private static BaobabcartException bad(String detail) {
+        return BaobabcartException.of(ResultCode.BAD_REQUEST, detail);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -0,0 +1,224 @@
+package org.baobabcart.router.traffic;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.baobabcart.model.request.Bill;
+import org.baobabcart.model.request.Headers;
+import org.baobabcart.model.request.RequestIds;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.upstream.AttemptException;
+import org.baobabcart.router.upstream.UpstreamAnswer;
+import org.baobabcart.router.upstream.UpstreamRequest;
+
+/**
+ * One chat or completion request from its steps to its bill. Confined to the event loop of the caller's connection.
+ *
+ * <p>Answers of all steps but the last are kept until they are rated; the last one is passed on as it comes.
+ */
+final class ModelRun {
+    private static final Duration TOKEN_TIMEOUT = Duration.ofMillis(200);
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_SERVER_ERROR = 500;
+    private static final int STATUS_TOO_MANY = 429;
+    private static final Buffer CLOSING_EVENT = Buffer.buffer("data: [DONE]\n\n");
+
+    private final TrafficRuntime runtime;
+    private final CallerExchange exchange;
+    private final CallerContext context;
+    private final ModelRequest request;
+    private final StepPlan steps;
+    private final VersionSelector versions;
+    private SelectedVersion current;
+    private long passedOnUnits;
+
+    private ModelRun(TrafficRuntime runtime, CallerExchange exchange, CallerContext context, ModelRequest request) {
+        this.runtime = runtime;
+        this.exchange = exchange;
+        this.context = context;
+        this.request = request;
+        this.steps = StepPlan.of(context.sheet(), context.workspace(), request.model());
+        this.versions = VersionSelector.create(runtime.parts().signer().get(), context.workspace(), context.session());
+    }
+
+    /** Prepares a run; throws refusals. */
+    static ModelRun create(
+            TrafficRuntime runtime, CallerExchange exchange, CallerContext context, ModelRequest request) {
+        return new ModelRun(runtime, exchange, context, request);
+    }
+
+    /** Completes when the answer is on its way to the caller; fails where the caller has to be refused. */
+    Future<Void> run() {
+        return step(0, Optional.empty());
+    }
+
+    private Future<Void> step(int index, Optional<ModelAnswer> lesser) {
+        boolean last = index == steps.size() - 1;
+        Future<ModelAnswer> answer;
+        try {
+            current = versions.select(
+                    runtime.parts().views().current(), context.sheet(), steps.workspace(), steps.step(index));
+            answer = ask(current, last && request.stream());
+        } catch (BaobabcartException refusal) {
+            answer = Future.failedFuture(refusal);
+        }
+        return answer.onFailure(ignored -> billCancelled())
+                .compose(whole -> last ? deliver(whole) : rate(index, whole))
+                .recover(failure -> lesser.isPresent() && !exchange.started() && !exchange.isGone()
+                        ? deliver(lesser.get())
+                        : Future.failedFuture(failure));
+    }
+
+    private Future<Void> rate(int index, ModelAnswer answer) {
+        RatingRequest rating = new RatingRequest(
+                exchange.requestId(),
+                answer.version().model(),
+                answer.version().version(),
+                request.kind().text(),
+                request.prompt(),
+                answer.text());
+        return Future.fromCompletionStage(
+                        runtime.parts().ratings().rate(rating).subscribeAsCompletionStage(),
+                        runtime.vertx().getOrCreateContext())
+                .compose(rated -> {
+                    double quality = rated.orElse(answer.version().quality());
+                    runtime.parts()
+                            .feedback()
+                            .outcome(answer.version().model(), answer.version().version(), true, rated);
+                    if (quality >= steps.qualityTarget()) {
+                        return deliver(answer);
+                    }
+                    exchange.record(
+                            EventType.REQUEST_ESCALATED, answer.version().model());
+                    return step(index + 1, Optional.of(answer));
+                });
+    }
+
+    private Future<ModelAnswer> ask(SelectedVersion version, boolean direct) {
+        AttemptPlan plan = new AttemptPlan(
+                version.pool(),
+                true,
+                request.affinity(),
+                Optional.of(request.fingerprint()),
+                RequestIds::next,
+                attemptId -> upstreamRequest(version, attemptId),
+                () -> {});
+        return AttemptRunner.create(runtime, exchange, context, plan, answer -> consume(version, direct, answer))
+                .run();
+    }
+
+    private UpstreamRequest upstreamRequest(SelectedVersion version, String attemptId) {
+        Map<String, String> headers = new HashMap<>();
+        headers.put("Content-Type", "application/json");
+        headers.put(Headers.REQUEST_ID, exchange.requestId());
+        headers.put(Headers.ATTEMPT_ID, attemptId);
+        headers.put(Headers.WORKSPACE, context.workspace().name());
+        headers.put(Headers.PRIORITY, Integer.toString(context.rankIndex()));
+        headers.put(Headers.VERSION, version.version());
+        Duration firstByte = runtime.settings().timeouts().firstByte();
+        if (!request.stream()) {
+            firstByte = firstByte.plus(TOKEN_TIMEOUT.multipliedBy(request.maximumTokens()));
+        }
+        return new UpstreamRequest(
+                attemptId,
+                true,
+                false,
+                HttpMethod.POST,
+                request.kind().path(),
+                headers,
+                request.upstreamBody(version.model()),
+                new UpstreamRequest.Progress(
+                        firstByte, runtime.settings().timeouts().betweenBytes()));
+    }
+
+    private Future<ModelAnswer> consume(SelectedVersion version, boolean direct, UpstreamAnswer answer) {
+        if (answer.status() >= STATUS_SERVER_ERROR || answer.status() == STATUS_TOO_MANY) {
+            AttemptException failure =
+                    AttemptException.of(FailureKind.FAILED, answer.upstream(), "status " + answer.status());
+            answer.fail(failure);
+            return Future.failedFuture(failure);
+        }
+        if (request.stream() && answer.status() == STATUS_OK) {
+            return relay(version, direct, answer);
+        }
+        return answer.collect(runtime.settings().limits().answerBytes()).compose(body -> whole(version, answer, body));
+    }
+
+    private Future<ModelAnswer> relay(SelectedVersion version, boolean direct, UpstreamAnswer answer) {
+        StreamRelay relay = StreamRelay.create(
+                runtime,
+                request,
+                answer,
+                direct ? Optional.of(exchange) : Optional.empty(),
+                () -> exchange.beginStream(answerHeaders(version)));
+        return relay.run()
+                .onComplete(ignored -> passedOnUnits = direct ? relay.units() : 0)
+                .map(ignored -> new ModelAnswer(
+                        version, STATUS_OK, "text/event-stream", relay.kept(), relay.text(), relay.units()));
+    }
+
+    private Future<ModelAnswer> whole(SelectedVersion version, UpstreamAnswer answer, Buffer body) {
+        Optional<JsonNode> json = AnswerText.parse(body.getBytes());
+        if (answer.status() == STATUS_OK
+                && json.filter(node -> node.has("choices")).isEmpty()) {
+            return Future.failedFuture(
+                    AttemptException.of(FailureKind.INCOMPLETE, answer.upstream(), "not a whole answer"));
+        }
+        String text = json.map(AnswerText::text).orElse("");
+        long units = json.map(AnswerText::tokens).orElse(0L);
+        return Future.succeededFuture(
+                new ModelAnswer(version, answer.status(), "application/json", List.of(body), text, units));
+    }
+
+    private Future<Void> deliver(ModelAnswer answer) {
+        if (answer.status() != STATUS_OK) {
+            exchange.answer(answer.status(), headersOf(answer), answer.parts().get(0));
+            return Future.succeededFuture();
+        }
+        if (request.stream() && !exchange.started()) {
+            exchange.beginStream(answerHeaders(answer.version()));
+            answer.parts().forEach(exchange::write);
+        }
+        return hold(answer.version(), answer.units()).onSuccess(ignored -> {
+            if (request.stream()) {
+                exchange.endStream(CLOSING_EVENT);
+            } else {
+                exchange.answer(STATUS_OK, headersOf(answer), answer.parts().get(0));
+            }
+        });
+    }
+
+    private void billCancelled() {
+        if (exchange.isGone() && passedOnUnits > 0) {
+            hold(current, passedOnUnits);
+        }
+    }
+
+    private Future<Void> hold(SelectedVersion version, long units) {
+        Bill bill =
+                new Bill(exchange.requestId(), context.workspace().name(), version.model(), version.version(), units);
+        return Holding.hold(runtime, bill);
+    }
+
+    private Map<String, String> headersOf(ModelAnswer answer) {
+        Map<String, String> headers = answerHeaders(answer.version());
+        headers.put("Content-Type", answer.contentType());
+        return headers;
+    }
+
+    private Map<String, String> answerHeaders(SelectedVersion version) {
+        Map<String, String> headers = new HashMap<>();
+        headers.put(Headers.MODEL, version.model());
+        headers.put(Headers.VERSION, version.version());
+        versions.sign(version).ifPresent(token -> headers.put(Headers.SESSION, token));
+        return headers;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/Refusal.java
@@ -0,0 +1,87 @@
+package org.baobabcart.router.traffic;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.concurrent.ThreadLocalRandom;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.Ran;
+import org.baobabcart.model.result.ResultCode;
+
+/**
+ * An error as callers see it. Immutable.
+ *
+ * @param code the numbered code
+ * @param message one or two sentences
+ * @param ran whether an upstream may have received the request
+ * @param retryAfterMillis when a retry may help
+ */
+record Refusal(ResultCode code, String message, Ran ran, OptionalLong retryAfterMillis) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Duration RETRY_AFTER_DEFAULT = Duration.ofSeconds(1);
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    /**
+     * The refusal for a failure. A caller's retry is spread over half to one and a half times the wait, so that callers
+     * refused together do not return together.
+     *
+     * @param mayHaveRun whether any byte of the request was sent to an upstream
+     */
+    static Refusal of(Throwable failure, boolean mayHaveRun) {
+        BaobabcartException exception = failure instanceof BaobabcartException known
+                ? known
+                : BaobabcartException.of(ResultCode.INTERNAL).withCause(failure);
+        Ran ran = mayHaveRun ? Ran.UNKNOWN : exception.ran();
+        String detail = exception.detail();
+        String message = exception.code().summary() + (detail.isEmpty() ? "" : ": " + detail);
+        return new Refusal(exception.code(), message, ran, retryAfter(exception));
+    }
+
+    /** The JSON text {@code {"error": {...}}}. */
+    String toJson() {
+        ObjectNode error = JsonNodeFactory.instance.objectNode();
+        error.put("code", code.number());
+        error.put("name", code.name());
+        error.put("message", message);
+        error.put("ran", ran.text());
+        retryAfterMillis.ifPresent(millis -> error.put("retry_after_ms", millis));
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.set("error", error);
+        return MAPPER.valueToTree(body).toString();
+    }
+
+    /** The value of the {@code Retry-After} header in whole seconds, rounded up. */
+    OptionalLong retryAfterSeconds() {
+        if (retryAfterMillis.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of((retryAfterMillis.getAsLong() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
+    }
+
+    private static OptionalLong retryAfter(BaobabcartException exception) {
+        boolean helps = exception.retryAfter().isPresent() || isPassing(exception.code());
+        if (!helps) {
+            return OptionalLong.empty();
+        }
+        long base = exception.retryAfter().orElse(RETRY_AFTER_DEFAULT).toMillis();
+        double spread = ThreadLocalRandom.current().nextDouble(0.5, 1.5);
+        return OptionalLong.of(Math.max(1, Math.round(base * spread)));
+    }
+
+    private static boolean isPassing(ResultCode code) {
+        return switch (code) {
+            case QUEUE_FULL,
+                    DEADLINE_UNREACHABLE,
+                    RANK_SHED,
+                    STOPPING,
+                    NOT_READY,
+                    NO_UPSTREAM,
+                    UPSTREAM_UNREACHABLE,
+                    KEY_IN_PROGRESS,
+                    CLAIM_UNAVAILABLE -> true;
+            default -> false;
+        };
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/VersionSelector.java
@@ -0,0 +1,108 @@
+package org.baobabcart.router.traffic;
+
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.model.sheet.Model;
+import org.baobabcart.model.sheet.Sheet;
+import org.baobabcart.model.sheet.Version;
+import org.baobabcart.model.sheet.Workspace;
+import org.baobabcart.policy.session.SessionSigner;
+import org.baobabcart.policy.session.SessionToken;
+import org.baobabcart.policy.version.ModelReference;
+import org.baobabcart.policy.version.VersionPolicy;
+import org.baobabcart.router.upstream.Pool;
+import org.baobabcart.router.view.TrafficView;
+
+/** Chooses the versions for one request by its session, the sheet and the roll-outs. Confined to one event loop. */
+final class VersionSelector {
+    private final SessionSigner signer;
+    private final boolean namedSession;
+    private SessionToken session;
+
+    private VersionSelector(SessionSigner signer, boolean namedSession, SessionToken session) {
+        this.signer = signer;
+        this.namedSession = namedSession;
+        this.session = session;
+    }
+
+    /** Reads the session header; fails with {@code BAD_SESSION}. */
+    static VersionSelector create(SessionSigner signer, Workspace workspace, Optional<String> header) {
+        SessionToken fresh = SessionToken.fresh(workspace.name());
+        if (header.isEmpty()) {
+            return new VersionSelector(signer, false, fresh);
+        }
+        if (!SessionSigner.isToken(header.get())) {
+            return new VersionSelector(signer, true, fresh);
+        }
+        SessionToken token = signer.verify(header.get())
+                .filter(verified -> verified.workspace().equals(workspace.name()))
+                .orElseThrow(() -> BaobabcartException.of(ResultCode.BAD_SESSION));
+        return new VersionSelector(signer, false, token);
+    }
+
+    /** The version for a model or a version that was asked for. */
+    SelectedVersion select(TrafficView view, Sheet sheet, Workspace workspace, ModelReference reference) {
+        Model model =
+                sheet.model(reference.model()).orElseThrow(() -> BaobabcartException.of(ResultCode.UNKNOWN_MODEL));
+        VersionPolicy policy = VersionPolicy.of(sheet, view.rollOuts());
+        if (reference.version().isPresent()) {
+            return named(policy, model, workspace, reference.version().get());
+        }
+        Optional<String> kept = kept(policy, model, workspace);
+        if (kept.isPresent()) {
+            return selected(model, kept.get(), true);
+        }
+        return selected(model, chosen(view, policy, model, workspace), false);
+    }
+
+    /** Remembers the version that answered, and gives the header for the caller. */
+    Optional<String> sign(SelectedVersion version) {
+        session = session.withVersion(version.model(), version.version());
+        return signer.sign(session);
+    }
+
+    private Optional<String> kept(VersionPolicy policy, Model model, Workspace workspace) {
+        if (namedSession) {
+            return policy.ofNamedSession(model, workspace);
+        }
+        return session.version(model.name()).filter(version -> policy.isUsable(model, workspace, version));
+    }
+
+    private static SelectedVersion named(VersionPolicy policy, Model model, Workspace workspace, String version) {
+        if (model.version(version).isEmpty()) {
+            throw BaobabcartException.of(ResultCode.UNKNOWN_MODEL);
+        }
+        if (!workspace.allows(model.name(), version)) {
+            throw BaobabcartException.of(ResultCode.MODEL_NOT_ALLOWED);
+        }
+        if (policy.isWithdrawn(model.name(), version)) {
+            throw BaobabcartException.of(ResultCode.VERSION_WITHDRAWN);
+        }
+        return selected(model, version, true);
+    }
+
+    private static String chosen(TrafficView view, VersionPolicy policy, Model model, Workspace workspace) {
+        boolean allowed = model.versions().stream().anyMatch(entry -> workspace.allows(model.name(), entry.name()));
+        if (!allowed) {
+            throw BaobabcartException.of(ResultCode.MODEL_NOT_ALLOWED);
+        }
+        if (policy.ofNamedSession(model, workspace).isEmpty()) {
+            throw BaobabcartException.of(ResultCode.VERSION_WITHDRAWN);
+        }
+        double uniform = ThreadLocalRandom.current().nextDouble();
+        return policy.choose(model, workspace, version -> isServed(view, model.name(), version), uniform)
+                .orElseThrow(() -> BaobabcartException.of(ResultCode.NO_UPSTREAM));
+    }
+
+    private static boolean isServed(TrafficView view, String model, String version) {
+        Pool pool = Pool.ofModel(model, version);
+        return view.upstreams().stream().anyMatch(pool::includes);
+    }
+
+    private static SelectedVersion selected(Model model, String version, boolean fixed) {
+        double quality = model.version(version).map(Version::quality).orElse(0.0);
+        return new SelectedVersion(model.name(), version, quality, fixed);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/package-info.java
@@ -0,0 +1,2 @@
+/** The caller API. */
+package org.baobabcart.router.traffic;
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -0,0 +1,202 @@
+package org.baobabcart.router.upstream;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.request.Headers;
+import org.baobabcart.policy.retry.FailureKind;
+
+/**
+ * Sends attempts to upstreams over HTTP. Thread-safe; callbacks run on the caller's event loop.
+ *
+ * <p>Each upstream has a client of its own, so that all its connections can be given up together when one was found
+ * silent.
+ */
+public final class UpstreamClient {
+    private static final int CONNECTIONS_PER_UPSTREAM = 4096;
+    private static final Duration RETIREMENT = Duration.ofMinutes(10);
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_CONFLICT = 409;
+    private static final int STATUS_UNAVAILABLE = 503;
+    private static final String NOT_RUN_HEADER = "Baobabcart-Not-Run";
+
+    private final Vertx vertx;
+    private final Duration connectTimeout;
+    private final HttpClient freshConnections;
+    private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
+
+    private UpstreamClient(Vertx vertx, Duration connectTimeout) {
+        this.vertx = vertx;
+        this.connectTimeout = connectTimeout;
+        this.freshConnections = newClient(false);
+    }
+
+    /** A client without connections. */
+    public static UpstreamClient create(Vertx vertx, Duration connectTimeout) {
+        return new UpstreamClient(vertx, connectTimeout);
+    }
+
+    /**
+     * Sends a request; the result is the head of the answer, or an {@link AttemptException}.
+     *
+     * @param gate runs when the connection stands and no byte has been sent; nothing is sent where it throws, and the
+     *     result fails with what it threw
+     * @param abandoned ends the attempt with a failure and closes its connection
+     */
+    public Future<UpstreamAnswer> send(
+            VirtualMachine upstream, UpstreamRequest request, Runnable gate, Future<AttemptException> abandoned) {
+        RequestOptions options = new RequestOptions()
+                .setAbsoluteURI(upstream.address() + request.path())
+                .setMethod(request.method())
+                .setConnectTimeout(connectTimeout.toMillis());
+        request.headers().forEach(options::putHeader);
+        HttpClient client = request.freshConnection() ? freshConnections : clientOf(upstream.name());
+        return client.request(options)
+                .recover(cause ->
+                        Future.failedFuture(AttemptException.of(FailureKind.NOT_CONNECTED, upstream.name(), cause)))
+                .compose(opened -> passGate(opened, gate))
+                .compose(opened -> exchange(upstream, request, opened, abandoned));
+    }
+
+    /** Whether the upstream's host answers on a new connection. */
+    public Future<Boolean> isHostAlive(VirtualMachine upstream, Duration timeout) {
+        RequestOptions options = new RequestOptions()
+                .setAbsoluteURI(upstream.address() + "/health")
+                .setMethod(HttpMethod.GET)
+                .setConnectTimeout(timeout.toMillis())
+                .setTimeout(timeout.toMillis());
+        return freshConnections
+                .request(options)
+                .compose(HttpClientRequest::send)
+                .compose(response -> response.body().map(ignored -> response.statusCode() == STATUS_OK))
+                .otherwise(false);
+    }
+
+    /** Gives up the pooled connections of an upstream; running requests keep theirs. */
+    public void renewConnections(String upstream) {
+        HttpClient old = clients.remove(upstream);
+        if (old != null) {
+            old.shutdown(RETIREMENT.toSeconds(), TimeUnit.SECONDS);
+        }
+    }
+
+    /** Gives up the connections of upstreams that are not in use any more. */
+    public void keepOnly(Set<String> upstreams) {
+        clients.keySet().stream().filter(name -> !upstreams.contains(name)).forEach(this::renewConnections);
+    }
+
+    /** Closes all connections. */
+    public Future<Void> close() {
+        clients.values().forEach(HttpClient::close);
+        return freshConnections.close();
+    }
+
+    private static Future<HttpClientRequest> passGate(HttpClientRequest opened, Runnable gate) {
+        try {
+            gate.run();
+            return Future.succeededFuture(opened);
+        } catch (RuntimeException refusal) {
+            opened.connection().close();
+            return Future.failedFuture(refusal);
+        }
+    }
+
+    private Future<UpstreamAnswer> exchange(
+            VirtualMachine upstream,
+            UpstreamRequest request,
+            HttpClientRequest opened,
+            Future<AttemptException> abandoned) {
+        Attempt attempt = new Attempt(vertx, upstream.name(), opened);
+        attempt.timer.start(request.progress().firstByte());
+        abandoned.onSuccess(attempt::fail);
+        opened.send(request.body()).onComplete(sent -> {
+            if (sent.failed()) {
+                attempt.fail(AttemptException.of(FailureKind.BROKEN, upstream.name(), sent.cause()));
+                return;
+            }
+            attempt.timer.progress();
+            attempt.answer =
+                    UpstreamAnswer.create(upstream.name(), opened, sent.result(), attempt.timer, request.progress());
+            accept(request, sent.result(), attempt);
+        });
+        return attempt.result.future();
+    }
+
+    private static void accept(UpstreamRequest request, HttpClientResponse response, Attempt attempt) {
+        FailureKind failure = failureOf(request, response);
+        if (failure == null) {
+            attempt.result.tryComplete(attempt.answer);
+        } else {
+            attempt.fail(AttemptException.of(failure, attempt.upstream, "status " + response.statusCode()));
+        }
+    }
+
+    private static FailureKind failureOf(UpstreamRequest request, HttpClientResponse response) {
+        String echoed = response.getHeader(Headers.ATTEMPT_ID);
+        boolean missing = echoed == null && request.echoRequired();
+        boolean other = echoed != null && !echoed.equals(request.attemptId());
+        if (missing || other) {
+            return FailureKind.CROSSED;
+        }
+        if (response.statusCode() == STATUS_UNAVAILABLE && Boolean.parseBoolean(response.getHeader(NOT_RUN_HEADER))) {
+            return FailureKind.NOT_RUN;
+        }
+        if (response.statusCode() == STATUS_CONFLICT && request.echoRequired()) {
+            return FailureKind.NOT_RUN;
+        }
+        return null;
+    }
+
+    private HttpClient clientOf(String upstream) {
+        return clients.computeIfAbsent(upstream, ignored -> newClient(true));
+    }
+
+    private HttpClient newClient(boolean keepAlive) {
+        HttpClientOptions options = new HttpClientOptions()
+                .setKeepAlive(keepAlive)
+                .setTcpKeepAlive(true)
+                .setTcpNoDelay(true)
+                .setConnectTimeout((int) connectTimeout.toMillis());
+        return vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_UPSTREAM));
+    }
+
+    /** An attempt between its first byte out and the head of its answer. Confined to one event loop. */
+    private static final class Attempt {
+        private final String upstream;
+        private final HttpClientRequest opened;
+        private final Promise<UpstreamAnswer> result = Promise.promise();
+        private final ProgressTimer timer;
+        private UpstreamAnswer answer;
+
+        private Attempt(Vertx vertx, String upstream, HttpClientRequest opened) {
+            this.upstream = upstream;
+            this.opened = opened;
+            this.timer = ProgressTimer.create(
+                    vertx,
+                    () -> fail(AttemptException.of(FailureKind.SILENT, upstream, "no progress within the deadline")));
+        }
+
+        private void fail(AttemptException failure) {
+            timer.end();
+            boolean open = result.tryFail(failure);
+            if (answer != null) {
+                answer.fail(failure);
+            } else if (open) {
+                opened.connection().close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamRequest.java
@@ -0,0 +1,41 @@
+package org.baobabcart.router.upstream;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.time.Duration;
+import java.util.Map;
+
+/**
+ * One attempt's request. Immutable by contract: nobody changes the body after construction.
+ *
+ * @param attemptId the id that the answer must echo
+ * @param echoRequired whether an answer without the id is refused
+ * @param freshConnection whether a new connection is made, so that a closed idle connection cannot spoil the attempt
+ * @param method the HTTP method
+ * @param path the path and query
+ * @param headers the headers
+ * @param body the body
+ * @param progress the progress deadlines
+ */
+public record UpstreamRequest(
+        String attemptId,
+        boolean echoRequired,
+        boolean freshConnection,
+        HttpMethod method,
+        String path,
+        Map<String, String> headers,
+        Buffer body,
+        Progress progress) {
+    /** Copies the headers. */
+    public UpstreamRequest {
+        headers = Map.copyOf(headers);
+    }
+
+    /**
+     * Progress deadlines.
+     *
+     * @param firstByte the time to the head of the answer
+     * @param betweenBytes the time between two parts of the answer
+     */
+    public record Progress(Duration firstByte, Duration betweenBytes) {}
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of upstreams and calls to them. */
+package org.baobabcart.router.upstream;
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerApiTest.java
@@ -0,0 +1,133 @@
+package org.baobabcart.router.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.net.http.HttpResponse;
+import java.util.OptionalDouble;
+import org.baobabcart.model.request.Headers;
+import org.junit.jupiter.api.Test;
+
+class CallerApiTest extends CallerApiTestBase {
+    @Test
+    void answersChatWithVersionSessionAndOneBill() throws Exception {
+        FakeUpstream engine = upstream("e1", FakeUpstream.answering("done"));
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        HttpResponse<String> answer = chat("layout-large", false);
+        assertThat(answer.body(), answer.statusCode(), is(200));
+        assertThat(answer.body(), containsString("done"));
+        assertThat(answer.headers().firstValue(Headers.MODEL).orElse(""), is("layout-large"));
+        assertThat(answer.headers().firstValue(Headers.VERSION).orElse(""), is("v1"));
+        assertThat(answer.headers().firstValue(Headers.SESSION).isPresent(), is(true));
+        assertThat(fakes.bills, hasSize(1));
+        assertThat(fakes.bills.get(0).units(), is(7L));
+    }
+
+    @Test
+    void streamsEventsAndClosesWithDone() throws Exception {
+        FakeUpstream engine = upstream("e1", FakeUpstream.streaming("a", "b"));
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        HttpResponse<String> answer = chat("layout-large", true);
+        assertThat(answer.statusCode(), is(200));
+        assertThat(answer.body(), equalTo(FakeUpstream.event("a") + "" + FakeUpstream.event("b") + "data: [DONE]\n\n"));
+        assertThat(fakes.bills, hasSize(1));
+        assertThat(fakes.bills.get(0).units(), is(7L));
+    }
+
+    @Test
+    void brokenStreamEndsWithAnErrorEvent() throws Exception {
+        FakeUpstream engine = upstream(
+                "e1",
+                request -> FakeUpstream.beginStream(request)
+                        .write(FakeUpstream.event("a"))
+                        .onSuccess(ignored -> request.connection().close()));
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        HttpResponse<String> answer = chat("layout-large", true);
+        assertThat(answer.body(), containsString("event: error"));
+        assertThat(answer.body(), not(containsString("[DONE]")));
+        assertThat(engine.requests(), hasSize(1));
+        assertThat(fakes.bills, hasSize(0));
+    }
+
+    @Test
+    void streamWithoutClosingEventIsNotWhole() throws Exception {
+        FakeUpstream engine =
+                upstream("e1", request -> FakeUpstream.beginStream(request).end(FakeUpstream.event("a")));
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        HttpResponse<String> answer = chat("layout-large", true);
+        assertThat(answer.body(), containsString("ANSWER_INCOMPLETE"));
+        assertThat(answer.body(), not(containsString("[DONE]")));
+    }
+
+    @Test
+    void cascadeEscalatesOnLowRatingWithOneBill() throws Exception {
+        FakeUpstream small = upstream("small", FakeUpstream.streaming("cheap"));
+        FakeUpstream large = upstream("large", FakeUpstream.streaming("good"));
+        fakes.show(sheet(), small.engine("layout-small", "v1"), large.engine("layout-large", "v1"));
+        fakes.rating = OptionalDouble.of(0.3);
+        HttpResponse<String> answer = chat("layout", true);
+        assertThat(answer.body(), containsString("good"));
+        assertThat(answer.body(), not(containsString("cheap")));
+        assertThat(answer.body(), endsWith("data: [DONE]\n\n"));
+        assertThat(fakes.bills, hasSize(1));
+        fakes.rating = OptionalDouble.of(0.9);
+        assertThat(chat("layout", true).body(), containsString("cheap"));
+        assertThat(large.requests(), hasSize(1));
+    }
+
+    @Test
+    void refusalsCarryCodesAndSayNotRun() throws Exception {
+        FakeUpstream engine = upstream("e1", FakeUpstream.answering("done"));
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        assertRefused(chat("layout-large", false, "Authorization", "Bearer wrong"), 401, 1101);
+        assertRefused(chat("secret", false), 403, 1102);
+        assertRefused(chat("nothing", false), 404, 1103);
+        assertRefused(chat("layout-small", false), 503, 1301);
+        assertRefused(chat("layout-large", false, Headers.RANK, "royal"), 400, 1005);
+        assertRefused(chat("layout-large", false, Headers.TIMEOUT_MILLIS, "soon"), 400, 1008);
+        assertRefused(chat("layout-large", false, Headers.SESSION, "bcs1.k1.x.y"), 400, 1107);
+        assertRefused(post("/v1/chat/completions", "{\"model\":"), 400, 1001);
+        assertRefused(post("/v1/chat/completions", "[]"), 400, 1001);
+        assertRefused(post("/v1/completions", "{\"model\":\"layout-large\"}"), 400, 1001);
+        assertRefused(get("/v1/chat/completions"), 405, 1007);
+        assertRefused(get("/elsewhere"), 404, 1006);
+        assertRefused(get("/services/none/status"), 404, 1106);
+        assertRefused(post("/services/orders/bookings", "{}"), 400, 1401);
+        assertRefused(get("/services/orders/a%2fb"), 400, 1001);
+        assertThat(engine.requests(), hasSize(0));
+    }
+
+    @Test
+    void bookingRunsOnceAndIsReplayed() throws Exception {
+        FakeUpstream service =
+                upstream("s1", request -> request.response().setStatusCode(201).end("{\"cut\":1}"));
+        fakes.show(sheet(), service.service("orders"));
+        HttpResponse<String> first = post("/services/orders/bookings", "{}", Headers.IDEMPOTENCY_KEY, "b1");
+        HttpResponse<String> second = post("/services/orders/bookings", "{}", Headers.IDEMPOTENCY_KEY, "b1");
+        assertThat(first.statusCode(), is(201));
+        assertThat(second.statusCode(), is(201));
+        assertThat(second.body(), is("{\"cut\":1}"));
+        assertThat(service.requests(), hasSize(1));
+        assertThat(fakes.bills, hasSize(1));
+    }
+
+    @Test
+    void listsModelsOfTheWorkspace() throws Exception {
+        fakes.show(sheet());
+        String body = get("/v1/models").body();
+        assertThat(body, containsString("\"layout-large@v2\""));
+        assertThat(body, containsString("\"layout\""));
+        assertThat(body, not(containsString("secret")));
+    }
+
+    private static void assertRefused(HttpResponse<String> answer, int status, int code) {
+        assertThat(answer.body(), answer.statusCode(), is(status));
+        assertThat(answer.body(), containsString("\"code\":" + code));
+        assertThat(answer.body(), containsString("\"ran\":\"no\""));
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerApiTestBase.java
@@ -0,0 +1,100 @@
+package org.baobabcart.router.traffic;
+
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.baobabcart.model.sheet.Sheet;
+import org.baobabcart.model.sheet.SheetReader;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/** Starts the caller API with fakes around it. */
+abstract class CallerApiTestBase {
+    static final String KEY = "foo";
+    static final Duration BOUND = Duration.ofSeconds(20);
+
+    final FakeParts fakes = new FakeParts();
+    final HttpClient http =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    Vertx vertx;
+    CallerApi api;
+    int port;
+
+    @BeforeEach
+    void startApi() {
+        vertx = Vertx.vertx();
+        api = CallerApi.create(vertx, fakes.parts(), settings());
+        port = api.listen("127.0.0.1", 0).await().atMost(BOUND);
+    }
+
+    @AfterEach
+    void stopVertx() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get(BOUND.toSeconds(), TimeUnit.SECONDS);
+    }
+
+    TrafficSettings settings() {
+        TrafficSettings settings = TrafficSettings.defaults();
+        TrafficSettings.Node node = new TrafficSettings.Node("router-one-1", "one", 2);
+        return new TrafficSettings(node, settings.limits(), settings.timeouts());
+    }
+
+    static Sheet sheet() throws IOException {
+        try (var stream = CallerApiTestBase.class.getResourceAsStream("/traffic-sheet.json")) {
+            return SheetReader.create().read(new String(stream.readAllBytes(), StandardCharsets.UTF_8));
+        }
+    }
+
+    FakeUpstream upstream(String name, Handler<HttpServerRequest> behaviour) throws Exception {
+        return FakeUpstream.start(vertx, name, behaviour);
+    }
+
+    HttpResponse<String> chat(String model, boolean stream, String... headers) throws Exception {
+        String body = "{\"model\":\"" + model + "\",\"stream\":" + stream
+                + ",\"messages\":[{\"role\":\"user\",\"content\":\"cut a pane\"}]}";
+        return post("/v1/chat/completions", body, headers);
+    }
+
+    HttpResponse<String> post(String path, String body, String... headers) throws Exception {
+        return send(request(path, headers).POST(HttpRequest.BodyPublishers.ofString(body)));
+    }
+
+    HttpResponse<String> get(String path) throws Exception {
+        return send(request(path).GET());
+    }
+
+    HttpRequest.Builder request(String path, String... headers) {
+        HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .timeout(BOUND)
+                .header("Authorization", "Bearer " + KEY);
+        List<String> pairs = new ArrayList<>(List.of(headers));
+        for (int index = 0; index < pairs.size(); index += 2) {
+            builder.setHeader(pairs.get(index), pairs.get(index + 1));
+        }
+        return builder;
+    }
+
+    HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
+        return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    static void await(BooleanSupplier condition) throws InterruptedException {
+        long deadline = System.nanoTime() + BOUND.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - deadline > 0) {
+                throw new AssertionError("the condition did not come about in time");
+            }
+            Thread.sleep(5);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/traffic/FakeParts.java
@@ -0,0 +1,107 @@
+package org.baobabcart.router.traffic;
+
+import com.codahale.metrics.MetricRegistry;
+import io.smallrye.mutiny.Uni;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.request.Bill;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.model.rollout.RollOutState;
+import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.model.sheet.Service;
+import org.baobabcart.model.sheet.Sheet;
+import org.baobabcart.policy.session.SessionKey;
+import org.baobabcart.policy.session.SessionSigner;
+import org.baobabcart.router.bill.BillService;
+import org.baobabcart.router.claim.ClaimCall;
+import org.baobabcart.router.claim.ClaimDecision;
+import org.baobabcart.router.claim.ClaimOutcome;
+import org.baobabcart.router.claim.ClaimService;
+import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.timeline.Timeline;
+import org.baobabcart.router.view.TrafficFeedback;
+import org.baobabcart.router.view.TrafficView;
+
+/** The parts around the caller API, written by hand for tests. */
+final class FakeParts implements ClaimService, BillService, TrafficFeedback, Timeline, RatingClient {
+    final List<Bill> bills = new CopyOnWriteArrayList<>();
+    final List<ClaimOutcome> outcomes = new CopyOnWriteArrayList<>();
+    final List<String> crashes = new CopyOnWriteArrayList<>();
+    final List<String> unreachable = new CopyOnWriteArrayList<>();
+    final Map<String, StoredReply> stored = new ConcurrentHashMap<>();
+    volatile TrafficView view = TrafficView.empty();
+    volatile Optional<ResultCode> claimRefusal = Optional.empty();
+    volatile boolean dispatchable = true;
+    volatile Uni<BillHolder> holding = Uni.createFrom().item(BillHolder.PEER);
+    volatile OptionalDouble rating = OptionalDouble.empty();
+
+    /** Wraps a reply so that the map stays simple. */
+    record StoredReply(org.baobabcart.router.claim.StoredReply reply) {}
+
+    TrafficParts parts() {
+        SessionKey key = new SessionKey("k1", "secret of the test".getBytes(StandardCharsets.UTF_8));
+        SessionSigner signer = SessionSigner.of(List.of(key));
+        return new TrafficParts(() -> view, this, this, this, this, new MetricRegistry(), this, () -> signer);
+    }
+
+    void show(Sheet sheet, VirtualMachine... upstreams) {
+        PublishedSheet published = new PublishedSheet(1, "p", "test", 0, sheet);
+        view = new TrafficView(Optional.of(published), RollOutState.empty(), List.of(upstreams), Set.of(), false);
+    }
+
+    @Override
+    public Uni<ClaimDecision> claim(ClaimCall call, Service service, Duration timeout) {
+        StoredReply before = stored.get(call.idempotencyKey());
+        if (before != null) {
+            return Uni.createFrom().item(ClaimDecision.replay(before.reply()));
+        }
+        return Uni.createFrom().item(claimRefusal.map(ClaimDecision::refused).orElseGet(ClaimDecision::granted));
+    }
+
+    @Override
+    public boolean dispatching(String attemptId) {
+        return dispatchable;
+    }
+
+    @Override
+    public Uni<Void> settle(ClaimCall call, ClaimOutcome outcome) {
+        outcome.answer().ifPresent(reply -> stored.put(call.idempotencyKey(), new StoredReply(reply)));
+        outcomes.add(outcome);
+        return Uni.createFrom().voidItem();
+    }
+
+    @Override
+    public Uni<BillHolder> hold(Bill bill) {
+        bills.add(bill);
+        return holding;
+    }
+
+    @Override
+    public void crashed(String upstream, String fingerprint) {
+        crashes.add(upstream);
+    }
+
+    @Override
+    public void unreachable(String upstream) {
+        unreachable.add(upstream);
+    }
+
+    @Override
+    public void outcome(String model, String version, boolean success, OptionalDouble givenRating) {}
+
+    @Override
+    public void record(EventType type, String requestId, String detail) {}
+
+    @Override
+    public Uni<OptionalDouble> rate(RatingRequest request) {
+        return Uni.createFrom().item(rating);
+    }
+}
