--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/sheet/SheetDocuments.java
@@ -0,0 +1,94 @@
+package org.baobabcart.router.sheet;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.List;
+import java.util.Optional;
+import org.baobabcart.model.platform.Kinds;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.model.rollout.RollOutState;
+import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.model.sheet.SheetProblem;
+import org.baobabcart.model.sheet.SheetReader;
+import org.baobabcart.router.document.DocumentKind;
+import org.baobabcart.router.timeline.EventType;
+
+/** The sheet and the roll-outs' state as documents. Thread-safe. */
+public final class SheetDocuments {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .build();
+    private static final SheetReader READER = SheetReader.create();
+
+    private SheetDocuments() {}
+
+    /** The published sheet. */
+    public static DocumentKind<PublishedSheet> sheet() {
+        return new DocumentKind<>(
+                "sheet",
+                Kinds.SHEETS,
+                Kinds.CURRENT,
+                SheetDocuments::readSheet,
+                SheetDocuments::write,
+                PublishedSheet::generation,
+                sheet -> "generation=" + sheet.generation() + " name="
+                        + sheet.sheet().name(),
+                EventType.SHEET_APPLIED,
+                Optional.empty());
+    }
+
+    /** Progress of roll-outs and withdrawals. */
+    public static DocumentKind<RollOutState> rollOuts() {
+        return new DocumentKind<>(
+                "roll-outs",
+                Kinds.ROLL_OUTS,
+                Kinds.CURRENT,
+                specification -> read(specification, RollOutState.class),
+                SheetDocuments::write,
+                RollOutState::generation,
+                state -> "generation=" + state.generation() + " withdrawals="
+                        + state.withdrawals().size(),
+                EventType.ROLL_OUT_CHANGED,
+                Optional.empty());
+    }
+
+    /**
+     * Reads a published sheet and checks it whole.
+     *
+     * @throws BaobabcartException with {@link ResultCode#SHEET_INVALID}
+     */
+    public static PublishedSheet readSheet(JsonNode specification) {
+        PublishedSheet published = read(specification, PublishedSheet.class);
+        if (published.sheet() == null) {
+            throw BaobabcartException.of(ResultCode.SHEET_INVALID, "$.sheet: is missing");
+        }
+        List<SheetProblem> problems = READER.check(published.sheet());
+        if (!problems.isEmpty()) {
+            throw BaobabcartException.of(ResultCode.SHEET_INVALID, problems.toString());
+        }
+        return published;
+    }
+
+    /** Reads the roll-outs' state. */
+    public static RollOutState readRollOuts(JsonNode specification) {
+        return read(specification, RollOutState.class);
+    }
+
+    /** A document as a tree. */
+    public static JsonNode write(Object document) {
+        return MAPPER.valueToTree(document);
+    }
+
+    private static <T> T read(JsonNode specification, Class<T> type) {
+        try {
+            return MAPPER.treeToValue(specification, type);
+        } catch (JsonProcessingException exception) {
+            throw BaobabcartException.of(ResultCode.SHEET_INVALID, exception.getOriginalMessage())
+                    .withCause(exception);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/timeline/RingTimeline.java
@@ -0,0 +1,68 @@
+package org.baobabcart.router.timeline;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.baobabcart.policy.clock.HybridClock;
+import org.baobabcart.router.control.TimerService;
+
+/**
+ * The latest events of this node in a ring of fixed size, stamped by a hybrid logical clock. Thread-safe; the lock is
+ * held for a few instructions only.
+ */
+public final class RingTimeline implements Timeline {
+    /** The number of events kept by a router. */
+    public static final int DEFAULT_CAPACITY = 16_384;
+
+    private static final long GREATEST_LEAD_MILLIS = 60_000;
+
+    private final String node;
+    private final TimerService timers;
+    private final TimelineEvent[] ring;
+    private HybridClock clock = HybridClock.start();
+    private long recorded;
+
+    private RingTimeline(String node, TimerService timers, int capacity) {
+        this.node = node;
+        this.timers = timers;
+        this.ring = new TimelineEvent[capacity];
+    }
+
+    /** An empty time line of one node. */
+    public static RingTimeline create(String node, TimerService timers, int capacity) {
+        return new RingTimeline(node, timers, capacity);
+    }
+
+    @Override
+    public synchronized void record(EventType type, String requestId, String detail) {
+        long wallClockMillis = timers.wallClockMillis();
+        clock = clock.tick(wallClockMillis);
+        ring[(int) (recorded % ring.length)] =
+                new TimelineEvent(clock.reading(), wallClockMillis, node, type, requestId, detail);
+        recorded++;
+    }
+
+    /** The reading to be sent along with a message. */
+    public synchronized long send() {
+        clock = clock.tick(timers.wallClockMillis());
+        return clock.reading();
+    }
+
+    /** Takes over the reading that came with a message, unless it lies implausibly far ahead. */
+    public synchronized void receive(long reading) {
+        clock = clock.receive(reading, timers.wallClockMillis(), GREATEST_LEAD_MILLIS);
+    }
+
+    /** The events that match, the oldest first. */
+    public List<TimelineEvent> events(TimelineQuery query) {
+        List<TimelineEvent> events = snapshot();
+        return events.stream().filter(query::matches).toList();
+    }
+
+    private synchronized List<TimelineEvent> snapshot() {
+        List<TimelineEvent> events = new ArrayList<>();
+        for (long index = Math.max(0, recorded - ring.length); index < recorded; index++) {
+            events.add(ring[(int) (index % ring.length)]);
+        }
+        return events;
+    }
+}
