--- a/router/src/main/java/org/baobabcart/router/control/Sections.java
+++ b/router/src/main/java/org/baobabcart/router/control/Sections.java
@@ -6,6 +6,7 @@
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.rollout.RollOutState;
 import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.router.key.SessionSecrets;
 import org.baobabcart.router.member.Member;
 import org.baobabcart.router.member.Members;
 
@@ -17,6 +18,10 @@
     /** Progress of roll-outs and withdrawals; written by the roll-out controller. */
     public static final Section<RollOutState> ROLL_OUTS = Section.named("roll-outs", RollOutState.empty());
 
+    /** The keys that sign session tokens; written by the document controller. */
+    public static final Section<SessionSecrets> SESSION_SECRETS =
+            Section.named("session-secrets", SessionSecrets.empty());
+
     /** The known routers; written by the membership controller. */
     public static final Section<Members> MEMBERS =
             Section.named("members", Members.alone(new Member("", 0, Member.State.ALIVE, "", "", "")));
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/key/SessionSecret.java
@@ -0,0 +1,14 @@
+package org.baobabcart.router.key;
+
+/**
+ * One signing key. Immutable.
+ *
+ * @param id the key's public id
+ * @param secret the secret in Base64
+ */
+public record SessionSecret(String id, String secret) {
+    @Override
+    public String toString() {
+        return "SessionSecret[" + id + "]";
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/key/SessionSecretDocument.java
@@ -0,0 +1,43 @@
+package org.baobabcart.router.key;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.security.SecureRandom;
+import java.util.Optional;
+import org.baobabcart.model.platform.Kinds;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.document.DocumentKind;
+import org.baobabcart.router.timeline.EventType;
+
+/** The signing keys as a document, created by whichever router first finds none in the platform. Thread-safe. */
+public final class SessionSecretDocument {
+    private static final ObjectMapper MAPPER = JsonMapper.builder().build();
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    private SessionSecretDocument() {}
+
+    /** The kind of document. */
+    public static DocumentKind<SessionSecrets> kind() {
+        return new DocumentKind<>(
+                "session-keys",
+                Kinds.KEYS,
+                Kinds.CURRENT,
+                SessionSecretDocument::read,
+                MAPPER::valueToTree,
+                SessionSecrets::generation,
+                secrets -> "keys=" + secrets.secrets().size(),
+                EventType.SESSION_KEYS_APPLIED,
+                Optional.of(() -> SessionSecrets.empty().rotated(RANDOM)));
+    }
+
+    private static SessionSecrets read(JsonNode specification) {
+        try {
+            return MAPPER.treeToValue(specification, SessionSecrets.class);
+        } catch (JsonProcessingException exception) {
+            throw BaobabcartException.of(ResultCode.BAD_REQUEST, "the signing keys cannot be read");
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/platform/PlatformHealth.java
@@ -0,0 +1,97 @@
+package org.baobabcart.router.platform;
+
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import java.util.List;
+import java.util.concurrent.Executor;
+import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.Sections;
+import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.timeline.Timeline;
+
+/**
+ * Passes calls on to the platform and keeps {@link Sections#PLATFORM_REACHABLE} by how they end, so that no call is made
+ * just to find that out. Thread-safe.
+ */
+public final class PlatformHealth implements ObjectStore {
+    private final ObjectStore store;
+    private final Blackboard blackboard;
+    private final Executor loop;
+    private final Timeline timeline;
+    private volatile boolean reachable;
+
+    private PlatformHealth(ObjectStore store, Blackboard blackboard, Executor loop, Timeline timeline) {
+        this.store = store;
+        this.blackboard = blackboard;
+        this.loop = loop;
+        this.timeline = timeline;
+    }
+
+    /** Observes the calls to this store. */
+    public static PlatformHealth observing(ObjectStore store, Blackboard blackboard, Executor loop, Timeline timeline) {
+        return new PlatformHealth(store, blackboard, loop, timeline);
+    }
+
+    @Override
+    public Uni<StoredObject> read(String kind, String name) {
+        return observed(store.read(kind, name));
+    }
+
+    @Override
+    public Uni<List<StoredObject>> list(String kind) {
+        return observed(store.list(kind));
+    }
+
+    @Override
+    public Uni<StoredObject> create(StoredObject object) {
+        return observed(store.create(object));
+    }
+
+    @Override
+    public Uni<StoredObject> update(StoredObject object) {
+        return observed(store.update(object));
+    }
+
+    @Override
+    public Uni<Void> delete(StoredObject object) {
+        return observed(store.delete(object));
+    }
+
+    @Override
+    public Multi<ObjectEvent> watch(String kind, String fromResourceVersion) {
+        return store.watch(kind, fromResourceVersion)
+                .onItem()
+                .invoke(() -> answered(true))
+                .onFailure()
+                .invoke(failure -> answered(isAnswer(failure)));
+    }
+
+    private <T> Uni<T> observed(Uni<T> call) {
+        return call.onItemOrFailure().invoke((item, failure) -> answered(failure == null || isAnswer(failure)));
+    }
+
+    private static boolean isAnswer(Throwable failure) {
+        return failure instanceof BaobabcartException exception
+                && exception.code() != ResultCode.PLATFORM_UNAVAILABLE
+                && exception.code() != ResultCode.WRITE_OUTCOME_UNKNOWN;
+    }
+
+    private void answered(boolean answer) {
+        if (reachable != answer) {
+            loop.execute(() -> change(answer));
+        }
+    }
+
+    private void change(boolean answer) {
+        if (reachable == answer) {
+            return;
+        }
+        reachable = answer;
+        blackboard.write(Sections.PLATFORM_REACHABLE, answer);
+        timeline.record(answer ? EventType.PLATFORM_FOUND : EventType.PLATFORM_LOST, "");
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/view/FeedbackQueue.java
@@ -0,0 +1,74 @@
+package org.baobabcart.router.view;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+/**
+ * Carries observations from traffic threads to the control thread. Thread-safe and never blocking: when the queue is full
+ * an observation is dropped and counted.
+ */
+public final class FeedbackQueue implements TrafficFeedback {
+    private static final int CAPACITY = 4096;
+
+    private final BlockingQueue<Consumer<FeedbackListener>> queue = new ArrayBlockingQueue<>(CAPACITY);
+    private final List<FeedbackListener> listeners = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean draining = new AtomicBoolean();
+    private final Executor loop;
+    private final Counter dropped;
+
+    private FeedbackQueue(Executor loop, MetricRegistry metrics) {
+        this.loop = loop;
+        this.dropped = metrics.counter("feedback.dropped");
+    }
+
+    /** An empty queue that is drained on this executor. */
+    public static FeedbackQueue create(Executor loop, MetricRegistry metrics) {
+        return new FeedbackQueue(loop, metrics);
+    }
+
+    /** Adds a listener, which is called on the control thread. */
+    public void addListener(FeedbackListener listener) {
+        listeners.add(listener);
+    }
+
+    @Override
+    public void crashed(String upstream, String fingerprint) {
+        offer(listener -> listener.crashed(upstream, fingerprint));
+    }
+
+    @Override
+    public void unreachable(String upstream) {
+        offer(listener -> listener.unreachable(upstream));
+    }
+
+    @Override
+    public void outcome(String model, String version, boolean success, OptionalDouble rating) {
+        offer(listener -> listener.outcome(model, version, success, rating));
+    }
+
+    private void offer(Consumer<FeedbackListener> observation) {
+        if (!queue.offer(observation)) {
+            dropped.inc();
+        }
+        if (draining.compareAndSet(false, true)) {
+            loop.execute(this::drain);
+        }
+    }
+
+    private void drain() {
+        draining.set(false);
+        Consumer<FeedbackListener> observation = queue.poll();
+        while (observation != null) {
+            listeners.forEach(observation);
+            observation = queue.poll();
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/view/ViewPublisher.java
@@ -0,0 +1,64 @@
+package org.baobabcart.router.view;
+
+import io.smallrye.mutiny.Uni;
+import java.util.List;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.Controller;
+import org.baobabcart.router.control.Sections;
+
+/**
+ * Publishes a new view after each change of what traffic needs to know. Written on the control thread, read by any.
+ *
+ * <p>Engines and services that the list of VMs shows as live are in the view; leaving and vanished ones are out of it from
+ * the moment the list was read.
+ */
+public final class ViewPublisher implements Controller, TrafficViewSource {
+    private final Blackboard blackboard;
+    private volatile TrafficView view = TrafficView.empty();
+
+    private ViewPublisher(Blackboard blackboard) {
+        this.blackboard = blackboard;
+    }
+
+    /** A publisher whose view is empty until it is started. */
+    public static ViewPublisher create(Blackboard blackboard) {
+        return new ViewPublisher(blackboard);
+    }
+
+    @Override
+    public void start() {
+        blackboard.subscribe(Sections.SHEET, ignored -> publish());
+        blackboard.subscribe(Sections.ROLL_OUTS, ignored -> publish());
+        blackboard.subscribe(Sections.VIRTUAL_MACHINES, ignored -> publish());
+        blackboard.subscribe(Sections.QUARANTINED, ignored -> publish());
+        blackboard.subscribe(Sections.STOPPING, ignored -> publish());
+        publish();
+    }
+
+    @Override
+    public Uni<Void> stop() {
+        return Uni.createFrom().voidItem();
+    }
+
+    @Override
+    public TrafficView current() {
+        return view;
+    }
+
+    private void publish() {
+        view = new TrafficView(
+                blackboard.read(Sections.SHEET),
+                blackboard.read(Sections.ROLL_OUTS),
+                liveUpstreams(blackboard.read(Sections.VIRTUAL_MACHINES)),
+                blackboard.read(Sections.QUARANTINED),
+                blackboard.read(Sections.STOPPING));
+    }
+
+    private static List<VirtualMachine> liveUpstreams(List<VirtualMachine> machines) {
+        return machines.stream()
+                .filter(machine -> machine.role() != VirtualMachine.Role.ROUTER)
+                .filter(machine -> machine.state() == VirtualMachine.State.LIVE)
+                .toList();
+    }
+}
