--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/ControlPlane.java
@@ -0,0 +1,101 @@
+package org.baobabcart.router;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.baobabcart.model.rollout.RollOutState;
+import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.router.control.Controller;
+import org.baobabcart.router.control.Section;
+import org.baobabcart.router.control.Sections;
+import org.baobabcart.router.document.DocumentController;
+import org.baobabcart.router.document.DocumentKind;
+import org.baobabcart.router.document.DocumentParts;
+import org.baobabcart.router.document.DocumentRegistry;
+import org.baobabcart.router.document.DocumentSettings;
+import org.baobabcart.router.key.SessionSecretDocument;
+import org.baobabcart.router.key.SessionSecrets;
+import org.baobabcart.router.member.Member;
+import org.baobabcart.router.member.MembershipController;
+import org.baobabcart.router.member.MembershipParts;
+import org.baobabcart.router.member.MembershipSettings;
+import org.baobabcart.router.platform.HttpVirtualMachineList;
+import org.baobabcart.router.platform.PlatformSettings;
+import org.baobabcart.router.platform.VirtualMachineController;
+import org.baobabcart.router.platform.VirtualMachineList;
+import org.baobabcart.router.sheet.SheetDocuments;
+
+/**
+ * The controllers of membership, documents and the list of VMs, wired to each other. Immutable; made once the addresses
+ * of this router are known.
+ *
+ * @param members the membership
+ * @param documents the documents towards peers
+ * @param sheets the sheet
+ * @param rollOuts the roll-outs' state
+ * @param secrets the session keys
+ * @param machines the list of VMs
+ */
+record ControlPlane(
+        MembershipController members,
+        DocumentRegistry documents,
+        DocumentController<PublishedSheet> sheets,
+        DocumentController<RollOutState> rollOuts,
+        DocumentController<SessionSecrets> secrets,
+        VirtualMachineController machines) {
+    private static final Duration LIST_PERIOD = Duration.ofSeconds(1);
+
+    static ControlPlane create(RouterCore core, Member self) {
+        MembershipController members = members(core, self);
+        DocumentParts parts = new DocumentParts(
+                DocumentSettings.defaults(),
+                core.blackboard(),
+                core.loop(),
+                core.timers(),
+                core.store(),
+                core.peers(),
+                core.timeline(),
+                core.random(),
+                members::spread);
+        DocumentController<PublishedSheet> sheets = DocumentController.create(
+                SheetDocuments.sheet(), parts, sheet -> core.blackboard().write(Sections.SHEET, Optional.of(sheet)));
+        DocumentController<RollOutState> rollOuts =
+                document(core, SheetDocuments.rollOuts(), parts, Sections.ROLL_OUTS);
+        DocumentController<SessionSecrets> secrets =
+                document(core, SessionSecretDocument.kind(), parts, Sections.SESSION_SECRETS);
+        DocumentRegistry documents = DocumentRegistry.create(core.loop());
+        List.of(sheets, rollOuts, secrets).forEach(documents::add);
+        members.addParticipant(documents);
+        return new ControlPlane(members, documents, sheets, rollOuts, secrets, machines(core));
+    }
+
+    /** The controllers in the order of their start. */
+    List<Controller> controllers() {
+        return List.of(members, machines, sheets, rollOuts, secrets);
+    }
+
+    private static MembershipController members(RouterCore core, Member self) {
+        MembershipParts parts = new MembershipParts(
+                MembershipSettings.defaults(),
+                core.blackboard(),
+                core.loop(),
+                core.timers(),
+                core.peers(),
+                core.timeline(),
+                core.random());
+        return MembershipController.create(parts, self, core.settings().peers());
+    }
+
+    private static <T> DocumentController<T> document(
+            RouterCore core, DocumentKind<T> kind, DocumentParts parts, Section<T> section) {
+        return DocumentController.create(
+                kind, parts, document -> core.blackboard().write(section, document));
+    }
+
+    private static VirtualMachineController machines(RouterCore core) {
+        VirtualMachineList list = HttpVirtualMachineList.create(
+                core.vertx(), core.settings().virtualMachines(), PlatformSettings.defaults());
+        return VirtualMachineController.create(
+                list, core.blackboard(), core.loop(), core.timers(), core.timeline(), LIST_PERIOD);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/RouterCore.java
@@ -0,0 +1,72 @@
+package org.baobabcart.router;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import java.util.random.RandomGenerator;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.ControlLoop;
+import org.baobabcart.router.control.SystemTimerService;
+import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.peer.PeerSettings;
+import org.baobabcart.router.peer.ThriftPeerClient;
+import org.baobabcart.router.platform.HttpObjectStore;
+import org.baobabcart.router.platform.ObjectStore;
+import org.baobabcart.router.platform.PlatformHealth;
+import org.baobabcart.router.platform.PlatformSettings;
+import org.baobabcart.router.settings.RouterSettings;
+import org.baobabcart.router.timeline.RingTimeline;
+import org.baobabcart.router.view.FeedbackQueue;
+import org.baobabcart.router.view.ViewPublisher;
+
+/**
+ * What every part of one router shares. Immutable; each component says what is thread-safe of it.
+ *
+ * @param settings the router's settings
+ * @param vertx event loops
+ * @param loop the control thread
+ * @param timers time
+ * @param blackboard control state
+ * @param timeline events
+ * @param metrics metrics of the process
+ * @param store the platform, observed for its health
+ * @param peers calls to other routers
+ * @param views the view for traffic threads
+ * @param feedback observations of traffic threads
+ * @param random randomness for choices that need not be secret; confined to the control thread
+ */
+record RouterCore(
+        RouterSettings settings,
+        Vertx vertx,
+        ControlLoop loop,
+        TimerService timers,
+        Blackboard blackboard,
+        RingTimeline timeline,
+        MetricRegistry metrics,
+        ObjectStore store,
+        ThriftPeerClient peers,
+        ViewPublisher views,
+        FeedbackQueue feedback,
+        RandomGenerator random) {
+    static RouterCore create(RouterSettings settings) {
+        Vertx vertx = Vertx.vertx();
+        ControlLoop loop = ControlLoop.create("control");
+        TimerService timers = SystemTimerService.on(loop);
+        Blackboard blackboard = Blackboard.create();
+        RingTimeline timeline = RingTimeline.create(settings.name(), timers, RingTimeline.DEFAULT_CAPACITY);
+        MetricRegistry metrics = new MetricRegistry();
+        ObjectStore store = HttpObjectStore.create(vertx, settings.platform(), PlatformSettings.defaults());
+        return new RouterCore(
+                settings,
+                vertx,
+                loop,
+                timers,
+                blackboard,
+                timeline,
+                metrics,
+                PlatformHealth.observing(store, blackboard, loop, timeline),
+                ThriftPeerClient.create(vertx, PeerSettings.defaults()),
+                ViewPublisher.create(blackboard),
+                FeedbackQueue.create(loop, metrics),
+                RandomGenerator.getDefault());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/RouterMain.java
@@ -0,0 +1,74 @@
+package org.baobabcart.router;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import java.util.Optional;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.router.settings.RouterSettings;
+import org.baobabcart.router.settings.SettingsParser;
+
+/** The router's daemon: reads settings, starts the process and stops it on SIGTERM. */
+public final class RouterMain {
+    /** Exit code of a refused setting. */
+    public static final int EXIT_BAD_SETTING = 2;
+    /** Exit code of a start that failed, such as by a port that is in use. */
+    public static final int EXIT_START_FAILED = 3;
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private RouterMain() {}
+
+    /** Runs a router until its planned stop. */
+    public static void main(String[] arguments) {
+        Optional<RouterSettings> settings = readSettings(arguments);
+        if (settings.isPresent()) {
+            run(settings.get());
+        }
+    }
+
+    private static Optional<RouterSettings> readSettings(String[] arguments) {
+        try {
+            return SettingsParser.create(System.getenv()).parse(arguments);
+        } catch (BaobabcartException exception) {
+            System.err.println(exception.code().number() + " " + exception.getMessage());
+            System.exit(EXIT_BAD_SETTING);
+            throw exception;
+        }
+    }
+
+    private static void run(RouterSettings settings) {
+        RouterProcess process = RouterProcess.create(settings);
+        try {
+            RouterPorts ports = process.start().await().indefinitely();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process), "planned-stop"));
+            System.out.println(readyLine(settings, ports));
+            process.stopped().await().indefinitely();
+            System.exit(0);
+        } catch (RuntimeException exception) {
+            LOGGER.atSevere().withCause(exception).log("event=start_failed name=%s", settings.name());
+            System.exit(EXIT_START_FAILED);
+        }
+    }
+
+    /** Halts rather than returns, since the virtual machine would otherwise report the signal as its exit code. */
+    private static void stop(RouterProcess process) {
+        process.stop().await().indefinitely();
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static String readyLine(RouterSettings settings, RouterPorts ports) {
+        ObjectMapper mapper = new ObjectMapper();
+        ObjectNode line = mapper.createObjectNode().put("name", settings.name());
+        line.putObject("ports")
+                .put("caller", ports.caller())
+                .put("admin", ports.admin())
+                .put("peer", ports.peer());
+        try {
+            return "READY " + mapper.writeValueAsString(line);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/RouterProcess.java
@@ -0,0 +1,199 @@
+package org.baobabcart.router;
+
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.baobabcart.router.admin.Addresses;
+import org.baobabcart.router.admin.AdminApi;
+import org.baobabcart.router.admin.AdminParts;
+import org.baobabcart.router.admin.StatusReport;
+import org.baobabcart.router.control.Controller;
+import org.baobabcart.router.control.Futures;
+import org.baobabcart.router.control.Sections;
+import org.baobabcart.router.member.Member;
+import org.baobabcart.router.peer.PeerHandlers;
+import org.baobabcart.router.peer.PeerServer;
+import org.baobabcart.router.peer.PeerSettings;
+import org.baobabcart.router.settings.RouterSettings;
+import org.baobabcart.router.timeline.EventType;
+
+/**
+ * One router as a library object: made from settings, started once and stopped once. Thread-safe.
+ *
+ * <p>A planned stop turns the router not ready and tells its peers, goes on serving until the balancer has noticed, lets
+ * running requests end, then stops the controllers, which commit what they hold.
+ */
+public final class RouterProcess {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final Duration CONTROLLER_STOP_TIMEOUT = Duration.ofSeconds(20);
+
+    private final RouterCore core;
+    private final TrafficEdge traffic;
+    private final PeerServer peerServer;
+    private final AtomicBoolean stopBegun = new AtomicBoolean();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private volatile AdminApi admin;
+    private volatile ControlPlane plane;
+
+    private RouterProcess(RouterSettings settings) {
+        this.core = RouterCore.create(settings);
+        this.traffic = TrafficEdge.create(core);
+        this.peerServer = PeerServer.create(core.vertx(), PeerSettings.defaults());
+    }
+
+    /** A router that does not listen yet. */
+    public static RouterProcess create(RouterSettings settings) {
+        return new RouterProcess(settings);
+    }
+
+    /** Opens the ports and starts all parts; answers with the ports. */
+    public Uni<RouterPorts> start() {
+        RouterSettings settings = core.settings();
+        String host = settings.listenAddress();
+        return peerServer
+                .listen(host, settings.peerPort())
+                .flatMap(peer ->
+                        traffic.listen(host, settings.callerPort()).map(caller -> new RouterPorts(caller, 0, peer)))
+                .flatMap(this::startControl);
+    }
+
+    /** Begins the planned stop if it has not begun, and completes when the process may exit. */
+    public Uni<Void> stop() {
+        if (stopBegun.compareAndSet(false, true)) {
+            core.loop().execute(this::beginStop);
+        }
+        return stopped();
+    }
+
+    /** Completes when a planned stop has ended. */
+    public Uni<Void> stopped() {
+        return Uni.createFrom().completionStage(stopped);
+    }
+
+    private Uni<RouterPorts> startControl(RouterPorts ports) {
+        return Uni.createFrom()
+                .item(() -> createControl(ports))
+                .runSubscriptionOn(core.loop())
+                .flatMap(adminApi -> adminApi.listen(
+                        core.settings().listenAddress(), core.settings().adminPort()))
+                .map(adminPort -> new RouterPorts(ports.caller(), adminPort, ports.peer()))
+                .emitOn(core.loop())
+                .invoke(this::startControllers);
+    }
+
+    private AdminApi createControl(RouterPorts ports) {
+        admin = AdminApi.create(new AdminParts(
+                core.vertx(),
+                core.settings().name(),
+                core.blackboard(),
+                core.loop(),
+                core.timeline(),
+                core.metrics(),
+                () -> StatusReport.create(core.blackboard(), core.timers(), plane.sheets())
+                        .write(addresses(ports)),
+                this::stop));
+        return admin;
+    }
+
+    private void startControllers(RouterPorts ports) {
+        core.timeline()
+                .record(EventType.PROCESS_STARTED, "name=" + core.settings().name());
+        plane = ControlPlane.create(core, self(ports));
+        peerServer.serve(new PeerHandlers(plane.members(), plane.documents(), traffic.claims(), traffic.bills()));
+        core.views().start();
+        plane.controllers().forEach(Controller::start);
+        traffic.controllers().forEach(Controller::start);
+    }
+
+    private Member self(RouterPorts ports) {
+        RouterSettings settings = core.settings();
+        Addresses addresses = addresses(ports);
+        return new Member(
+                settings.name(),
+                core.timers().wallClockMillis(),
+                Member.State.ALIVE,
+                settings.dataCentre(),
+                addresses.peer(),
+                addresses.admin());
+    }
+
+    private Addresses addresses(RouterPorts ports) {
+        String host = core.settings().listenAddress();
+        return new Addresses(host + ":" + ports.caller(), host + ":" + ports.admin(), host + ":" + ports.peer());
+    }
+
+    private void beginStop() {
+        LOGGER.atInfo().log("event=stop_begun name=%s", core.settings().name());
+        core.timeline().record(EventType.PROCESS_STOPPING, "");
+        core.blackboard().write(Sections.STOPPING, true);
+        if (plane != null) {
+            plane.members().leave();
+        }
+        core.timers().after("balancer-delay", core.settings().balancerDelay(), this::drain);
+    }
+
+    private void drain() {
+        core.blackboard().write(Sections.DRAINING, true);
+        traffic.drain(core.settings().drainTimeout())
+                .onFailure()
+                .recoverWithNull()
+                .emitOn(core.loop())
+                .flatMap(ignored -> stopControllers())
+                .flatMap(ignored -> close())
+                .subscribe()
+                .with(ignored -> finish(), failure -> finish());
+    }
+
+    /** Stops the controllers one after the other, those that were started last first. */
+    private Uni<Void> stopControllers() {
+        List<Controller> controllers = new ArrayList<>();
+        if (plane != null) {
+            controllers.addAll(plane.controllers());
+        }
+        controllers.addAll(traffic.controllers());
+        Collections.reverse(controllers);
+        Uni<Void> all = Uni.createFrom().voidItem();
+        for (Controller controller : controllers) {
+            all = all.emitOn(core.loop()).flatMap(ignored -> stopOne(controller));
+        }
+        return all;
+    }
+
+    private Uni<Void> stopOne(Controller controller) {
+        return controller
+                .stop()
+                .ifNoItem()
+                .after(CONTROLLER_STOP_TIMEOUT)
+                .fail()
+                .onFailure()
+                .invoke(failure -> LOGGER.atSevere().withCause(failure).log(
+                        "event=controller_stop_failed controller=%s",
+                        controller.getClass().getSimpleName()))
+                .onFailure()
+                .recoverWithNull();
+    }
+
+    private Uni<Void> close() {
+        core.timeline().record(EventType.PROCESS_STOPPED, "");
+        core.peers().close();
+        return peerServer
+                .close()
+                .onFailure()
+                .recoverWithNull()
+                .flatMap(ignored -> admin.close())
+                .onFailure()
+                .recoverWithNull()
+                .flatMap(ignored -> Futures.toUni(core.vertx()::close));
+    }
+
+    private void finish() {
+        LOGGER.atInfo().log("event=stop_finished name=%s", core.settings().name());
+        core.loop().close();
+        stopped.complete(null);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/admin/PrometheusText.java
@@ -0,0 +1,79 @@
+package org.baobabcart.router.admin;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.Timer;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/** Metrics in Prometheus' text format 0.0.4. Confined to the thread that writes. */
+final class PrometheusText {
+    private static final String PREFIX = "baobabcart_";
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final StringBuilder text = new StringBuilder();
+
+    private PrometheusText() {}
+
+    static String of(MetricRegistry metrics) {
+        PrometheusText writer = new PrometheusText();
+        metrics.getGauges().forEach(writer::gauge);
+        metrics.getCounters().forEach(writer::counter);
+        metrics.getMeters().forEach(writer::meter);
+        metrics.getHistograms().forEach(writer::histogram);
+        metrics.getTimers().forEach(writer::timer);
+        return writer.text.toString();
+    }
+
+    private void gauge(String name, Gauge<?> gauge) {
+        if (gauge.getValue() instanceof Number number) {
+            type(name, "gauge");
+            sample(name, "", number.doubleValue());
+        }
+    }
+
+    private void counter(String name, Counter counter) {
+        type(name, "gauge");
+        sample(name, "", counter.getCount());
+    }
+
+    private void meter(String name, Meter meter) {
+        type(name + "_total", "counter");
+        sample(name + "_total", "", meter.getCount());
+    }
+
+    private void histogram(String name, Histogram histogram) {
+        type(name, "summary");
+        quantiles(name, histogram.getSnapshot(), 1);
+        sample(name + "_count", "", histogram.getCount());
+    }
+
+    private void timer(String name, Timer timer) {
+        String seconds = name + "_seconds";
+        type(seconds, "summary");
+        quantiles(seconds, timer.getSnapshot(), NANOS_PER_SECOND);
+        sample(seconds + "_count", "", timer.getCount());
+    }
+
+    private void quantiles(String name, Snapshot snapshot, double unit) {
+        sample(name, "{quantile=\"0.5\"}", snapshot.getMedian() / unit);
+        sample(name, "{quantile=\"0.95\"}", snapshot.get95thPercentile() / unit);
+        sample(name, "{quantile=\"0.99\"}", snapshot.get99thPercentile() / unit);
+    }
+
+    private void type(String name, String type) {
+        text.append("# TYPE ").append(sanitized(name)).append(' ').append(type).append('\n');
+    }
+
+    private void sample(String name, String labels, double value) {
+        text.append(sanitized(name)).append(labels).append(' ').append(value).append('\n');
+    }
+
+    private static String sanitized(String name) {
+        return PREFIX + name.replaceAll("[^A-Za-z0-9_]", "_").toLowerCase(Locale.ROOT);
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/control/Sections.java
+++ b/router/src/main/java/org/baobabcart/router/control/Sections.java
@@ -38,5 +38,8 @@
     /** Whether a planned stop has begun; written by the process. */
     public static final Section<Boolean> STOPPING = Section.named("stopping", false);
 
+    /** Whether requests are refused because the planned stop has come that far; written by the process. */
+    public static final Section<Boolean> DRAINING = Section.named("draining", false);
+
     private Sections() {}
 }
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/package-info.java
@@ -0,0 +1,2 @@
+/** The router's process: its assembly as a library object and its thin main class. */
+package org.baobabcart.router;
--- a/router/src/main/java/org/baobabcart/router/peer/PeerServer.java
+++ b/router/src/main/java/org/baobabcart/router/peer/PeerServer.java
@@ -29,9 +29,9 @@
     private final NetServer server;
     private final PeerSettings settings;
     private final PeerCodec codec;
-    private final Map<String, Binding<?, ?, ?, ?>> bindings = new HashMap<>();
+    private volatile Map<String, Binding<?, ?, ?, ?>> bindings = Map.of();
 
-    private PeerServer(Vertx vertx, PeerSettings settings, PeerHandlers handlers) {
+    private PeerServer(Vertx vertx, PeerSettings settings) {
         NetServerOptions options = new NetServerOptions()
                 .setTcpNoDelay(true)
                 .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
@@ -39,19 +39,11 @@
         this.server = vertx.createNetServer(options);
         this.settings = settings;
         this.codec = new PeerCodec(settings.largestFrameBytes());
-        bind(PeerMethod.EXCHANGE, handlers.members()::exchange);
-        bind(PeerMethod.PROBE, handlers.members()::probe);
-        bind(PeerMethod.FETCH_DOCUMENT, handlers.documents()::fetchDocument);
-        bind(PeerMethod.CLAIM, handlers.claims()::claim);
-        bind(PeerMethod.SETTLE, handlers.claims()::settle);
-        bind(PeerMethod.ATTEMPT_STATE, handlers.claims()::attemptState);
-        bind(PeerMethod.HOLD_BILLS, handlers.bills()::holdBills);
-        bind(PeerMethod.RELEASE_BILLS, handlers.bills()::releaseBills);
     }
 
     /** A server that does not listen yet. */
-    public static PeerServer create(Vertx vertx, PeerSettings settings, PeerHandlers handlers) {
-        return new PeerServer(vertx, settings, handlers);
+    public static PeerServer create(Vertx vertx, PeerSettings settings) {
+        return new PeerServer(vertx, settings);
     }
 
     /** Starts to listen; answers with the port. */
@@ -60,14 +52,28 @@
         return Futures.toUni(() -> server.listen(port, host)).map(NetServer::actualPort);
     }
 
+    /** Serves calls by these handlers from now on; until then every call is refused. */
+    public void serve(PeerHandlers handlers) {
+        Map<String, Binding<?, ?, ?, ?>> served = new HashMap<>();
+        bind(served, PeerMethod.EXCHANGE, handlers.members()::exchange);
+        bind(served, PeerMethod.PROBE, handlers.members()::probe);
+        bind(served, PeerMethod.FETCH_DOCUMENT, handlers.documents()::fetchDocument);
+        bind(served, PeerMethod.CLAIM, handlers.claims()::claim);
+        bind(served, PeerMethod.SETTLE, handlers.claims()::settle);
+        bind(served, PeerMethod.ATTEMPT_STATE, handlers.claims()::attemptState);
+        bind(served, PeerMethod.HOLD_BILLS, handlers.bills()::holdBills);
+        bind(served, PeerMethod.RELEASE_BILLS, handlers.bills()::releaseBills);
+        bindings = Map.copyOf(served);
+    }
+
     /** Closes all connections and stops listening. */
     public Uni<Void> close() {
         return Futures.toUni(server::close);
     }
 
-    private <Q, R, A extends TBase<?, ?>, S extends TBase<?, ?>> void bind(
-            PeerMethod<Q, R, A, S> method, Function<Q, Uni<R>> handler) {
-        bindings.put(method.name(), new Binding<>(method, handler));
+    private static <Q, R, A extends TBase<?, ?>, S extends TBase<?, ?>> void bind(
+            Map<String, Binding<?, ?, ?, ?>> served, PeerMethod<Q, R, A, S> method, Function<Q, Uni<R>> handler) {
+        served.put(method.name(), new Binding<>(method, handler));
     }
 
     private void accept(NetSocket socket) {
--- a/router/src/main/java/org/baobabcart/router/view/ViewPublisher.java
+++ b/router/src/main/java/org/baobabcart/router/view/ViewPublisher.java
@@ -32,7 +32,7 @@
         blackboard.subscribe(Sections.ROLL_OUTS, ignored -> publish());
         blackboard.subscribe(Sections.VIRTUAL_MACHINES, ignored -> publish());
         blackboard.subscribe(Sections.QUARANTINED, ignored -> publish());
-        blackboard.subscribe(Sections.STOPPING, ignored -> publish());
+        blackboard.subscribe(Sections.DRAINING, ignored -> publish());
         publish();
     }
 
@@ -52,7 +52,7 @@
                 blackboard.read(Sections.ROLL_OUTS),
                 liveUpstreams(blackboard.read(Sections.VIRTUAL_MACHINES)),
                 blackboard.read(Sections.QUARANTINED),
-                blackboard.read(Sections.STOPPING));
+                blackboard.read(Sections.DRAINING));
     }
 
     private static List<VirtualMachine> liveUpstreams(List<VirtualMachine> machines) {
