--- a/policy/src/main/java/org/baobabcart/policy/claim/PartitionOwners.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/PartitionOwners.java
@@ -12,6 +12,9 @@
  * Networking 6(1), 1998.
  */
 public final class PartitionOwners {
+    /** Journals in the platform, the same at every router; each router writes its share. */
+    public static final int PARTITIONS = 64;
+
     private static final long GOLDEN_GAMMA = 0x9E3779B97F4A7C15L;
 
     private PartitionOwners() {}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/claim/ClaimMetrics.java
@@ -0,0 +1,41 @@
+package org.baobabcart.router.claim;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import org.baobabcart.wire.ClaimVerdict;
+
+/** Metrics of claims. Thread-safe. */
+final class ClaimMetrics {
+    private final MetricRegistry registry;
+    private final Counter reads;
+    private final Counter writes;
+    private final Histogram journalCharacters;
+    private final Timer claims;
+
+    ClaimMetrics(MetricRegistry registry) {
+        this.registry = registry;
+        this.reads = registry.counter("claims.platform-reads");
+        this.writes = registry.counter("claims.platform-writes");
+        this.journalCharacters = registry.histogram("claims.journal-characters");
+        this.claims = registry.timer("claims.time");
+    }
+
+    void read() {
+        reads.inc();
+    }
+
+    void written(int characters) {
+        writes.inc();
+        journalCharacters.update(characters);
+    }
+
+    Timer.Context claim() {
+        return claims.time();
+    }
+
+    void decided(ClaimVerdict verdict) {
+        registry.counter("claims.verdict." + verdict.name()).inc();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/claim/Replies.java
@@ -0,0 +1,41 @@
+package org.baobabcart.router.claim;
+
+import java.nio.ByteBuffer;
+import java.util.Base64;
+import java.util.Map;
+import java.util.TreeMap;
+import org.baobabcart.policy.claim.KeptAnswer;
+import org.baobabcart.wire.StoredAnswer;
+
+/** Conversions between the forms of a stored answer. Thread-safe. */
+final class Replies {
+    /** Header of a replay whose body was too large to keep. */
+    static final String BODY_OMITTED = "Baobabcart-Body-Omitted";
+
+    private Replies() {}
+
+    static KeptAnswer toKept(StoredReply reply) {
+        return KeptAnswer.of(
+                reply.status(), reply.headers(), Base64.getEncoder().encodeToString(reply.body()));
+    }
+
+    static KeptAnswer toKept(StoredAnswer answer) {
+        return toKept(toReply(answer));
+    }
+
+    static StoredReply toReply(KeptAnswer kept) {
+        Map<String, String> headers = new TreeMap<>(kept.headers());
+        if (kept.bodyOmitted()) {
+            headers.put(BODY_OMITTED, "true");
+        }
+        return new StoredReply(kept.status(), headers, Base64.getDecoder().decode(kept.body()));
+    }
+
+    static StoredReply toReply(StoredAnswer answer) {
+        return new StoredReply(answer.getStatus(), answer.getHeaders(), answer.getBody());
+    }
+
+    static StoredAnswer toWire(StoredReply reply) {
+        return new StoredAnswer(reply.status(), reply.headers(), ByteBuffer.wrap(reply.body()));
+    }
+}
