--- a/policy/src/main/java/org/baobabcart/policy/claim/Claim.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/Claim.java
@@ -24,6 +24,7 @@
         long changedAtMillis,
         long retentionMillis) {
     private static final int FIXED_CHARACTERS = 256;
+    private static final long GRANT_BOUND_MILLIS = Attempt.GRANT_BOUND_NANOS / 1_000_000;
 
     /** What is known of the attempt. */
     public enum State {
@@ -59,9 +60,9 @@
                 key, callDigest, attemptId, claimant, State.UNKNOWN, Optional.empty(), clockMillis, retentionMillis);
     }
 
-    /** Whether the claim has been kept for longer than its retention. */
+    /** Whether the claim has been kept for longer than its retention, counted from the last moment of a dispatch. */
     public boolean expired(long clockMillis) {
-        return clockMillis - changedAtMillis > retentionMillis;
+        return clockMillis - changedAtMillis > retentionMillis + GRANT_BOUND_MILLIS;
     }
 
     /** About how many characters the claim takes in a journal. */
