Number the beginnings of a roll-out's stage

A stopped roll-out that an operator resumes would have been stopped again at once by the evidence counted before. Each beginning of a stage now has an epoch that evidence is counted under; older states read as epoch 0.

--- a/model/src/main/java/org/baobabcart/model/rollout/RollOutProgress.java
+++ b/model/src/main/java/org/baobabcart/model/rollout/RollOutProgress.java
@@ -8,15 +8,22 @@
  * @param status where it stands
  * @param stage the index of the current stage, from zero
  * @param reason why it stands so, for operators
+ * @param epoch grows each time a stage begins or is begun again, so that evidence of earlier times is not counted
  */
-public record RollOutProgress(String model, String to, RollOutStatus status, int stage, String reason) {
-    /** The same roll-out in another status. */
+public record RollOutProgress(String model, String to, RollOutStatus status, int stage, String reason, long epoch) {
+    /** A roll-out whose first stage begins. */
+    public RollOutProgress(String model, String to, RollOutStatus status, int stage, String reason) {
+        this(model, to, status, stage, reason, 0);
+    }
+
+    /** The same roll-out in another status; one that runs again begins its stage again. */
     public RollOutProgress withStatus(RollOutStatus newStatus, String newReason) {
-        return new RollOutProgress(model, to, newStatus, stage, newReason);
+        boolean begunAgain = newStatus == RollOutStatus.RUNNING && status != RollOutStatus.RUNNING;
+        return new RollOutProgress(model, to, newStatus, stage, newReason, begunAgain ? epoch + 1 : epoch);
     }
 
-    /** The same roll-out at another stage. */
+    /** The same roll-out at the beginning of another stage. */
     public RollOutProgress withStage(int newStage) {
-        return new RollOutProgress(model, to, status, newStage, reason);
+        return new RollOutProgress(model, to, status, newStage, reason, epoch + 1);
     }
 }
