Policy of roll-outs: sequential tests on pooled counters

A version that is bad or turns bad was to be stopped after few exposures, and a good one hardly ever, by evidence that many routers count. Grow-only counters carry count, sum and sum of squares; supermartingales of these are tested against the old version's confidence sequence, from the start of the stage and from every eighth outcome on.

--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/rollout/Comparison.java
@@ -0,0 +1,24 @@
+package org.baobabcart.policy.rollout;
+
+import java.util.Locale;
+
+/**
+ * The new version's losses of one window and the greatest mean that is allowed. Immutable.
+ *
+ * @param kind the kind of loss
+ * @param window the window's number
+ * @param seen the losses
+ * @param bound the greatest mean
+ */
+record Comparison(LossKind kind, long window, LossSample seen, double bound) {
+    /** The logarithm of the evidence that the mean is greater. */
+    double logEvidence() {
+        return SequentialTest.logEvidenceAbove(seen, bound);
+    }
+
+    /** A reason for operators. */
+    String text() {
+        return String.format(
+                Locale.ROOT, "%s %.3f of %.0f, at most %.3f allowed", kind.text(), seen.mean(), seen.count(), bound);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/rollout/EvidenceTable.java
@@ -0,0 +1,82 @@
+package org.baobabcart.policy.rollout;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongPredicate;
+import java.util.stream.Collectors;
+
+/**
+ * Counts of all nodes. Immutable.
+ *
+ * <p>A grow-only counter in the sense of Shapiro, Preguiça, Baquero and Zawirski, "Conflict-free Replicated Data Types"
+ * (2011): each node counts for itself, the later of two counts of one node replaces the other, and the pooled total is
+ * their sum, whatever the order and the number of deliveries.
+ */
+public final class EvidenceTable {
+    private static final EvidenceTable EMPTY = new EvidenceTable(Map.of());
+
+    private final Map<Key, VersionTotals> totals;
+
+    private EvidenceTable(Map<Key, VersionTotals> totals) {
+        this.totals = totals;
+    }
+
+    private record Key(String model, String version, String nodeId, long stageEpoch) {
+        private static Key of(EvidenceEntry entry) {
+            return new Key(entry.model(), entry.version(), entry.nodeId(), entry.stageEpoch());
+        }
+    }
+
+    /** No counts. */
+    public static EvidenceTable empty() {
+        return EMPTY;
+    }
+
+    /** The table with a node's count, unless a later one is known. */
+    public EvidenceTable merged(EvidenceEntry entry) {
+        Key key = Key.of(entry);
+        VersionTotals known = totals.get(key);
+        if (known != null && known.observations() >= entry.totals().observations()) {
+            return this;
+        }
+        Map<Key, VersionTotals> changed = new HashMap<>(totals);
+        changed.put(key, entry.totals());
+        return new EvidenceTable(changed);
+    }
+
+    /** The table without the stages that do not pass the filter. */
+    public EvidenceTable retaining(LongPredicate stageEpochs) {
+        Map<Key, VersionTotals> kept = totals.entrySet().stream()
+                .filter(entry -> stageEpochs.test(entry.getKey().stageEpoch()))
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        return kept.size() == totals.size() ? this : new EvidenceTable(kept);
+    }
+
+    /** The counts of one node. */
+    public VersionTotals of(String model, String version, String nodeId, long stageEpoch) {
+        return totals.getOrDefault(new Key(model, version, nodeId, stageEpoch), VersionTotals.zero());
+    }
+
+    /** The sum over all nodes. */
+    public VersionTotals pooled(String model, String version, long stageEpoch) {
+        return totals.entrySet().stream()
+                .filter(entry -> entry.getKey().stageEpoch() == stageEpoch)
+                .filter(entry -> entry.getKey().version().equals(version))
+                .filter(entry -> entry.getKey().model().equals(model))
+                .map(Map.Entry::getValue)
+                .reduce(VersionTotals.zero(), VersionTotals::plus);
+    }
+
+    /** All counts, for other nodes. */
+    public List<EvidenceEntry> entries() {
+        return totals.entrySet().stream()
+                .map(entry -> new EvidenceEntry(
+                        entry.getKey().model(),
+                        entry.getKey().version(),
+                        entry.getKey().nodeId(),
+                        entry.getKey().stageEpoch(),
+                        entry.getValue()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/rollout/LossSample.java
@@ -0,0 +1,24 @@
+package org.baobabcart.policy.rollout;
+
+/**
+ * Losses that each lie between 0 and 1. Immutable.
+ *
+ * @param count the number of observations
+ * @param sum the sum of their losses
+ * @param squareSum the sum of the squares of their losses
+ */
+record LossSample(double count, double sum, double squareSum) {
+    /** Losses of 0 or 1. */
+    static LossSample ofCounts(double count, double losses) {
+        return new LossSample(count, losses, losses);
+    }
+
+    double mean() {
+        return count == 0 ? 0 : Math.min(1, sum / count);
+    }
+
+    /** The sum of the squared distances to a point. */
+    double squaresAround(double point) {
+        return Math.max(0, squareSum - 2 * point * sum + count * point * point);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/rollout/RollOutJudge.java
@@ -0,0 +1,123 @@
+package org.baobabcart.policy.rollout;
+
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.baobabcart.model.sheet.RollOutStage;
+
+/**
+ * Judges the stage of a roll-out by comparing the new version with the old one, as both were seen during the same time.
+ * Immutable and thread-safe.
+ *
+ * <p>Failures and ratings are each tested over the whole stage and over recent windows. The new version's mean loss is
+ * tested against the upper end of the old version's confidence sequence for the stage, or the old version's mean in the
+ * same window if that is greater, plus a margin: what hits both versions alike stops no roll-out. The bound on false
+ * stops is divided between the two kinds of loss, between the old version's confidence sequence and the tests, and among
+ * stages and windows by the series of {@code 6 / (pi * n) ^ 2}, whose sum is one.
+ */
+public final class RollOutJudge {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double OLD_VERSION_PART = 0.25;
+    private static final double SUSPICION = Math.log(20);
+    private static final int KINDS = LossKind.values().length;
+
+    private final RollOutSettings settings;
+
+    private RollOutJudge(RollOutSettings settings) {
+        this.settings = settings;
+    }
+
+    /** A judge with these settings. */
+    public static RollOutJudge of(RollOutSettings settings) {
+        return new RollOutJudge(settings);
+    }
+
+    /**
+     * The verdict on a stage.
+     *
+     * @param rules the stage's rules
+     * @param evidence what is known of the stage
+     * @param elapsedNanos how long the stage has lasted as its controller knows
+     */
+    public RollOutVerdict judge(RollOutStage rules, StageEvidence evidence, long elapsedNanos) {
+        Optional<String> stop = stopReason(evidence);
+        if (stop.isPresent()) {
+            return RollOutVerdict.stop(stop.get());
+        }
+        return holdReason(rules, evidence, elapsedNanos)
+                .map(RollOutVerdict::hold)
+                .orElseGet(() -> RollOutVerdict.advance("stage passed"));
+    }
+
+    /** Why the roll-out is to be stopped; empty where it is not. */
+    public Optional<String> stopReason(StageEvidence evidence) {
+        return comparisons(evidence)
+                .filter(comparison -> comparison.logEvidence()
+                        >= threshold(evidence.stage(), 1 - OLD_VERSION_PART, comparison.window()))
+                .map(Comparison::text)
+                .findFirst();
+    }
+
+    private Stream<Comparison> comparisons(StageEvidence evidence) {
+        return Arrays.stream(LossKind.values()).flatMap(kind -> {
+            double expected = expected(kind, evidence);
+            return evidence.windows().all().stream().map(window -> compared(kind, evidence, window, expected));
+        });
+    }
+
+    private Comparison compared(LossKind kind, StageEvidence evidence, EvidenceWindow window, double expected) {
+        LossSample seen = kind.sample(evidence.newTotals().since(window.newStart()));
+        LossSample oldSeen = kind.sample(evidence.oldTotals().since(window.oldStart()));
+        double bound = Math.max(expected, oldSeen.mean()) + kind.margin(settings);
+        return new Comparison(kind, window.number(), seen, bound);
+    }
+
+    /** The greatest mean loss that the old version may have. */
+    private double expected(LossKind kind, StageEvidence evidence) {
+        if (!isCompared(evidence)) {
+            return kind.assumed(settings);
+        }
+        return SequentialTest.upperMean(
+                kind.sample(evidence.oldTotals()), threshold(evidence.stage(), OLD_VERSION_PART, 1));
+    }
+
+    private boolean isCompared(StageEvidence evidence) {
+        return evidence.share() <= settings.greatestComparedShare();
+    }
+
+    private Optional<String> holdReason(RollOutStage rules, StageEvidence evidence, long elapsedNanos) {
+        if (elapsedNanos < rules.minimumSeconds() * NANOS_PER_SECOND) {
+            return Optional.of("minimum time not reached");
+        }
+        long rated = evidence.newTotals().ratings();
+        if (rated < rules.minimumSamples()) {
+            return Optional.of("rated " + rated + " of " + rules.minimumSamples());
+        }
+        Optional<String> worse = Arrays.stream(LossKind.values())
+                .filter(kind -> isWorseOnAverage(kind, evidence))
+                .map(kind -> kind.text() + " above the old version's by more than the margin")
+                .findFirst();
+        return worse.or(() -> comparisons(evidence)
+                .filter(comparison -> comparison.logEvidence() >= SUSPICION)
+                .map(comparison -> "under suspicion: " + comparison.text())
+                .findFirst());
+    }
+
+    /** Whether a version that is not surely bad is not good enough to advance either. */
+    private boolean isWorseOnAverage(LossKind kind, StageEvidence evidence) {
+        double reference =
+                isCompared(evidence) ? kind.sample(evidence.oldTotals()).mean() : kind.assumed(settings);
+        return kind.sample(evidence.newTotals()).mean() > reference + kind.margin(settings);
+    }
+
+    /** The logarithm of the evidence that a part of the bound on false stops asks for. */
+    private double threshold(int stage, double part, long window) {
+        double chance = settings.falseStopChance() / KINDS * part * seriesShare(stage + 1) * seriesShare(window);
+        return -Math.log(chance);
+    }
+
+    private static double seriesShare(long number) {
+        double scaled = Math.PI * number;
+        return 6 / (scaled * scaled);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/rollout/RollOutTransitions.java
@@ -0,0 +1,73 @@
+package org.baobabcart.policy.rollout;
+
+import java.util.Optional;
+import org.baobabcart.model.rollout.RollOutProgress;
+import org.baobabcart.model.rollout.RollOutState;
+import org.baobabcart.model.rollout.RollOutStatus;
+import org.baobabcart.model.sheet.RollOut;
+import org.baobabcart.model.sheet.WhenControllerLost;
+import org.baobabcart.model.sheet.Withdrawal;
+
+/** The next states of roll-outs. Stateless; each result is one accepted change and grows the generation by one. */
+public final class RollOutTransitions {
+    /** The reason by which a controller that stops as planned hands its roll-outs over. */
+    public static final String HANDED_OVER = "handed over";
+
+    private static final String TAKEN_OVER = "taken over";
+    private static final String CONTROLLER_LOST = "controller lost";
+    private static final String STARTED = "started";
+    private static final String ALL_STAGES = "all stages passed";
+
+    private RollOutTransitions() {}
+
+    /** The progress of the roll-out that the sheet declares; empty where it has not begun. */
+    public static Optional<RollOutProgress> progress(RollOutState state, RollOut rollOut) {
+        return state.of(rollOut.model()).filter(entry -> entry.to().equals(rollOut.to()));
+    }
+
+    /** The roll-out begins with its first stage. */
+    public static RollOutState begun(RollOutState state, RollOut rollOut, String writeId) {
+        RollOutProgress first = new RollOutProgress(rollOut.model(), rollOut.to(), RollOutStatus.RUNNING, 0, STARTED);
+        return state.withProgress(first, writeId);
+    }
+
+    /** The roll-out is stopped and its new version withdrawn, so that sessions leave it as well. */
+    public static RollOutState stopped(RollOutState state, RollOutProgress progress, String reason, String writeId) {
+        RollOutState stopped = state.withProgress(progress.withStatus(RollOutStatus.STOPPED, reason), writeId);
+        RollOutState withdrawn = stopped.withWithdrawal(new Withdrawal(progress.model(), progress.to()), writeId);
+        return new RollOutState(stopped.generation(), writeId, withdrawn.progress(), withdrawn.withdrawals());
+    }
+
+    /** The next stage begins, or the roll-out is done after the last one. */
+    public static RollOutState advanced(RollOutState state, RollOut rollOut, RollOutProgress progress, String writeId) {
+        boolean last = progress.stage() >= rollOut.stages().size() - 1;
+        RollOutProgress next =
+                last ? progress.withStatus(RollOutStatus.DONE, ALL_STAGES) : progress.withStage(progress.stage() + 1);
+        return state.withProgress(next, writeId);
+    }
+
+    /** The roll-out is marked as handed over by a controller that stops as planned. */
+    public static RollOutState handedOver(RollOutState state, RollOutProgress progress, String writeId) {
+        return state.withProgress(progress.withStatus(progress.status(), HANDED_OVER), writeId);
+    }
+
+    /**
+     * The state after another node has taken control of a running roll-out; empty where nothing is written.
+     *
+     * <p>A roll-out that rests when its controller is lost is paused until an operator resumes it; one that was handed
+     * over goes on.
+     */
+    public static Optional<RollOutState> takenOver(
+            RollOutState state, RollOut rollOut, RollOutProgress progress, String writeId) {
+        if (progress.status() != RollOutStatus.RUNNING) {
+            return Optional.empty();
+        }
+        if (progress.reason().equals(HANDED_OVER)) {
+            return Optional.of(state.withProgress(progress.withStatus(RollOutStatus.RUNNING, TAKEN_OVER), writeId));
+        }
+        if (rollOut.whenControllerLost() == WhenControllerLost.CONTINUE) {
+            return Optional.empty();
+        }
+        return Optional.of(state.withProgress(progress.withStatus(RollOutStatus.PAUSED, CONTROLLER_LOST), writeId));
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/org/baobabcart/policy/rollout/RollOutSimulation.java
@@ -0,0 +1,123 @@
+package org.baobabcart.policy.rollout;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.baobabcart.model.sheet.RollOutStage;
+
+/**
+ * A fleet of nodes that serve one roll-out, second by second. Every node counts for itself; each second every node tells
+ * two others what it knows, and the node judged by is the first one, so that evidence reaches it late.
+ */
+final class RollOutSimulation {
+    static final List<RollOutStage> STAGES = List.of(
+            new RollOutStage(0.1, 30, 50),
+            new RollOutStage(0.25, 10, 100),
+            new RollOutStage(0.5, 10, 100),
+            new RollOutStage(1, 10, 100));
+
+    private static final int NODES = 5;
+    private static final int REQUESTS_PER_SECOND = 50;
+    private static final int PEERS = 2;
+    private static final long SECOND_NANOS = 1_000_000_000;
+
+    private final RollOutJudge judge = RollOutJudge.of(RollOutSettings.defaults());
+    private final Behaviour behaviour;
+    private final SplittableRandom random;
+    private final List<EvidenceTable> tables = new ArrayList<>();
+    private int stage;
+    private EvidenceWindows windows = EvidenceWindows.first();
+    private int stageSeconds;
+    private int badExposures;
+    private int exposures;
+
+    RollOutSimulation(Behaviour behaviour, long seed) {
+        this.behaviour = behaviour;
+        this.random = new SplittableRandom(seed);
+        for (int node = 0; node < NODES; node++) {
+            tables.add(EvidenceTable.empty());
+        }
+    }
+
+    /** How versions behave: chances of failure and mean ratings by second, and when the new version turns bad. */
+    interface Behaviour {
+        double failures(boolean newVersion, int second, int stage);
+
+        double rating(boolean newVersion, int second);
+
+        /** Whether the new version is bad in this second. */
+        default boolean bad(int second) {
+            return false;
+        }
+
+        /** Whether answers are rated. */
+        default boolean rated(int second) {
+            return true;
+        }
+    }
+
+    /** How a roll-out ended. */
+    record Result(Optional<String> stopReason, int stage, int seconds, int exposures, int badExposures) {}
+
+    Result run(int maximumSeconds) {
+        for (int second = 0; second < maximumSeconds; second++) {
+            serve(second);
+            gossip();
+            RollOutVerdict verdict = judged();
+            if (verdict.kind() == RollOutVerdict.Kind.STOP) {
+                return new Result(Optional.of(verdict.reason()), stage, second, exposures, badExposures);
+            }
+            if (verdict.kind() == RollOutVerdict.Kind.ADVANCE) {
+                if (stage == STAGES.size() - 1) {
+                    return new Result(Optional.empty(), stage, second, exposures, badExposures);
+                }
+                stage++;
+                windows = EvidenceWindows.first();
+                stageSeconds = 0;
+            }
+        }
+        return new Result(Optional.empty(), stage, maximumSeconds, exposures, badExposures);
+    }
+
+    private void serve(int second) {
+        for (int request = 0; request < REQUESTS_PER_SECOND; request++) {
+            boolean newVersion = random.nextDouble() < STAGES.get(stage).share();
+            exposures += newVersion ? 1 : 0;
+            badExposures += newVersion && behaviour.bad(second) ? 1 : 0;
+            count(random.nextInt(NODES), newVersion, second);
+        }
+        stageSeconds++;
+    }
+
+    private void count(int node, boolean newVersion, int second) {
+        String version = newVersion ? "new" : "old";
+        boolean success = random.nextDouble() >= behaviour.failures(newVersion, second, stage);
+        VersionTotals totals =
+                tables.get(node).of("model", version, "node-" + node, stage).withOutcome(success);
+        if (success && behaviour.rated(second)) {
+            double rating = behaviour.rating(newVersion, second) + 0.1 * random.nextDouble() - 0.05;
+            totals = totals.withRating(Math.max(0, Math.min(1, rating)));
+        }
+        tables.set(node, tables.get(node).merged(new EvidenceEntry("model", version, "node-" + node, stage, totals)));
+    }
+
+    private void gossip() {
+        for (int node = 0; node < NODES; node++) {
+            for (int peer = 0; peer < PEERS; peer++) {
+                int target = random.nextInt(NODES);
+                for (EvidenceEntry entry : tables.get(node).entries()) {
+                    tables.set(target, tables.get(target).merged(entry));
+                }
+            }
+        }
+    }
+
+    private RollOutVerdict judged() {
+        VersionTotals newTotals = tables.get(0).pooled("model", "new", stage);
+        VersionTotals oldTotals = tables.get(0).pooled("model", "old", stage);
+        windows = windows.at(newTotals, oldTotals);
+        StageEvidence evidence = new StageEvidence(stage, STAGES.get(stage).share(), newTotals, oldTotals, windows);
+        return judge.judge(STAGES.get(stage), evidence, stageSeconds * SECOND_NANOS);
+    }
+}
