--- a/router/src/main/java/org/baobabcart/router/RouterProcess.java
+++ b/router/src/main/java/org/baobabcart/router/RouterProcess.java
@@ -38,6 +38,7 @@
     private final AtomicBoolean stopBegun = new AtomicBoolean();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile AdminApi admin;
+    private volatile Addresses addresses = new Addresses("", "", "");
     private volatile ControlPlane plane;
 
     private RouterProcess(RouterSettings settings) {
@@ -77,7 +78,7 @@
 
     private Uni<RouterPorts> startControl(RouterPorts ports) {
         return Uni.createFrom()
-                .item(() -> createControl(ports))
+                .item(this::createControl)
                 .runSubscriptionOn(core.loop())
                 .flatMap(adminApi -> adminApi.listen(
                         core.settings().listenAddress(), core.settings().adminPort()))
@@ -86,7 +87,7 @@
                 .invoke(this::startControllers);
     }
 
-    private AdminApi createControl(RouterPorts ports) {
+    private AdminApi createControl() {
         admin = AdminApi.create(new AdminParts(
                 core.vertx(),
                 core.settings().name(),
@@ -95,7 +96,7 @@
                 core.timeline(),
                 core.metrics(),
                 () -> StatusReport.create(core.blackboard(), core.timers(), plane.sheets())
-                        .write(addresses(ports)),
+                        .write(addresses),
                 this::stop));
         return admin;
     }
@@ -103,16 +104,16 @@
     private void startControllers(RouterPorts ports) {
         core.timeline()
                 .record(EventType.PROCESS_STARTED, "name=" + core.settings().name());
-        plane = ControlPlane.create(core, self(ports));
+        addresses = addresses(ports);
+        plane = ControlPlane.create(core, self());
         peerServer.serve(new PeerHandlers(plane.members(), plane.documents(), traffic.claims(), traffic.bills()));
         core.views().start();
         plane.controllers().forEach(Controller::start);
         traffic.controllers().forEach(Controller::start);
     }
 
-    private Member self(RouterPorts ports) {
+    private Member self() {
         RouterSettings settings = core.settings();
-        Addresses addresses = addresses(ports);
         return new Member(
                 settings.name(),
                 core.timers().wallClockMillis(),
--- a/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
+++ b/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
@@ -58,7 +58,7 @@
                     return request.send();
                 })
                 .onSuccess(response -> receive(kind, response, emitter))
-                .onFailure(failure -> emitter.fail(CallEffect.NONE.failure(failure)));
+                .onFailure(failure -> fail(emitter, failure));
     }
 
     private static void receive(String kind, HttpClientResponse response, MultiEmitter<? super ObjectEvent> emitter) {
@@ -68,8 +68,8 @@
         }
         RecordParser lines = RecordParser.newDelimited("\n", line -> emit(kind, line, emitter));
         lines.maxRecordSize(LONGEST_LINE_BYTES);
-        lines.exceptionHandler(failure -> emitter.fail(CallEffect.NONE.failure(failure)));
-        response.exceptionHandler(failure -> emitter.fail(CallEffect.NONE.failure(failure)));
+        lines.exceptionHandler(failure -> fail(emitter, failure));
+        response.exceptionHandler(failure -> fail(emitter, failure));
         response.endHandler(ignored -> emitter.complete());
         response.handler(lines::handle);
     }
@@ -86,6 +86,13 @@
         }
     }
 
+    /** A watch that was cancelled has nobody to tell. */
+    private static void fail(MultiEmitter<? super ObjectEvent> emitter, Throwable failure) {
+        if (!emitter.isCancelled()) {
+            emitter.fail(CallEffect.NONE.failure(failure));
+        }
+    }
+
     private static void close(HttpClientRequest request) {
         if (request != null) {
             request.reset();
