Caller API, claims and session keys wired into the process

Change: TrafficEdge holds the caller API and the claim service; bills are a stub until their service lands.

--- a/router/src/main/java/org/baobabcart/router/RouterMain.java
+++ b/router/src/main/java/org/baobabcart/router/RouterMain.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.infrastructure.Infrastructure;
 import java.util.Optional;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.router.settings.RouterSettings;
@@ -39,6 +40,8 @@
     }
 
     private static void run(RouterSettings settings) {
+        Infrastructure.setDroppedExceptionHandler(
+                failure -> LOGGER.atFine().withCause(failure).log("event=late_failure"));
         RouterProcess process = RouterProcess.create(settings);
         try {
             RouterPorts ports = process.start().await().indefinitely();
--- a/router/src/main/java/org/baobabcart/router/RouterProcess.java
+++ b/router/src/main/java/org/baobabcart/router/RouterProcess.java
@@ -109,7 +109,7 @@
         peerServer.serve(new PeerHandlers(plane.members(), plane.documents(), traffic.claims(), traffic.bills()));
         core.views().start();
         plane.controllers().forEach(Controller::start);
-        traffic.controllers().forEach(Controller::start);
+        traffic.start();
     }
 
     private Member self() {
--- a/router/src/main/java/org/baobabcart/router/TrafficEdge.java
+++ b/router/src/main/java/org/baobabcart/router/TrafficEdge.java
@@ -1,37 +1,44 @@
 package org.baobabcart.router;
 
 import io.smallrye.mutiny.Uni;
-import io.vertx.core.http.HttpServer;
+import java.net.URI;
 import java.time.Duration;
 import java.util.List;
-import org.baobabcart.model.result.BaobabcartException;
-import org.baobabcart.model.result.ResultCode;
+import java.util.OptionalDouble;
+import org.baobabcart.router.claim.ClaimSettings;
+import org.baobabcart.router.claim.PartitionClaimService;
 import org.baobabcart.router.control.Controller;
-import org.baobabcart.router.control.Futures;
+import org.baobabcart.router.key.SessionSigners;
 import org.baobabcart.router.peer.BillHandler;
 import org.baobabcart.router.peer.ClaimHandler;
-import org.baobabcart.wire.AttemptReply;
-import org.baobabcart.wire.AttemptRequest;
-import org.baobabcart.wire.ClaimReply;
-import org.baobabcart.wire.ClaimRequest;
-import org.baobabcart.wire.HoldReply;
-import org.baobabcart.wire.HoldRequest;
-import org.baobabcart.wire.ReleaseReply;
-import org.baobabcart.wire.ReleaseRequest;
-import org.baobabcart.wire.SettleReply;
-import org.baobabcart.wire.SettleRequest;
+import org.baobabcart.router.settings.RouterSettings;
+import org.baobabcart.router.traffic.CallerApi;
+import org.baobabcart.router.traffic.HttpRatingClient;
+import org.baobabcart.router.traffic.RatingClient;
+import org.baobabcart.router.traffic.TrafficParts;
+import org.baobabcart.router.traffic.TrafficSettings;
 
-/** The caller API with the claims and bills behind it, wired to the core. Refuses every call as long as it has none. */
+/** The caller API with the claims and bills behind it, wired to the core. Thread-safe. */
 final class TrafficEdge {
-    private static final int UNAVAILABLE = 503;
+    private static final Duration RATING_TIMEOUT = Duration.ofSeconds(1);
 
-    private final HttpServer server;
+    private final RouterCore core;
+    private final SessionSigners signers = SessionSigners.create();
+    private final PartitionClaimService claims;
+    private final NoBills bills = new NoBills();
+    private final CallerApi callers;
 
     private TrafficEdge(RouterCore core) {
-        this.server = core.vertx()
-                .createHttpServer()
-                .requestHandler(
-                        request -> request.response().setStatusCode(UNAVAILABLE).end());
+        this.core = core;
+        this.claims = PartitionClaimService.create(
+                core.blackboard(),
+                core.timers(),
+                core.store(),
+                core.peers(),
+                core.timeline(),
+                core.metrics(),
+                ClaimSettings.defaults());
+        this.callers = CallerApi.create(core.vertx(), trafficParts(core), trafficSettings(core.settings()));
     }
 
     static TrafficEdge create(RouterCore core) {
@@ -39,51 +46,52 @@
     }
 
     Uni<Integer> listen(String host, int port) {
-        return Futures.toUni(() -> server.listen(port, host)).map(HttpServer::actualPort);
+        return callers.listen(host, port);
     }
 
     Uni<Void> drain(Duration timeout) {
-        return Futures.toUni(server::close);
+        return callers.drain(timeout);
+    }
+
+    /** Starts what follows the blackboard; called on the control thread. */
+    void start() {
+        signers.follow(core.blackboard());
+        controllers().forEach(Controller::start);
     }
 
     List<Controller> controllers() {
-        return List.of();
+        return List.of(claims);
     }
 
     ClaimHandler claims() {
-        return new ClaimHandler() {
-            @Override
-            public Uni<ClaimReply> claim(ClaimRequest request) {
-                return unavailable();
-            }
-
-            @Override
-            public Uni<SettleReply> settle(SettleRequest request) {
-                return unavailable();
-            }
-
-            @Override
-            public Uni<AttemptReply> attemptState(AttemptRequest request) {
-                return unavailable();
-            }
-        };
+        return claims;
     }
 
     BillHandler bills() {
-        return new BillHandler() {
-            @Override
-            public Uni<HoldReply> holdBills(HoldRequest request) {
-                return unavailable();
-            }
+        return bills;
+    }
+
+    private TrafficParts trafficParts(RouterCore parts) {
+        return new TrafficParts(
+                parts.views(),
+                claims,
+                bills,
+                parts.feedback(),
+                parts.timeline(),
+                parts.metrics(),
+                ratings(parts),
+                signers);
+    }
 
-            @Override
-            public Uni<ReleaseReply> releaseBills(ReleaseRequest request) {
-                return unavailable();
-            }
-        };
+    private static TrafficSettings trafficSettings(RouterSettings settings) {
+        return TrafficSettings.defaults().withNode(settings.name(), settings.dataCentre());
     }
 
-    private static <T> Uni<T> unavailable() {
-        return Uni.createFrom().failure(BaobabcartException.of(ResultCode.NOT_READY));
+    private static RatingClient ratings(RouterCore parts) {
+        return parts.settings()
+                .ratings()
+                .map(URI::toString)
+                .<RatingClient>map(url -> HttpRatingClient.create(parts.vertx(), url, RATING_TIMEOUT))
+                .orElse(request -> Uni.createFrom().item(OptionalDouble.empty()));
     }
 }
