Command line: sheet, fleet, rollout, drain, timeline and bills

Cause: operators had no way to check, publish or follow a sheet, nor to see the fleet.

Change: one class a command behind Command; flags with an environment variable each; errors of one numbered line; tables of at most 100 columns or JSON. Publishing and roll-out changes are conditional updates; a lost answer is settled by reading back the write's id. They end when every live router has the change and name those that lack it. Where the fleet is found is kept in the platform (endpoints/current), so that the platform's address is all a command needs; the list of VMs alone does not tell admin ports.

Ruled out: asking peers over Thrift for their members, since an exchange would enter the command line as a member.

--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/CommandLine.java
@@ -0,0 +1,145 @@
+package org.baobabcart.cli;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Argument;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.baobabcart.cli.settings.Flag;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+
+/**
+ * Parses the words of a command line, runs the command and turns every failure into one line and an exit code.
+ *
+ * <p>Immutable after construction.
+ */
+public final class CommandLine {
+    private static final String COMMAND = "org.baobabcart.command";
+
+    private final List<Command> commands;
+    private final ArgumentParser parser;
+
+    private CommandLine(List<Command> commands) {
+        this.commands = List.copyOf(commands);
+        this.parser = parser();
+    }
+
+    /** A command line of these commands. */
+    public static CommandLine of(List<Command> commands) {
+        return new CommandLine(commands);
+    }
+
+    /** The commands, in the order of the help text. */
+    public List<Command> commands() {
+        return commands;
+    }
+
+    /** Runs one command; no failure leaves this method as an exception. */
+    public ExitCode run(String[] words, Map<String, String> environment, CommandContext context) {
+        try {
+            Namespace namespace = parser.parseArgs(words);
+            Command command = namespace.get(COMMAND);
+            return command.run(org.baobabcart.cli.settings.Arguments.of(given(namespace), environment), context);
+        } catch (HelpScreenException exception) {
+            return ExitCode.OK;
+        } catch (ArgumentParserException exception) {
+            usage(exception, context);
+            return ExitCode.USAGE;
+        } catch (BaobabcartException exception) {
+            context.output().failure(exception);
+            return ExitCode.of(exception.code());
+        } catch (RuntimeException exception) {
+            context.output().failure(unexpected(exception));
+            return ExitCode.FAILED;
+        }
+    }
+
+    private ArgumentParser parser() {
+        ArgumentParser root = ArgumentParsers.newFor("baobabcart")
+                .terminalWidthDetection(false)
+                .build()
+                .description("Operate a fleet of baobabcart routers.");
+        Subparsers subparsers = root.addSubparsers().title("commands").metavar("COMMAND");
+        Map<String, Subparsers> groups = new LinkedHashMap<>();
+        for (Command command : commands) {
+            Subparsers parent = subparsers;
+            List<String> words = command.words();
+            if (words.size() > 1) {
+                parent = groups.computeIfAbsent(words.get(0), word -> group(subparsers, word));
+            }
+            declare(parent.addParser(words.get(words.size() - 1)), command);
+        }
+        return root;
+    }
+
+    private static Subparsers group(Subparsers parent, String word) {
+        return parent.addParser(word)
+                .help("see 'baobabcart " + word + " --help'")
+                .addSubparsers()
+                .title("commands")
+                .metavar("COMMAND");
+    }
+
+    private static void declare(Subparser subparser, Command command) {
+        subparser.help(command.help()).description(command.help()).setDefault(COMMAND, command);
+        for (String positional : command.positionals()) {
+            Argument argument = subparser.addArgument(positional);
+            if (positional.endsWith("...")) {
+                argument.nargs("...");
+            }
+        }
+        for (Flag flag : command.flags()) {
+            Argument argument =
+                    subparser.addArgument(flag.name()).dest(flag.key()).help(help(flag));
+            if (flag.toggle()) {
+                argument.action(Arguments.storeConst()).setConst("true");
+            } else {
+                argument.metavar("VALUE");
+            }
+        }
+    }
+
+    private static String help(Flag flag) {
+        String fallback = flag.fallback()
+                .filter(text -> !flag.toggle())
+                .map(text -> ", default " + text)
+                .orElse("");
+        return flag.help() + " (" + flag.environmentVariable() + fallback + ")";
+    }
+
+    private static Map<String, String> given(Namespace namespace) {
+        Map<String, String> given = new HashMap<>();
+        namespace.getAttrs().forEach((key, value) -> {
+            if (value instanceof List<?> words) {
+                given.put(
+                        key,
+                        String.join("\n", words.stream().map(Object::toString).toList()));
+            } else if (value instanceof String text) {
+                given.put(key, text);
+            }
+        });
+        return given;
+    }
+
+    private static void usage(ArgumentParserException exception, CommandContext context) {
+        StringWriter usage = new StringWriter();
+        exception.getParser().printUsage(new PrintWriter(usage, true));
+        context.output().note(usage.toString().strip());
+        context.output().failure(BaobabcartException.of(ResultCode.BAD_SETTING, exception.getMessage()));
+    }
+
+    private static BaobabcartException unexpected(RuntimeException exception) {
+        return BaobabcartException.of(ResultCode.INTERNAL, exception.toString()).withCause(exception);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/Main.java
@@ -0,0 +1,26 @@
+package org.baobabcart.cli;
+
+import io.vertx.core.Vertx;
+import org.baobabcart.cli.command.Commands;
+import org.baobabcart.cli.fleet.HttpAdminClient;
+import org.baobabcart.cli.fleet.Pauses;
+import org.baobabcart.cli.output.Output;
+
+/** The entry point of the command line. */
+public final class Main {
+    private Main() {}
+
+    /** Runs one command and ends the process with its exit code. */
+    public static void main(String[] words) {
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %5$s%n");
+        Vertx vertx = Vertx.vertx();
+        CommandContext context = new CommandContext(
+                Output.of(System.out, System.err),
+                HttpAdminClient.create(vertx),
+                StoreFactory.create(vertx),
+                Pauses.system());
+        ExitCode code = CommandLine.of(Commands.all()).run(words, System.getenv(), context);
+        System.out.flush();
+        System.exit(code.status());
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/StoreFactory.java
@@ -0,0 +1,17 @@
+package org.baobabcart.cli;
+
+import io.vertx.core.Vertx;
+import java.net.URI;
+import java.util.function.Function;
+import org.baobabcart.router.platform.HttpObjectStore;
+import org.baobabcart.router.platform.ObjectStore;
+import org.baobabcart.router.platform.PlatformSettings;
+
+/** Makes access to the platform's object API at an address. */
+final class StoreFactory {
+    private StoreFactory() {}
+
+    static Function<String, ObjectStore> create(Vertx vertx) {
+        return address -> HttpObjectStore.create(vertx, URI.create(address), PlatformSettings.defaults());
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/command/BillsCommand.java
@@ -0,0 +1,73 @@
+package org.baobabcart.cli.command;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.baobabcart.cli.Command;
+import org.baobabcart.cli.CommandContext;
+import org.baobabcart.cli.ExitCode;
+import org.baobabcart.cli.output.Table;
+import org.baobabcart.cli.settings.Arguments;
+import org.baobabcart.cli.settings.CommonFlags;
+import org.baobabcart.cli.settings.Flag;
+import org.baobabcart.model.platform.Kinds;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.model.request.Bill;
+import org.baobabcart.router.platform.ObjectStore;
+
+/** {@code bills}: the bills in the platform, one for each request. */
+final class BillsCommand implements Command {
+    private static final Flag REQUEST = Flag.of("--request", "show the bill of this request only");
+
+    @Override
+    public List<String> words() {
+        return List.of("bills");
+    }
+
+    @Override
+    public String help() {
+        return "list the bills that the platform holds, one for each request";
+    }
+
+    @Override
+    public List<Flag> flags() {
+        return List.of(REQUEST, CommonFlags.PLATFORM, CommonFlags.JSON);
+    }
+
+    @Override
+    public ExitCode run(Arguments arguments, CommandContext context) {
+        Optional<String> request = arguments.optional(REQUEST);
+        List<Bill> bills = read(PlatformObjects.store(arguments, context)).stream()
+                .filter(bill -> request.isEmpty() || bill.requestId().equals(request.get()))
+                .toList();
+        if (arguments.isSet(CommonFlags.JSON)) {
+            context.output().json(bills);
+        } else {
+            Table table = Table.of("REQUEST", "WORKSPACE", "MODEL", "VERSION", "UNITS");
+            bills.forEach(
+                    bill -> table.row(bill.requestId(), bill.workspace(), bill.model(), bill.version(), bill.units()));
+            context.output().table(table);
+        }
+        return request.isPresent() && bills.isEmpty() ? ExitCode.FAILED : ExitCode.OK;
+    }
+
+    /** All bills; of bills with the same id the first one counts. */
+    static Collection<Bill> read(ObjectStore store) {
+        Map<String, Bill> bills = new LinkedHashMap<>();
+        for (StoredObject segment : PlatformObjects.await(store.list(Kinds.BILLS))) {
+            for (Bill bill :
+                    PlatformObjects.convert(segment.spec(), Segment.class).bills()) {
+                bills.putIfAbsent(bill.requestId(), bill);
+            }
+        }
+        return bills.values();
+    }
+
+    private record Segment(List<Bill> bills) {
+        private Segment {
+            bills = bills == null ? List.of() : List.copyOf(bills);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/command/Commands.java
@@ -0,0 +1,28 @@
+package org.baobabcart.cli.command;
+
+import java.util.List;
+import org.baobabcart.cli.Command;
+
+/** All commands in the order of the help text. */
+public final class Commands {
+    private static final List<Command> ALL = List.of(
+            new SheetCheckCommand(),
+            new SheetPublishCommand(),
+            new SheetStatusCommand(),
+            new SheetDiffCommand(),
+            new FleetCommand(),
+            new RollOutShowCommand(),
+            RollOutChangeCommand.pause(),
+            RollOutChangeCommand.resume(),
+            RollOutChangeCommand.withdraw(),
+            new DrainCommand(),
+            new TimelineCommand(),
+            new BillsCommand());
+
+    private Commands() {}
+
+    /** All commands. */
+    public static List<Command> all() {
+        return ALL;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/command/package-info.java
@@ -0,0 +1,2 @@
+/** One class for each command. */
+package org.baobabcart.cli.command;
--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Finds the routers of a fleet and asks them for their state. */
+package org.baobabcart.cli.fleet;
--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/output/Table.java
@@ -0,0 +1,101 @@
+package org.baobabcart.cli.output;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** A table of text that fits a width: the widest columns are cut first. Not thread-safe. */
+public final class Table {
+    /** The width of all tables in characters. */
+    public static final int WIDTH = 100;
+
+    private static final int LEAST_COLUMN_WIDTH = 4;
+    private static final String GAP = "  ";
+    private static final String CUT = "~";
+
+    private final List<String> titles;
+    private final List<List<String>> rows = new ArrayList<>();
+
+    private Table(List<String> titles) {
+        this.titles = List.copyOf(titles);
+    }
+
+    /** A table with these column titles. */
+    public static Table of(String... titles) {
+        return new Table(List.of(titles));
+    }
+
+    /** Adds a row with one cell for each column; a null cell is shown empty. */
+    public Table row(Object... cells) {
+        List<String> texts = new ArrayList<>();
+        for (Object cell : cells) {
+            texts.add(cell == null ? "" : cell.toString().replaceAll("\\s+", " "));
+        }
+        rows.add(texts);
+        return this;
+    }
+
+    /** The lines of the table, titles first. */
+    public List<String> lines() {
+        int[] widths = widths();
+        List<String> lines = new ArrayList<>();
+        lines.add(line(titles, widths));
+        rows.forEach(row -> lines.add(line(row, widths)));
+        return lines;
+    }
+
+    private int[] widths() {
+        int[] widths = new int[titles.size()];
+        for (int column = 0; column < widths.length; column++) {
+            widths[column] = titles.get(column).length();
+            for (List<String> row : rows) {
+                widths[column] = Math.max(widths[column], row.get(column).length());
+            }
+        }
+        int room = WIDTH - GAP.length() * (widths.length - 1);
+        while (sum(widths) > room) {
+            int widest = widest(widths);
+            widths[widest] = Math.max(LEAST_COLUMN_WIDTH, widths[widest] - (sum(widths) - room));
+            widths[widest] = Math.max(
+                    widths[widest],
+                    Math.min(room / widths.length, titles.get(widest).length()));
+            if (widest(widths) == widest && widths[widest] <= LEAST_COLUMN_WIDTH) {
+                break;
+            }
+        }
+        return widths;
+    }
+
+    private static int sum(int[] widths) {
+        int total = 0;
+        for (int width : widths) {
+            total += width;
+        }
+        return total;
+    }
+
+    private static int widest(int[] widths) {
+        int result = 0;
+        for (int column = 1; column < widths.length; column++) {
+            if (widths[column] > widths[result]) {
+                result = column;
+            }
+        }
+        return result;
+    }
+
+    private static String line(List<String> cells, int[] widths) {
+        List<String> padded = new ArrayList<>();
+        for (int column = 0; column < widths.length; column++) {
+            padded.add(fit(cells.get(column), widths[column]));
+        }
+        return padded.stream().collect(Collectors.joining(GAP)).stripTrailing();
+    }
+
+    private static String fit(String cell, int width) {
+        if (cell.length() > width) {
+            return cell.substring(0, width - 1) + CUT;
+        }
+        return cell + " ".repeat(width - cell.length());
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/output/package-info.java
@@ -0,0 +1,2 @@
+/** Tables and JSON for terminals and scripts. */
+package org.baobabcart.cli.output;
--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Flags, environment variables and their checked values. */
+package org.baobabcart.cli.settings;
--- /dev/null
+++ b/cli/src/test/java/org/baobabcart/cli/FakeFleet.java
@@ -0,0 +1,101 @@
+package org.baobabcart.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.baobabcart.cli.fleet.AdminClient;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+
+/** Routers that answer at their admin addresses, and a list of VMs at {@code http://vms}. */
+public final class FakeFleet implements AdminClient {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Map<String, ObjectNode> statuses = new LinkedHashMap<>();
+    private final Map<String, JsonNode> timelines = new LinkedHashMap<>();
+    private final ArrayNode machines = MAPPER.createArrayNode();
+    private final List<String> posts = new ArrayList<>();
+
+    /** Adds a router with a sheet's generation; its admin address is its name with port 1. */
+    public void router(String name, long sheetGeneration) {
+        ObjectNode status = MAPPER.createObjectNode();
+        status.put("name", name).put("dataCentre", "north").put("ready", true).put("unknownField", 1);
+        status.putObject("sheet")
+                .put("generation", sheetGeneration)
+                .put("name", "s")
+                .put("ageMillis", 5);
+        status.putObject("rollOuts").put("generation", sheetGeneration);
+        status.putArray("members");
+        statuses.put(name + ":1", status);
+        statuses.values().forEach(this::listMembers);
+    }
+
+    /** Adds a router to the list of VMs. */
+    public void listed(String name) {
+        machines.addObject()
+                .put("name", name)
+                .put("role", "ROUTER")
+                .put("dataCentre", "north")
+                .put("state", "LIVE")
+                .put("address", name + ":2")
+                .put("model", "")
+                .put("version", "")
+                .put("service", "");
+    }
+
+    /** The router answers no more, though others still take it for live. */
+    public void silence(String name) {
+        statuses.remove(name + ":1");
+    }
+
+    public void timeline(String name, String json) {
+        try {
+            timelines.put(name + ":1", MAPPER.readTree(json));
+        } catch (com.fasterxml.jackson.core.JsonProcessingException exception) {
+            throw new IllegalArgumentException(exception);
+        }
+    }
+
+    public List<String> posts() {
+        return List.copyOf(posts);
+    }
+
+    @Override
+    public Uni<JsonNode> get(String address) {
+        if (address.equals("http://vms/vms")) {
+            ObjectNode list = MAPPER.createObjectNode();
+            list.set("virtualMachines", machines);
+            return Uni.createFrom().item(list);
+        }
+        String host = address.substring("http://".length(), address.indexOf('/', "http://".length()));
+        JsonNode answer = address.contains("/timeline") ? timelines.get(host) : statuses.get(host);
+        if (answer == null) {
+            return Uni.createFrom()
+                    .failure(BaobabcartException.of(ResultCode.UPSTREAM_UNREACHABLE, "refused")
+                            .withLocation(address));
+        }
+        return Uni.createFrom().item(answer);
+    }
+
+    @Override
+    public Uni<JsonNode> post(String address) {
+        posts.add(address);
+        return Uni.createFrom().item(MAPPER.createObjectNode());
+    }
+
+    private void listMembers(ObjectNode status) {
+        ArrayNode members = status.putArray("members");
+        statuses.keySet()
+                .forEach(address -> members.addObject()
+                        .put("nodeId", address.substring(0, address.indexOf(':')))
+                        .put("state", "ALIVE")
+                        .put("dataCentre", "north")
+                        .put("adminAddress", address));
+    }
+}
--- a/model/src/main/java/org/baobabcart/model/platform/Kinds.java
+++ b/model/src/main/java/org/baobabcart/model/platform/Kinds.java
@@ -14,6 +14,9 @@
     public static final String KEYS = "keys";
     /** The collection of leases. */
     public static final String LEASES = "leases";
+    /** The collection that tells operators' tools where the fleet is found. */
+    public static final String ENDPOINTS = "endpoints";
+
     /** The name of the one object in force in a collection that has just one. */
     public static final String CURRENT = "current";
 
