--- a/cli/src/main/java/org/baobabcart/cli/command/BillsCommand.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/BillsCommand.java
@@ -18,7 +18,7 @@
 import org.baobabcart.router.platform.ObjectStore;
 
 /** {@code bills}: the bills in the platform, one for each request. */
-final class BillsCommand implements Command {
+public final class BillsCommand implements Command {
     private static final Flag REQUEST = Flag.of("--request", "show the bill of this request only");
 
     @Override
@@ -54,7 +54,7 @@
     }
 
     /** All bills; of bills with the same id the first one counts. */
-    static Collection<Bill> read(ObjectStore store) {
+    public static Collection<Bill> read(ObjectStore store) {
         Map<String, Bill> bills = new LinkedHashMap<>();
         for (StoredObject segment : PlatformObjects.await(store.list(Kinds.BILLS))) {
             for (Bill bill :
--- a/cli/src/main/java/org/baobabcart/cli/command/Commands.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/Commands.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.baobabcart.cli.Command;
+import org.baobabcart.cli.demo.DemoCommand;
 
 /** All commands in the order of the help text. */
 public final class Commands {
@@ -17,7 +18,8 @@
             RollOutChangeCommand.withdraw(),
             new DrainCommand(),
             new TimelineCommand(),
-            new BillsCommand());
+            new BillsCommand(),
+            new DemoCommand());
 
     private Commands() {}
 
--- a/cli/src/main/java/org/baobabcart/cli/command/PlatformObjects.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/PlatformObjects.java
@@ -19,37 +19,43 @@
 import org.baobabcart.router.platform.ObjectStore;
 
 /** Reads the system's objects from the platform for commands, which wait for the answer. */
-final class PlatformObjects {
+public final class PlatformObjects {
     private static final ObjectMapper MAPPER = JsonMapper.builder()
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
             .build();
 
     private PlatformObjects() {}
 
-    static ObjectStore store(Arguments arguments, CommandContext context) {
+    /** Access to the platform that the arguments name. */
+    public static ObjectStore store(Arguments arguments, CommandContext context) {
         return context.stores().apply(arguments.address(CommonFlags.PLATFORM));
     }
 
-    static FleetFinder finder(Arguments arguments, CommandContext context) {
+    /** A finder of the routers that the arguments lead to. */
+    public static FleetFinder finder(Arguments arguments, CommandContext context) {
         return FleetFinder.create(context.admin(), store(arguments, context), arguments);
     }
 
-    static Optional<PublishedSheet> currentSheet(ObjectStore store) {
+    /** The sheet in the platform, if one has been published. */
+    public static Optional<PublishedSheet> currentSheet(ObjectStore store) {
         return read(store, Kinds.SHEETS, Kinds.CURRENT).map(object -> convert(object.spec(), PublishedSheet.class));
     }
 
-    static Optional<StoredObject> read(ObjectStore store, String kind, String name) {
+    /** An object, if it exists. */
+    public static Optional<StoredObject> read(ObjectStore store, String kind, String name) {
         return await(store.read(kind, name)
                 .map(Optional::of)
                 .onFailure(PlatformObjects::isMissing)
                 .recoverWithItem(Optional.empty()));
     }
 
-    static <T> T await(Uni<T> operation) {
+    /** Waits for the end of an operation; its failure is thrown. */
+    public static <T> T await(Uni<T> operation) {
         return operation.await().indefinitely();
     }
 
-    static <T> T convert(JsonNode json, Class<T> type) {
+    /** A value from its JSON. */
+    public static <T> T convert(JsonNode json, Class<T> type) {
         try {
             return MAPPER.treeToValue(json, type);
         } catch (JsonProcessingException exception) {
@@ -59,11 +65,13 @@
         }
     }
 
-    static JsonNode tree(Object value) {
+    /** A value as JSON. */
+    public static JsonNode tree(Object value) {
         return MAPPER.valueToTree(value);
     }
 
-    static boolean isMissing(Throwable failure) {
+    /** Whether a failure says that the object does not exist. */
+    public static boolean isMissing(Throwable failure) {
         return failure instanceof BaobabcartException exception && exception.code() == ResultCode.NOT_FOUND;
     }
 }
--- a/cli/src/main/java/org/baobabcart/cli/command/SheetPublishing.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/SheetPublishing.java
@@ -14,10 +14,11 @@
  * Publishes a sheet by one conditional update against the version read. A conflict means that another operator was
  * faster; it is reported, never overwritten. A lost answer is settled by reading back the id of the publish.
  */
-final class SheetPublishing {
+public final class SheetPublishing {
     private SheetPublishing() {}
 
-    static PublishedSheet publish(ObjectStore store, Sheet sheet, String publishedBy) {
+    /** Publishes a sheet and returns it as it stands in the platform. */
+    public static PublishedSheet publish(ObjectStore store, Sheet sheet, String publishedBy) {
         Optional<StoredObject> current = PlatformObjects.read(store, Kinds.SHEETS, Kinds.CURRENT);
         long generation = current.map(object -> generation(object) + 1).orElse(1L);
         PublishedSheet published =
