Dispatch by fair queues, learnt limits, two choices, budgets and crash counts

Cause: work went to any upstream at once, without bound. Change: pure policies for admission (fair by rank and workspace, floors, deadlines), upstream choice (two choices, bounded prefix affinity, subsets, own data centre first), concurrency limits, retry budgets and crash counts; the dispatcher and the attempts use them. Ruled out: one limit by latency alone, since time to the first byte varies with the prompt; load reports go first where there are any.

--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/crash/package-info.java
@@ -0,0 +1,2 @@
+/** Counts of crashes blamed on requests. */
+package org.baobabcart.policy.crash;
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/upstream/ConcurrencyLimit.java
@@ -0,0 +1,77 @@
+package org.baobabcart.policy.upstream;
+
+/**
+ * How many requests one router keeps at one upstream at once, learnt from what comes back. Immutable.
+ *
+ * <p>Where the upstream reports its load, the limit rises by one a round while nothing waits there and falls by a factor
+ * when something does: additive increase and multiplicative decrease, by which routers that share an upstream converge
+ * to equal parts (Chiu and Jain, 1989). Where it reports none, the limit follows the ratio of the long-term to the
+ * present latency, as the gradient limit of Netflix's concurrency-limits does.
+ *
+ * @param limit the present limit; its whole part counts
+ * @param longLatencyNanos the long-term latency, zero before the first sample
+ * @param samplesSinceFall answers since the limit last fell, so that one congestion lets it fall once
+ */
+public record ConcurrencyLimit(double limit, double longLatencyNanos, int samplesSinceFall) {
+    private static final double SMALLEST = 1;
+    private static final double LARGEST = 1024;
+    private static final double INITIAL = 16;
+    private static final double FALL = 0.85;
+    private static final double LOWEST_GRADIENT = 0.5;
+    private static final double LATENCY_TOLERANCE = 2;
+    private static final double GROWTH = 2;
+    private static final double SMOOTHING = 0.2;
+    private static final double LONG_TERM_WEIGHT = 0.01;
+
+    /** The limit before anything is known. */
+    public static ConcurrencyLimit initial() {
+        return new ConcurrencyLimit(INITIAL, 0, 0);
+    }
+
+    /** The number of requests that may be there at once. */
+    public int whole() {
+        return (int) limit;
+    }
+
+    /** The limit after an answer with a load report. */
+    public ConcurrencyLimit withReport(LoadReport report, int inFlight) {
+        if (report.waiting() > 0) {
+            return fallen();
+        }
+        double raised = isUsed(inFlight) ? limit + 1 / limit : limit;
+        return with(raised, longLatencyNanos, samplesSinceFall + 1);
+    }
+
+    /** The limit after an answer without a load report. */
+    public ConcurrencyLimit withLatency(long latencyNanos, int inFlight) {
+        double sample = Math.max(1, latencyNanos);
+        double longTerm =
+                longLatencyNanos == 0 ? sample : longLatencyNanos * (1 - LONG_TERM_WEIGHT) + sample * LONG_TERM_WEIGHT;
+        if (!isUsed(inFlight)) {
+            return with(limit, longTerm, samplesSinceFall + 1);
+        }
+        double gradient = Math.max(LOWEST_GRADIENT, Math.min(1, LATENCY_TOLERANCE * longTerm / sample));
+        double target = limit * gradient + GROWTH;
+        return with(limit * (1 - SMOOTHING) + target * SMOOTHING, longTerm, samplesSinceFall + 1);
+    }
+
+    /** The limit after an attempt that failed or made no progress. */
+    public ConcurrencyLimit withFailure() {
+        return fallen();
+    }
+
+    private ConcurrencyLimit fallen() {
+        if (samplesSinceFall < limit) {
+            return with(limit, longLatencyNanos, samplesSinceFall + 1);
+        }
+        return with(limit * FALL, longLatencyNanos, 0);
+    }
+
+    private boolean isUsed(int inFlight) {
+        return inFlight * 2 >= limit;
+    }
+
+    private static ConcurrencyLimit with(double limit, double longLatency, int samples) {
+        return new ConcurrencyLimit(Math.max(SMALLEST, Math.min(LARGEST, limit)), longLatency, samples);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/upstream/UpstreamPolicy.java
@@ -0,0 +1,90 @@
+package org.baobabcart.policy.upstream;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Chooses an upstream for a piece of work. Immutable and thread-safe.
+ *
+ * <p>The router's own data centre goes first. Within it, work with a long common prefix goes to the first upstream in
+ * the rendezvous order of the prefix whose load is not above a bound (Mirrokni, Thorup and Zadimoghaddam, "Consistent
+ * hashing with bounded loads", 2018); other work goes to the less loaded of two drawn at random (Mitzenmacher, "The
+ * power of two choices in randomized load balancing", 2001).
+ */
+public final class UpstreamPolicy {
+    private static final double AFFINITY_LOAD_BOUND = 1.25;
+
+    private final String router;
+    private final int subsetSize;
+
+    private UpstreamPolicy(String router, int subsetSize) {
+        this.router = router;
+        this.subsetSize = subsetSize;
+    }
+
+    /**
+     * A policy for one router.
+     *
+     * @param subsetSize the most upstreams of a pool and data centre that the router sends to
+     */
+    public static UpstreamPolicy of(String router, int subsetSize) {
+        return new UpstreamPolicy(router, subsetSize);
+    }
+
+    /** The upstreams that this router sends to; the loss of one brings in just one other. */
+    public List<String> subset(List<String> upstreams) {
+        if (upstreams.size() <= subsetSize) {
+            return List.copyOf(upstreams);
+        }
+        return RendezvousHash.order(router, upstreams, name -> name).subList(0, subsetSize);
+    }
+
+    /**
+     * The upstream for a piece of work; empty where none has room.
+     *
+     * @param affinity a text that work with a common prefix shares, or empty
+     * @param uniform gives random numbers from 0 (inclusive) to 1 (exclusive)
+     */
+    public Optional<Candidate> choose(List<Candidate> candidates, String affinity, DoubleSupplier uniform) {
+        List<Candidate> local = candidates.stream().filter(Candidate::local).toList();
+        Optional<Candidate> near = among(local, affinity, uniform);
+        if (near.isPresent()) {
+            return near;
+        }
+        List<Candidate> remote =
+                candidates.stream().filter(candidate -> !candidate.local()).toList();
+        return among(remote, affinity, uniform);
+    }
+
+    private static Optional<Candidate> among(List<Candidate> candidates, String affinity, DoubleSupplier uniform) {
+        List<Candidate> free = candidates.stream().filter(Candidate::hasRoom).toList();
+        if (free.isEmpty()) {
+            return Optional.empty();
+        }
+        if (affinity.isEmpty()) {
+            return Optional.of(lessLoaded(free, uniform));
+        }
+        double total = candidates.stream().mapToDouble(Candidate::load).sum() + 1;
+        double bound = Math.ceil(AFFINITY_LOAD_BOUND * total / candidates.size());
+        return RendezvousHash.order(affinity, free, Candidate::name).stream()
+                .filter(candidate -> candidate.load() + 1 <= bound)
+                .findFirst()
+                .or(() -> Optional.of(lessLoaded(free, uniform)));
+    }
+
+    private static Candidate lessLoaded(List<Candidate> free, DoubleSupplier uniform) {
+        int firstIndex = index(free.size(), uniform);
+        if (free.size() == 1) {
+            return free.get(firstIndex);
+        }
+        int secondIndex = (firstIndex + 1 + index(free.size() - 1, uniform)) % free.size();
+        Candidate first = free.get(firstIndex);
+        Candidate second = free.get(secondIndex);
+        return first.utilization() <= second.utilization() ? first : second;
+    }
+
+    private static int index(int size, DoubleSupplier uniform) {
+        return Math.min(size - 1, (int) (uniform.getAsDouble() * size));
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
@@ -14,7 +14,6 @@
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
-import org.baobabcart.router.upstream.AttemptResult;
 import org.baobabcart.router.upstream.Slot;
 import org.baobabcart.router.upstream.UpstreamAnswer;
 import org.baobabcart.router.upstream.UpstreamRequest;
@@ -60,6 +59,7 @@
 
     /** The result of the first attempt that succeeds, or a {@link BaobabcartException}. */
     Future<T> run() {
+        runtime.guards().retries().firstTry();
         return attempt(1, Set.of());
     }
 
@@ -74,11 +74,11 @@
                 context.rankIndex(),
                 context.workspace().name(),
                 context.workspace().weight(),
-                context.deadlineNanos(),
+                exchange.mayHaveRun() || number > 1 ? context.deadlineNanos() : context.latestStartNanos(),
                 plan.affinity(),
                 failed);
         return runtime.dispatcher()
-                .acquire(work)
+                .acquire(work, exchange.abandoned())
                 .compose(slot -> send(slot).recover(failure -> {
                     if (failure instanceof AttemptException attemptFailure) {
                         return again(number, failed, slot.upstream(), attemptFailure);
@@ -95,20 +95,20 @@
         return runtime.upstreams()
                 .send(slot.upstream(), request, () -> passGate(slot.upstream()), abandoned)
                 .compose(answer -> {
-                    long latency = System.nanoTime() - begun;
                     Optional<String> load = Optional.ofNullable(answer.headers().get(Headers.LOAD));
-                    return consumer.apply(answer)
-                            .onSuccess(ignored -> slot.release(AttemptResult.success(latency, load)));
+                    slot.observe(System.nanoTime() - begun, load);
+                    return consumer.apply(answer);
                 })
+                .onSuccess(ignored -> slot.release(Optional.empty()))
                 .onFailure(failure -> release(slot, failure, mayHaveRunBefore));
     }
 
     private void release(Slot slot, Throwable failure, boolean mayHaveRunBefore) {
         if (!(failure instanceof AttemptException attemptFailure) || abandoned.isComplete()) {
-            slot.release(AttemptResult.withoutEvidence());
+            slot.release(Optional.empty());
             return;
         }
-        slot.release(AttemptResult.failure(attemptFailure.kind()));
+        slot.release(Optional.of(attemptFailure.kind()));
         if (attemptFailure.kind().ran() == Ran.NO) {
             exchange.restoreSent(mayHaveRunBefore);
         }
@@ -125,7 +125,10 @@
         if (!view.upstreams().contains(upstream)) {
             throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "leaving");
         }
-        if (plan.fingerprint().filter(view.quarantined()::contains).isPresent()) {
+        boolean quarantined = plan.fingerprint()
+                .filter(fingerprint -> runtime.guards().crashes().isQuarantined(view, fingerprint))
+                .isPresent();
+        if (quarantined) {
             throw BaobabcartException.of(ResultCode.REQUEST_QUARANTINED);
         }
         checkVersion(view);
@@ -149,9 +152,8 @@
             return Future.failedFuture(failure.toResult());
         }
         report(upstream, failure.kind());
-        boolean allowed = failure.kind().retryable(plan.repeatable())
-                && !exchange.started()
-                && number < runtime.settings().limits().attempts();
+        boolean allowed =
+                !exchange.started() && runtime.guards().retries().mayRetry(failure.kind(), plan.repeatable(), number);
         if (!allowed) {
             return Future.failedFuture(failure.toResult());
         }
@@ -164,21 +166,34 @@
     private void report(VirtualMachine upstream, FailureKind kind) {
         switch (kind) {
             case SILENT -> judge(upstream);
-            case NOT_CONNECTED -> runtime.parts().feedback().unreachable(upstream.name());
-            case BROKEN ->
-                plan.fingerprint()
-                        .ifPresent(fingerprint -> runtime.parts().feedback().crashed(upstream.name(), fingerprint));
+            case NOT_CONNECTED -> unreachable(upstream);
+            case NOT_RUN -> runtime.health().markResting(upstream);
+            case BROKEN -> {
+                plan.fingerprint().ifPresent(fingerprint -> crashed(upstream, fingerprint));
+                judge(upstream);
+            }
             default -> {}
         }
     }
 
+    private void crashed(VirtualMachine upstream, String fingerprint) {
+        runtime.guards().crashes().crashed(fingerprint);
+        runtime.parts().feedback().crashed(upstream.name(), fingerprint);
+    }
+
+    private void unreachable(VirtualMachine upstream) {
+        runtime.health().markDown(upstream);
+        runtime.parts().feedback().unreachable(upstream.name());
+    }
+
+    /** Gives up the connections of the upstream, and asks on a new one whether its host is there. */
     private void judge(VirtualMachine upstream) {
         runtime.upstreams().renewConnections(upstream.name());
         runtime.upstreams()
                 .isHostAlive(upstream, runtime.settings().timeouts().connect())
                 .onSuccess(alive -> {
                     if (!alive) {
-                        runtime.parts().feedback().unreachable(upstream.name());
+                        unreachable(upstream);
                     }
                 });
     }
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -9,9 +9,12 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import org.baobabcart.policy.admission.AdmissionQueue;
 import org.baobabcart.router.control.Futures;
 import org.baobabcart.router.upstream.Dispatcher;
+import org.baobabcart.router.upstream.DispatcherSettings;
 import org.baobabcart.router.upstream.UpstreamClient;
+import org.baobabcart.router.upstream.UpstreamHealth;
 
 /**
  * The HTTP API for callers, served by several event loops. Thread-safe.
@@ -34,10 +37,18 @@
 
     /** An API that does not listen yet. */
     public static CallerApi create(Vertx vertx, TrafficParts parts, TrafficSettings settings) {
-        Dispatcher dispatcher = Dispatcher.create(parts.views());
         UpstreamClient upstreams =
                 UpstreamClient.create(vertx, settings.timeouts().connect());
-        TrafficRuntime runtime = new TrafficRuntime(vertx, parts, settings, dispatcher, upstreams, new Drain());
+        UpstreamHealth health = UpstreamHealth.create(vertx, upstreams, parts.views());
+        DispatcherSettings dispatching = new DispatcherSettings(
+                settings.node().name(),
+                settings.node().dataCentre(),
+                new AdmissionQueue.Settings(
+                        settings.limits().queued(), settings.limits().queuedPerWorkspace()));
+        Dispatcher dispatcher = Dispatcher.create(vertx, dispatching, parts.views(), health);
+        TrafficRuntime.Guards guards = new TrafficRuntime.Guards(
+                RetryGuard.create(settings.limits().attempts()), CrashGuard.create(), new Drain());
+        TrafficRuntime runtime = new TrafficRuntime(vertx, parts, settings, dispatcher, upstreams, health, guards);
         return new CallerApi(vertx, runtime);
     }
 
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerContext.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerContext.java
@@ -3,6 +3,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.request.Headers;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
@@ -18,6 +19,7 @@
  * @param workspace the caller's workspace
  * @param rank the rank
  * @param rankIndex the rank's place, zero being the most urgent
+ * @param arrivalNanos when the request arrived
  * @param deadlineNanos when the answer must be complete
  * @param session the session header
  * @param idempotencyKey the idempotency key
@@ -27,6 +29,7 @@
         Workspace workspace,
         Rank rank,
         int rankIndex,
+        long arrivalNanos,
         long deadlineNanos,
         Optional<String> session,
         Optional<String> idempotencyKey) {
@@ -46,11 +49,18 @@
                 workspace,
                 rank,
                 sheet.ranks().indexOf(rank),
+                nowNanos,
                 nowNanos + timeout.toNanos(),
                 text(request, Headers.SESSION),
                 text(request, Headers.IDEMPOTENCY_KEY));
     }
 
+    /** The time after which a first attempt would break the promise of the rank or of the request. */
+    long latestStartNanos() {
+        long byRank = arrivalNanos + TimeUnit.MILLISECONDS.toNanos(rank.targetMillis());
+        return Math.min(byRank, deadlineNanos);
+    }
+
     private static Duration timeout(TrafficSettings settings, String header) {
         if (header == null) {
             return settings.timeouts().whole();
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRequest.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRequest.java
@@ -97,9 +97,9 @@
         return KeyHash.of(body.get(kind.promptField).toString());
     }
 
-    /** The beginning of the prompt, which requests with a common prefix share. */
+    /** The beginning of a long prompt, which requests with a common prefix share; empty for a short one. */
     String affinity() {
-        return model + ":" + prompt.substring(0, Math.min(prompt.length(), AFFINITY_LENGTH));
+        return prompt.length() < AFFINITY_LENGTH ? "" : model + ":" + prompt.substring(0, AFFINITY_LENGTH);
     }
 
     /** The most tokens that the answer may have. */
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -13,6 +13,7 @@
 import org.baobabcart.model.request.Headers;
 import org.baobabcart.model.request.RequestIds;
 import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
@@ -64,9 +65,8 @@
         boolean last = index == steps.size() - 1;
         Future<ModelAnswer> answer;
         try {
-            current = versions.select(
-                    runtime.parts().views().current(), context.sheet(), steps.workspace(), steps.step(index));
-            answer = ask(current, last && request.stream());
+            current = versions.select(runtime.parts().views().current(), steps.workspace(), steps.step(index));
+            answer = ask(current, last && request.stream()).recover(failure -> askAnother(index, last, failure));
         } catch (BaobabcartException refusal) {
             answer = Future.failedFuture(refusal);
         }
@@ -77,6 +77,18 @@
                         : Future.failedFuture(failure));
     }
 
+    /** Asks another version where the chosen one was withdrawn while the request waited. */
+    private Future<ModelAnswer> askAnother(int index, boolean last, Throwable failure) {
+        boolean withdrawn = failure instanceof BaobabcartException refusal
+                && refusal.code() == ResultCode.VERSION_WITHDRAWN
+                && !exchange.started();
+        if (!withdrawn) {
+            return Future.failedFuture(failure);
+        }
+        current = versions.select(runtime.parts().views().current(), steps.workspace(), steps.step(index));
+        return ask(current, last && request.stream());
+    }
+
     private Future<Void> rate(int index, ModelAnswer answer) {
         RatingRequest rating = new RatingRequest(
                 exchange.requestId(),
--- a/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.UpstreamClient;
+import org.baobabcart.router.upstream.UpstreamHealth;
 
 /** What all requests of one process share; each part is thread-safe. Immutable. */
 record TrafficRuntime(
@@ -11,4 +12,13 @@
         TrafficSettings settings,
         Dispatcher dispatcher,
         UpstreamClient upstreams,
-        Drain drain) {}
+        UpstreamHealth health,
+        Guards guards) {
+    /** What limits retries, crashes and the stop of the process. */
+    record Guards(RetryGuard retries, CrashGuard crashes, Drain drain) {}
+
+    /** The running requests. */
+    Drain drain() {
+        return guards.drain();
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/traffic/VersionSelector.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/VersionSelector.java
@@ -43,7 +43,10 @@
     }
 
     /** The version for a model or a version that was asked for. */
-    SelectedVersion select(TrafficView view, Sheet sheet, Workspace workspace, ModelReference reference) {
+    SelectedVersion select(TrafficView view, Workspace workspace, ModelReference reference) {
+        Sheet sheet = view.sheet()
+                .orElseThrow(() -> BaobabcartException.of(ResultCode.NOT_READY))
+                .sheet();
         Model model =
                 sheet.model(reference.model()).orElseThrow(() -> BaobabcartException.of(ResultCode.UNKNOWN_MODEL));
         VersionPolicy policy = VersionPolicy.of(sheet, view.rollOuts());
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -1,65 +1,291 @@
 package org.baobabcart.router.upstream;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.model.sheet.Rank;
+import org.baobabcart.policy.admission.AdmissionQueue;
+import org.baobabcart.policy.admission.Entry;
+import org.baobabcart.policy.admission.Rejection;
+import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.policy.upstream.Candidate;
+import org.baobabcart.policy.upstream.LoadReport;
+import org.baobabcart.policy.upstream.UpstreamPolicy;
+import org.baobabcart.router.view.TrafficView;
 import org.baobabcart.router.view.TrafficViewSource;
 
-/** Gives slots at upstreams to work. Thread-safe. */
+/**
+ * Gives slots at upstreams to work, and lets work wait while there are none. Thread-safe.
+ *
+ * <p>One lock guards the state of all pools; it is held for the length of one decision and never while anything is
+ * called back.
+ */
 public final class Dispatcher {
+    private static final Duration TICK = Duration.ofMillis(20);
+    private static final int SUBSET_SIZE = 24;
+
+    private final Vertx vertx;
+    private final DispatcherSettings settings;
     private final TrafficViewSource views;
+    private final UpstreamHealth health;
+    private final UpstreamPolicy policy;
     private final Random random = new Random();
-    private final Map<String, Integer> inFlight = new HashMap<>();
+    private final PoolIndex index = new PoolIndex();
+    private final Map<String, UpstreamState> upstreams = new HashMap<>();
+    private final Map<Pool, AdmissionQueue<Waiter>> queues = new HashMap<>();
 
-    private Dispatcher(TrafficViewSource views) {
+    private Dispatcher(Vertx vertx, DispatcherSettings settings, TrafficViewSource views, UpstreamHealth health) {
+        this.vertx = vertx;
+        this.settings = settings;
         this.views = views;
+        this.health = health;
+        this.policy = UpstreamPolicy.of(settings.router(), SUBSET_SIZE);
     }
 
     /** A dispatcher without work. */
-    public static Dispatcher create(TrafficViewSource views) {
-        return new Dispatcher(views);
+    public static Dispatcher create(
+            Vertx vertx, DispatcherSettings settings, TrafficViewSource views, UpstreamHealth health) {
+        Dispatcher dispatcher = new Dispatcher(vertx, settings, views, health);
+        vertx.setPeriodic(TICK.toMillis(), ignored -> dispatcher.tick());
+        return dispatcher;
+    }
+
+    /**
+     * A slot for the work, or a refusal.
+     *
+     * @param abandoned completes when the work is of no use any more
+     */
+    public Future<Slot> acquire(Work work, Future<?> abandoned) {
+        Waiter waiter = new Waiter(work, Promise.promise());
+        run(() -> admit(waiter));
+        if (waiter.promise.future().isComplete()) {
+            return waiter.promise.future();
+        }
+        abandoned.onComplete(ignored -> run(() -> abandon(waiter)));
+        Context context = vertx.getOrCreateContext();
+        Promise<Slot> onCallersLoop = Promise.promise();
+        waiter.promise.future().onComplete(result -> context.runOnContext(ignored -> onCallersLoop.handle(result)));
+        return onCallersLoop.future();
+    }
+
+    /** The number of entries that wait for any pool. */
+    public synchronized int waiting() {
+        return queues.values().stream().mapToInt(AdmissionQueue::size).sum();
+    }
+
+    private void tick() {
+        run(this::sweep);
+    }
+
+    private void run(Decision decision) {
+        List<Runnable> actions;
+        synchronized (this) {
+            actions = decision.decide();
+        }
+        actions.forEach(Runnable::run);
+    }
+
+    private List<Runnable> admit(Waiter waiter) {
+        Pool pool = waiter.work.pool();
+        TrafficView view = views.current();
+        if (members(view, pool).isEmpty()) {
+            return List.of(() -> waiter.refuse(BaobabcartException.of(ResultCode.NO_UPSTREAM)));
+        }
+        AdmissionQueue<Waiter> queue = queues.computeIfAbsent(pool, ignored -> AdmissionQueue.create(settings.queue()));
+        if (queue.size() == 0) {
+            Optional<Slot> slot = choose(view, waiter.work);
+            if (slot.isPresent()) {
+                return List.of(() -> waiter.grant(slot.get()));
+            }
+        }
+        Work work = waiter.work;
+        Entry<Waiter> entry =
+                new Entry<>(work.rank(), work.workspace(), work.weight(), work.latestStartNanos(), waiter);
+        List<Runnable> actions = new ArrayList<>();
+        queue.offer(entry, System.nanoTime()).forEach(rejection -> actions.add(refusing(rejection)));
+        return actions;
+    }
+
+    private List<Runnable> abandon(Waiter waiter) {
+        AdmissionQueue<Waiter> queue = queues.get(waiter.work.pool());
+        if (queue != null) {
+            queue.remove(waiter);
+        }
+        BaobabcartException gone = BaobabcartException.of(ResultCode.DEADLINE_UNREACHABLE, "no longer asked for");
+        return List.of(() -> waiter.refuse(gone));
+    }
+
+    private List<Runnable> sweep() {
+        TrafficView view = views.current();
+        List<Runnable> actions = new ArrayList<>();
+        for (Map.Entry<Pool, AdmissionQueue<Waiter>> entry : queues.entrySet()) {
+            AdmissionQueue<Waiter> queue = entry.getValue();
+            if (queue.size() == 0) {
+                continue;
+            }
+            if (members(view, entry.getKey()).isEmpty()) {
+                BaobabcartException none = BaobabcartException.of(ResultCode.NO_UPSTREAM);
+                queue.clear()
+                        .forEach(removed -> actions.add(() -> removed.item().refuse(none)));
+                continue;
+            }
+            queue.expire(System.nanoTime()).forEach(rejection -> actions.add(refusing(rejection)));
+            actions.addAll(pump(view, entry.getKey(), queue));
+        }
+        queues.keySet().removeIf(pool -> members(view, pool).isEmpty());
+        forgetUnlisted(view);
+        return actions;
+    }
+
+    private List<Runnable> pump(TrafficView view, Pool pool, AdmissionQueue<Waiter> queue) {
+        List<Runnable> actions = new ArrayList<>();
+        List<Double> floors = floors(view);
+        while (queue.size() > 0 && candidates(view, pool, Set.of()).stream().anyMatch(Candidate::hasRoom)) {
+            Optional<Entry<Waiter>> next = queue.poll(floors, System.nanoTime());
+            if (next.isEmpty()) {
+                break;
+            }
+            Waiter waiter = next.get().item();
+            Optional<Slot> slot = choose(view, waiter.work)
+                    .or(() -> chooseAmong(view, waiter.work, candidates(view, pool, Set.of())));
+            BaobabcartException none = BaobabcartException.of(ResultCode.NO_UPSTREAM);
+            actions.add(
+                    slot.<Runnable>map(granted -> () -> waiter.grant(granted)).orElse(() -> waiter.refuse(none)));
+        }
+        return actions;
+    }
+
+    private Optional<Slot> choose(TrafficView view, Work work) {
+        return chooseAmong(view, work, candidates(view, work.pool(), work.avoid()));
+    }
+
+    private Optional<Slot> chooseAmong(TrafficView view, Work work, List<Candidate> candidates) {
+        return policy.choose(candidates, work.affinity(), random::nextDouble).map(chosen -> {
+            upstreams.get(chosen.name()).began();
+            VirtualMachine upstream = members(view, work.pool()).stream()
+                    .filter(member -> member.name().equals(chosen.name()))
+                    .findFirst()
+                    .orElseThrow();
+            return new CountedSlot(upstream, work.pool());
+        });
     }
 
-    /** A slot for the work, or a refusal. */
-    public synchronized Future<Slot> acquire(Work work) {
-        List<VirtualMachine> candidates = new ArrayList<>(views.current().upstreams().stream()
-                .filter(work.pool()::includes)
-                .toList());
-        List<VirtualMachine> untried = candidates.stream()
-                .filter(upstream -> !work.avoid().contains(upstream.name()))
+    private List<Candidate> candidates(TrafficView view, Pool pool, Set<String> avoid) {
+        List<VirtualMachine> members = members(view, pool);
+        List<VirtualMachine> sound = members.stream()
+                .filter(member -> !health.isDoubtful(member.name()))
                 .toList();
-        List<VirtualMachine> usable = untried.isEmpty() ? candidates : untried;
-        if (usable.isEmpty()) {
-            return Future.failedFuture(BaobabcartException.of(ResultCode.NO_UPSTREAM));
+        List<VirtualMachine> preferred = sound.isEmpty() ? members : sound;
+        List<VirtualMachine> untried = preferred.stream()
+                .filter(member -> !avoid.contains(member.name()))
+                .toList();
+        long now = System.nanoTime();
+        return subset(untried.isEmpty() ? preferred : untried).stream()
+                .map(member -> state(member.name()).candidate(member, settings.dataCentre(), now))
+                .toList();
+    }
+
+    private List<VirtualMachine> subset(List<VirtualMachine> members) {
+        if (members.size() <= SUBSET_SIZE) {
+            return members;
         }
-        VirtualMachine first = usable.get(random.nextInt(usable.size()));
-        VirtualMachine second = usable.get(random.nextInt(usable.size()));
-        VirtualMachine chosen = load(first) <= load(second) ? first : second;
-        inFlight.merge(chosen.name(), 1, Integer::sum);
-        return Future.succeededFuture(new CountedSlot(chosen));
+        Map<Boolean, List<String>> names = members.stream()
+                .collect(Collectors.partitioningBy(
+                        member -> member.dataCentre().equals(settings.dataCentre()),
+                        Collectors.mapping(VirtualMachine::name, Collectors.toList())));
+        Set<String> kept = new HashSet<>(policy.subset(names.get(true)));
+        kept.addAll(policy.subset(names.get(false)));
+        return members.stream().filter(member -> kept.contains(member.name())).toList();
+    }
+
+    private List<VirtualMachine> members(TrafficView view, Pool pool) {
+        return index.members(view, pool);
+    }
+
+    private static List<Double> floors(TrafficView view) {
+        return view.sheet()
+                .map(published ->
+                        published.sheet().ranks().stream().map(Rank::floor).toList())
+                .orElse(List.of());
+    }
+
+    private UpstreamState state(String upstream) {
+        return upstreams.computeIfAbsent(upstream, ignored -> new UpstreamState());
+    }
+
+    private void forgetUnlisted(TrafficView view) {
+        Set<String> listed = view.upstreams().stream().map(VirtualMachine::name).collect(Collectors.toSet());
+        upstreams.entrySet().removeIf(entry -> entry.getValue().isIdle() && !listed.contains(entry.getKey()));
+    }
+
+    private static Runnable refusing(Rejection<Waiter> rejection) {
+        BaobabcartException refusal = BaobabcartException.of(rejection.code()).withRetryAfter(rejection.retryAfter());
+        return () -> rejection.entry().item().refuse(refusal);
+    }
+
+    private synchronized void observed(String upstream, long latencyNanos, Optional<LoadReport> report) {
+        state(upstream).observed(latencyNanos, report, System.nanoTime());
     }
 
-    private int load(VirtualMachine upstream) {
-        return inFlight.getOrDefault(upstream.name(), 0);
+    private List<Runnable> released(CountedSlot slot, Optional<FailureKind> failure) {
+        state(slot.upstream.name()).ended(failure);
+        AdmissionQueue<Waiter> queue = queues.get(slot.pool);
+        return queue == null ? List.of() : pump(views.current(), slot.pool, queue);
     }
 
-    private synchronized void released(String upstream) {
-        inFlight.computeIfPresent(upstream, (name, count) -> count > 1 ? count - 1 : null);
+    /** A decision under the lock; what it returns runs after the lock was given back. */
+    @FunctionalInterface
+    private interface Decision {
+        List<Runnable> decide();
     }
 
+    /** Work that waits. */
+    private record Waiter(Work work, Promise<Slot> promise) {
+        private void grant(Slot slot) {
+            if (!promise.tryComplete(slot)) {
+                slot.release(Optional.empty());
+            }
+        }
+
+        private void refuse(BaobabcartException refusal) {
+            promise.tryFail(refusal);
+        }
+
+        @Override
+        public boolean equals(Object other) {
+            return this == other;
+        }
+
+        @Override
+        public int hashCode() {
+            return System.identityHashCode(this);
+        }
+    }
+
+    /** A slot that is counted until it is given back. */
     private final class CountedSlot implements Slot {
         private final VirtualMachine upstream;
+        private final Pool pool;
         private final AtomicBoolean open = new AtomicBoolean(true);
 
-        private CountedSlot(VirtualMachine upstream) {
+        private CountedSlot(VirtualMachine upstream, Pool pool) {
             this.upstream = upstream;
+            this.pool = pool;
         }
 
         @Override
@@ -68,9 +294,14 @@
         }
 
         @Override
-        public void release(AttemptResult result) {
+        public void observe(long latencyNanos, Optional<String> load) {
+            observed(upstream.name(), latencyNanos, load.flatMap(LoadReport::parse));
+        }
+
+        @Override
+        public void release(Optional<FailureKind> failure) {
             if (open.compareAndSet(true, false)) {
-                released(upstream.name());
+                run(() -> released(this, failure));
             }
         }
     }
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
@@ -0,0 +1,81 @@
+package org.baobabcart.router.upstream;
+
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.router.view.TrafficView;
+import org.baobabcart.router.view.TrafficViewSource;
+
+/**
+ * Remembers upstreams that this router found unreachable, and asks those, and only those, on new connections until they
+ * answer. Thread-safe.
+ */
+public final class UpstreamHealth {
+    private static final Duration PROBE_PERIOD = Duration.ofMillis(500);
+    private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration REST = Duration.ofSeconds(5);
+
+    private final Vertx vertx;
+    private final UpstreamClient client;
+    private final TrafficViewSource views;
+    private final Map<String, Long> down = new ConcurrentHashMap<>();
+    private final Map<String, Long> resting = new ConcurrentHashMap<>();
+
+    private UpstreamHealth(Vertx vertx, UpstreamClient client, TrafficViewSource views) {
+        this.vertx = vertx;
+        this.client = client;
+        this.views = views;
+    }
+
+    /** Health of which nothing bad is known. */
+    public static UpstreamHealth create(Vertx vertx, UpstreamClient client, TrafficViewSource views) {
+        return new UpstreamHealth(vertx, client, views);
+    }
+
+    /** Whether the upstream should get work only where no other can. */
+    public boolean isDoubtful(String upstream) {
+        if (down.containsKey(upstream)) {
+            return true;
+        }
+        Long until = resting.get(upstream);
+        if (until == null) {
+            return false;
+        }
+        if (until - System.nanoTime() > 0) {
+            return true;
+        }
+        resting.remove(upstream, until);
+        return false;
+    }
+
+    /** States that the upstream could not be reached. */
+    public void markDown(VirtualMachine upstream) {
+        down.computeIfAbsent(
+                upstream.name(), name -> vertx.setPeriodic(PROBE_PERIOD.toMillis(), timer -> probe(upstream, timer)));
+    }
+
+    /** States that the upstream takes no new work for now. */
+    public void markResting(VirtualMachine upstream) {
+        resting.put(upstream.name(), System.nanoTime() + REST.toNanos());
+    }
+
+    private void probe(VirtualMachine upstream, long timer) {
+        TrafficView view = views.current();
+        if (!view.upstreams().contains(upstream)) {
+            forget(upstream, timer);
+            return;
+        }
+        client.isHostAlive(upstream, PROBE_TIMEOUT).onSuccess(alive -> {
+            if (alive) {
+                forget(upstream, timer);
+            }
+        });
+    }
+
+    private void forget(VirtualMachine upstream, long timer) {
+        vertx.cancelTimer(timer);
+        down.remove(upstream.name());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamState.java
@@ -0,0 +1,54 @@
+package org.baobabcart.router.upstream;
+
+import java.util.Optional;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.policy.upstream.Candidate;
+import org.baobabcart.policy.upstream.ConcurrencyLimit;
+import org.baobabcart.policy.upstream.LoadReport;
+
+/** What one router knows of one upstream's load. Guarded by the dispatcher's lock. */
+final class UpstreamState {
+    private int inFlight;
+    private ConcurrencyLimit limit = ConcurrencyLimit.initial();
+    private Optional<LoadReport> report = Optional.empty();
+    private long reportedAt;
+    private int inFlightAtReport;
+
+    Candidate candidate(VirtualMachine upstream, String dataCentre, long nowNanos) {
+        return new Candidate(
+                upstream.name(),
+                upstream.dataCentre().equals(dataCentre),
+                inFlight,
+                limit.whole(),
+                report,
+                nowNanos - reportedAt,
+                inFlightAtReport);
+    }
+
+    void began() {
+        inFlight++;
+    }
+
+    void observed(long latencyNanos, Optional<LoadReport> newReport, long nowNanos) {
+        if (newReport.isEmpty()) {
+            limit = limit.withLatency(latencyNanos, inFlight);
+            return;
+        }
+        report = newReport;
+        reportedAt = nowNanos;
+        inFlightAtReport = inFlight;
+        limit = limit.withReport(newReport.get(), inFlight);
+    }
+
+    void ended(Optional<FailureKind> failure) {
+        if (failure.isPresent()) {
+            limit = limit.withFailure();
+        }
+        inFlight--;
+    }
+
+    boolean isIdle() {
+        return inFlight == 0;
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/upstream/Work.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Work.java
@@ -10,7 +10,7 @@
  * @param rank the index of its rank, zero being the most urgent
  * @param workspace whose work it is
  * @param weight the workspace's weight
- * @param deadlineNanos the time by which it must be answered
+ * @param latestStartNanos the time after which it is of no use to start it
  * @param affinity a text that like work shares, by which upstreams with a warm cache are found
  * @param avoid upstreams that have failed it before
  */
@@ -20,7 +20,7 @@
         int rank,
         String workspace,
         double weight,
-        long deadlineNanos,
+        long latestStartNanos,
         String affinity,
         Set<String> avoid) {
     /** Copies the set. */
