--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/bill/BillBook.java
@@ -0,0 +1,201 @@
+package org.baobabcart.policy.bill;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.baobabcart.model.request.Bill;
+
+/**
+ * The bills that one router knows of: its own until the platform holds them, and those that it holds for others and
+ * commits. Not thread-safe; it does no input or output.
+ *
+ * <p>The holder of a bill commits it. The router where it arose keeps its copy until it is told of the commit, and
+ * offers it again whenever it has not been told for a while, so that a bill is lost only if both routers die. Offering
+ * and committing twice does no harm, since a reader counts one bill for each request.
+ */
+public final class BillBook {
+    /** Most bills held for others; more are declined. */
+    public static final int LARGEST = 100_000;
+
+    /** Age in nanoseconds at which bills are committed though a segment is not full. */
+    public static final long COMMIT_AGE_NANOS = 1_000_000_000L;
+
+    /** Time in nanoseconds after which a bill is offered again if its commit was not reported. */
+    public static final long RENEWAL_NANOS = 10_000_000_000L;
+
+    private static final int REMEMBERED_COMMITS = 20_000;
+
+    private final Map<String, Bill> unheld = new LinkedHashMap<>();
+    private final Map<String, Offer> offered = new LinkedHashMap<>();
+    private final Map<String, Holding> held = new LinkedHashMap<>();
+    private final Set<String> committed = new LinkedHashSet<>();
+    private final Map<String, List<String>> releases = new HashMap<>();
+    private Optional<BillSegment> segment = Optional.empty();
+
+    /** An own bill that another router or the platform was said to hold. */
+    private record Offer(Bill bill, long atNanos) {}
+
+    /** A bill held until it is committed, and the routers that keep a copy of it. */
+    private record Holding(Bill bill, Set<String> origins, long sinceNanos) {}
+
+    private BillBook() {}
+
+    /** An empty book. */
+    public static BillBook create() {
+        return new BillBook();
+    }
+
+    /** Adds an own bill. */
+    public void add(Bill bill) {
+        unheld.put(bill.requestId(), bill);
+    }
+
+    /** Own bills that no other router holds, to be offered to one together. */
+    public List<Bill> toOffer() {
+        return unheld.values().stream().limit(BillSegment.LARGEST).toList();
+    }
+
+    /** Another router holds these own bills now. */
+    public void offered(Collection<Bill> bills, long nowNanos) {
+        for (Bill bill : bills) {
+            if (unheld.remove(bill.requestId()) != null) {
+                offered.put(bill.requestId(), new Offer(bill, nowNanos));
+            }
+        }
+    }
+
+    /** Forgets own bills that the platform holds. */
+    public int released(Collection<String> requestIds) {
+        int count = 0;
+        for (String requestId : requestIds) {
+            boolean known = unheld.remove(requestId) != null | offered.remove(requestId) != null;
+            count += known ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Makes own bills whose commit was not reported for a while be offered again. */
+    public void renew(long nowNanos) {
+        List<Offer> due = offered.values().stream()
+                .takeWhile(offer -> nowNanos - offer.atNanos() >= RENEWAL_NANOS)
+                .toList();
+        due.forEach(offer -> {
+            offered.remove(offer.bill().requestId());
+            unheld.put(offer.bill().requestId(), offer.bill());
+        });
+    }
+
+    /**
+     * Holds bills until they are committed.
+     *
+     * @param origin the router that keeps a copy of them
+     * @return how many are held; the rest were declined for lack of room
+     */
+    public int hold(String origin, Collection<Bill> bills, long nowNanos) {
+        int count = 0;
+        for (Bill bill : bills) {
+            count += hold(origin, bill, nowNanos) ? 1 : 0;
+        }
+        return count;
+    }
+
+    /**
+     * The segment to be created next, if there is one: the one whose fate is not known, or a new one if enough bills
+     * wait or they have waited long enough.
+     *
+     * @param newName the name for a new segment, never used before
+     * @param flush whether to commit whatever waits
+     */
+    public Optional<BillSegment> toCommit(long nowNanos, String newName, boolean flush) {
+        if (segment.isEmpty() && due(nowNanos, flush)) {
+            List<Bill> bills = held.values().stream()
+                    .map(Holding::bill)
+                    .limit(BillSegment.LARGEST)
+                    .toList();
+            segment = Optional.of(new BillSegment(newName, bills));
+        }
+        return segment;
+    }
+
+    /** The platform holds the segment; those who keep copies are to be told. */
+    public void committed(BillSegment done) {
+        segment = segment.filter(current -> !current.equals(done));
+        for (Bill bill : done.bills()) {
+            Holding holding = held.remove(bill.requestId());
+            if (holding != null) {
+                holding.origins().forEach(origin -> release(origin, bill.requestId()));
+            }
+            remember(bill.requestId());
+        }
+    }
+
+    /** Takes the reports of commits that are due, by the router that is to get them. */
+    public Map<String, List<String>> takeReleases() {
+        Map<String, List<String>> taken = Map.copyOf(releases);
+        releases.clear();
+        return taken;
+    }
+
+    /** Treats the bills held for others as own ones, so that another router is asked to hold them. */
+    public void handOver() {
+        held.values().forEach(holding -> add(holding.bill()));
+    }
+
+    /** How many own bills no other router is known to hold. */
+    public int unheldCount() {
+        return unheld.size();
+    }
+
+    /** How many bills wait here to be committed. */
+    public int heldCount() {
+        return held.size();
+    }
+
+    /** How many own bills wait for the report of their commit. */
+    public int offeredCount() {
+        return offered.size();
+    }
+
+    private boolean hold(String origin, Bill bill, long nowNanos) {
+        if (committed.contains(bill.requestId())) {
+            release(origin, bill.requestId());
+            return true;
+        }
+        Holding present = held.get(bill.requestId());
+        if (present != null) {
+            present.origins().add(origin);
+            return true;
+        }
+        if (held.size() >= LARGEST) {
+            return false;
+        }
+        Set<String> origins = new LinkedHashSet<>(Set.of(origin));
+        held.put(bill.requestId(), new Holding(bill, origins, nowNanos));
+        return true;
+    }
+
+    private boolean due(long nowNanos, boolean flush) {
+        if (held.isEmpty()) {
+            return false;
+        }
+        long oldest = held.values().iterator().next().sinceNanos();
+        return flush || held.size() >= BillSegment.LARGEST || nowNanos - oldest >= COMMIT_AGE_NANOS;
+    }
+
+    private void release(String origin, String requestId) {
+        releases.computeIfAbsent(origin, ignored -> new ArrayList<>()).add(requestId);
+    }
+
+    private void remember(String requestId) {
+        committed.add(requestId);
+        if (committed.size() > REMEMBERED_COMMITS) {
+            committed.remove(committed.iterator().next());
+        }
+    }
+}
