Bills held by a second router and committed by few writers

Cause: each request has to be billed once and not zero times though an entry VM may die after the last byte. Change: a bill is handed to a writer of the data centre, which commits segments with unique names; the origin keeps its copy until the commit is reported and offers it again otherwise. The ledger merges segments by request id.

--- a/policy/src/main/java/org/baobabcart/policy/bill/BillBook.java
+++ b/policy/src/main/java/org/baobabcart/policy/bill/BillBook.java
@@ -20,7 +20,7 @@
  * and committing twice does no harm, since a reader counts one bill for each request.
  */
 public final class BillBook {
-    /** Most bills held for others; more are declined. */
+    /** Most own bills that are kept, and most that are held for others; more are declined. */
     public static final int LARGEST = 100_000;
 
     /** Age in nanoseconds at which bills are committed though a segment is not full. */
@@ -51,9 +51,13 @@
         return new BillBook();
     }
 
-    /** Adds an own bill. */
-    public void add(Bill bill) {
+    /** Adds an own bill; false where there is no room, and then it is not kept. */
+    public boolean add(Bill bill) {
+        if (unheld.size() + offered.size() >= LARGEST) {
+            return false;
+        }
         unheld.put(bill.requestId(), bill);
+        return true;
     }
 
     /** Own bills that no other router holds, to be offered to one together. */
@@ -131,6 +135,8 @@
             if (holding != null) {
                 holding.origins().forEach(origin -> release(origin, bill.requestId()));
             }
+            unheld.remove(bill.requestId());
+            offered.remove(bill.requestId());
             remember(bill.requestId());
         }
     }
@@ -144,7 +150,7 @@
 
     /** Treats the bills held for others as own ones, so that another router is asked to hold them. */
     public void handOver() {
-        held.values().forEach(holding -> add(holding.bill()));
+        held.values().forEach(holding -> unheld.put(holding.bill().requestId(), holding.bill()));
     }
 
     /** How many own bills no other router is known to hold. */
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/bill/BillReader.java
@@ -0,0 +1,27 @@
+package org.baobabcart.router.bill;
+
+import io.smallrye.mutiny.Uni;
+import org.baobabcart.model.platform.Kinds;
+import org.baobabcart.policy.bill.BillLedger;
+import org.baobabcart.router.platform.ObjectStore;
+
+/** Reads committed bills from the platform. Thread-safe. */
+public final class BillReader {
+    private final ObjectStore store;
+
+    private BillReader(ObjectStore store) {
+        this.store = store;
+    }
+
+    /** A reader of a platform. */
+    public static BillReader create(ObjectStore store) {
+        return new BillReader(store);
+    }
+
+    /** All committed bills, one for each request. */
+    public Uni<BillLedger> ledger() {
+        return store.list(Kinds.BILLS)
+                .map(objects ->
+                        BillLedger.of(objects.stream().map(BillCodec::toSegment).toList()));
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/claim/PartitionClaimService.java
+++ b/router/src/main/java/org/baobabcart/router/claim/PartitionClaimService.java
@@ -10,6 +10,7 @@
 import org.baobabcart.model.sheet.Service;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Controller;
+import org.baobabcart.router.control.DeadlineSweep;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.member.Member;
@@ -48,7 +49,7 @@
     private final ClaimSettings settings;
     private final ClaimMetrics metrics;
     private final Attempts attempts = new Attempts();
-    private final Waits waits = new Waits();
+    private final DeadlineSweep deadlines = DeadlineSweep.create();
     private final ClaimServer server;
     private final SettleOutbox outbox;
     private volatile PartitionPlan plan;
@@ -100,7 +101,7 @@
     public Uni<Void> stop() {
         return Uni.createFrom().completionStage(() -> {
             stopping = true;
-            waits.add(stopped, timers.nanoTime() + STOP_BOUND.toNanos(), this::stopLate);
+            deadlines.add(stopped, timers.nanoTime() + STOP_BOUND.toNanos(), this::stopLate);
             tick();
             return stopped;
         });
@@ -148,7 +149,7 @@
         long now = timers.nanoTime();
         attempts.begin(call.attemptId(), now);
         CompletableFuture<ClaimDecision> decision = new CompletableFuture<>();
-        waits.add(decision, now + timeout.toNanos(), () -> giveUp(call, decision));
+        deadlines.add(decision, now + timeout.toNanos(), () -> giveUp(call, decision));
         ClaimRequest request = new ClaimRequest(
                 call.workspace(),
                 call.service(),
@@ -239,7 +240,7 @@
             attempts.notRun(call.attemptId());
         }
         CompletableFuture<Void> waiter = new CompletableFuture<>();
-        waits.add(
+        deadlines.add(
                 waiter,
                 now + settings.settleTimeout().toNanos(),
                 () -> waiter.completeExceptionally(BaobabcartException.of(
@@ -288,7 +289,7 @@
 
     private void tick() {
         long now = timers.nanoTime();
-        waits.tick(now);
+        deadlines.tick(now);
         server.tick(now);
         outbox.tick(now);
         if (stopping && outbox.size() == 0) {
--- a/router/src/main/java/org/baobabcart/router/claim/Waits.java
+++ b/router/src/main/java/org/baobabcart/router/control/DeadlineSweep.java
@@ -1,4 +1,4 @@
-package org.baobabcart.router.claim;
+package org.baobabcart.router.control;
 
 import java.util.List;
 import java.util.Map;
@@ -6,20 +6,27 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /** Calls that end by their deadline, found by one sweep rather than by a timer each. Thread-safe. */
-final class Waits {
+public final class DeadlineSweep {
     private final Map<CompletableFuture<?>, Wait> waits = new ConcurrentHashMap<>();
 
     /** What happens when a deadline passes. */
     private record Wait(long deadlineNanos, Runnable whenLate) {}
 
+    private DeadlineSweep() {}
+
+    /** A sweep without calls. */
+    public static DeadlineSweep create() {
+        return new DeadlineSweep();
+    }
+
     /** Runs an action if the call has not ended by its deadline. */
-    void add(CompletableFuture<?> call, long deadlineNanos, Runnable whenLate) {
+    public void add(CompletableFuture<?> call, long deadlineNanos, Runnable whenLate) {
         waits.put(call, new Wait(deadlineNanos, whenLate));
         call.whenComplete((result, failure) -> waits.remove(call));
     }
 
     /** Runs the actions of deadlines that have passed. */
-    void tick(long nowNanos) {
+    public void tick(long nowNanos) {
         List<Wait> late = waits.values().stream()
                 .filter(wait -> nowNanos - wait.deadlineNanos() >= 0)
                 .toList();
