--- a/router/src/main/java/org/baobabcart/router/TrafficEdge.java
+++ b/router/src/main/java/org/baobabcart/router/TrafficEdge.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalDouble;
+import org.baobabcart.router.bill.BillSettings;
+import org.baobabcart.router.bill.PeerBillService;
 import org.baobabcart.router.claim.ClaimSettings;
 import org.baobabcart.router.claim.PartitionClaimService;
 import org.baobabcart.router.control.Controller;
@@ -25,7 +27,7 @@
     private final RouterCore core;
     private final SessionSigners signers = SessionSigners.create();
     private final PartitionClaimService claims;
-    private final NoBills bills = new NoBills();
+    private final PeerBillService bills;
     private final CallerApi callers;
 
     private TrafficEdge(RouterCore core) {
@@ -38,6 +40,14 @@
                 core.timeline(),
                 core.metrics(),
                 ClaimSettings.defaults());
+        this.bills = PeerBillService.create(
+                core.blackboard(),
+                core.timers(),
+                core.store(),
+                core.peers(),
+                core.timeline(),
+                core.metrics(),
+                BillSettings.defaults());
         this.callers = CallerApi.create(core.vertx(), trafficParts(core), trafficSettings(core.settings()));
     }
 
@@ -60,7 +70,7 @@
     }
 
     List<Controller> controllers() {
-        return List.of(claims);
+        return List.of(claims, bills);
     }
 
     ClaimHandler claims() {
