Load tool: open-loop arrivals with latencies from the planned start

Cause: latencies measured from the moment of sending hide a system's queue.

Change: the whole plan is drawn from a seed before the first request (steady, wake storm, flood; ranks and workspaces by share); results by rank and workspace with HdrHistogram; refused requests are sent again only when their refusal says so. The command line passes `load` on to it.

--- a/cli/src/main/java/org/baobabcart/cli/Command.java
+++ b/cli/src/main/java/org/baobabcart/cli/Command.java
@@ -6,6 +6,9 @@
 
 /** One command of the command line. Implementations are stateless. */
 public interface Command {
+    /** The name under which a command that parses its own flags finds its words. */
+    String REMAINING = "remaining";
+
     /** The words that call it, such as {@code sheet}, {@code check}. */
     List<String> words();
 
@@ -22,6 +25,11 @@
         return List.of();
     }
 
+    /** Whether all words after the command's own are passed on unparsed. */
+    default boolean parsesItsOwnFlags() {
+        return false;
+    }
+
     /**
      * Runs the command.
      *
--- a/cli/src/main/java/org/baobabcart/cli/CommandLine.java
+++ b/cli/src/main/java/org/baobabcart/cli/CommandLine.java
@@ -2,19 +2,21 @@
 
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
-import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Argument;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.baobabcart.cli.settings.Arguments;
 import org.baobabcart.cli.settings.Flag;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
@@ -48,9 +50,15 @@
     /** Runs one command; no failure leaves this method as an exception. */
     public ExitCode run(String[] words, Map<String, String> environment, CommandContext context) {
         try {
+            Optional<Command> passedOn = commands.stream()
+                    .filter(command -> command.parsesItsOwnFlags() && isCalled(command, words))
+                    .findFirst();
+            if (passedOn.isPresent()) {
+                return passedOn.get().run(remaining(passedOn.get(), words, environment), context);
+            }
             Namespace namespace = parser.parseArgs(words);
             Command command = namespace.get(COMMAND);
-            return command.run(org.baobabcart.cli.settings.Arguments.of(given(namespace), environment), context);
+            return command.run(Arguments.of(given(namespace), environment), context);
         } catch (HelpScreenException exception) {
             return ExitCode.OK;
         } catch (ArgumentParserException exception) {
@@ -65,6 +73,17 @@
         }
     }
 
+    private static boolean isCalled(Command command, String[] words) {
+        int count = command.words().size();
+        return words.length >= count
+                && command.words().equals(Arrays.asList(words).subList(0, count));
+    }
+
+    private static Arguments remaining(Command command, String[] words, Map<String, String> environment) {
+        List<String> rest = Arrays.asList(words).subList(command.words().size(), words.length);
+        return Arguments.of(Map.of(Command.REMAINING, String.join("\n", rest)), environment);
+    }
+
     private ArgumentParser parser() {
         ArgumentParser root = ArgumentParsers.newFor("baobabcart")
                 .terminalWidthDetection(false)
@@ -103,7 +122,8 @@
             Argument argument =
                     subparser.addArgument(flag.name()).dest(flag.key()).help(help(flag));
             if (flag.toggle()) {
-                argument.action(Arguments.storeConst()).setConst("true");
+                argument.action(net.sourceforge.argparse4j.impl.Arguments.storeConst())
+                        .setConst("true");
             } else {
                 argument.metavar("VALUE");
             }
--- a/cli/src/main/java/org/baobabcart/cli/command/Commands.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/Commands.java
@@ -19,6 +19,7 @@
             new DrainCommand(),
             new TimelineCommand(),
             new BillsCommand(),
+            new LoadCommand(),
             new DemoCommand());
 
     private Commands() {}
--- a/cli/src/main/java/org/baobabcart/cli/settings/Arguments.java
+++ b/cli/src/main/java/org/baobabcart/cli/settings/Arguments.java
@@ -38,6 +38,11 @@
         return words.isEmpty() ? List.of() : List.of(words.split("\n"));
     }
 
+    /** The environment variables. */
+    public Map<String, String> environment() {
+        return environment;
+    }
+
     /** The value of a flag, if there is any. */
     public Optional<String> optional(Flag flag) {
         String value = given.get(flag.key());
--- /dev/null
+++ b/load/src/main/java/org/baobabcart/load/LoadFlags.java
@@ -0,0 +1,73 @@
+package org.baobabcart.load;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+
+/** The load tool's flags with their environment variables and defaults. */
+enum LoadFlags {
+    DESCRIBE("--describe", null, "file of 'demo --hold --describe' that names routers, workspaces and keys"),
+    TARGETS("--targets", null, "addresses of routers, separated by commas, in place of --describe"),
+    KEY("--key", null, "key of the one workspace, with --targets"),
+    MODEL("--model", "layout-large", "model or cascade"),
+    SHAPE("--shape", "steady", "steady, wake-storm or flood"),
+    RATE("--rate", "10", "requests a second"),
+    SECONDS("--seconds", "10", "how long requests are begun"),
+    MOST_REQUESTS("--most-requests", "100000", "bound on the number of requests"),
+    RANKS("--ranks", null, "ranks and their shares, such as urgent=1,normal=5"),
+    TOKENS("--tokens", "16", "greatest number of tokens of an answer"),
+    STREAM("--stream", "true", "whether answers are streamed"),
+    RETRIES("--retries", "0", "how often a refused request is sent again when its refusal says to"),
+    TIMEOUT_SECONDS("--request-timeout-seconds", "30", "when a request is given up"),
+    SEED("--seed", "1", "seed of the whole plan");
+
+    private final String flag;
+    private final String fallback;
+    private final String help;
+
+    LoadFlags(String flag, String fallback, String help) {
+        this.flag = flag;
+        this.fallback = fallback;
+        this.help = help;
+    }
+
+    String flag() {
+        return flag;
+    }
+
+    String key() {
+        return flag.substring(2).replace('-', '_');
+    }
+
+    String environmentVariable() {
+        return "BAOBABCART_" + key().toUpperCase(Locale.ROOT);
+    }
+
+    String help() {
+        return help + " (" + environmentVariable() + (fallback == null ? "" : ", default " + fallback) + ")";
+    }
+
+    Optional<String> in(Map<String, String> values) {
+        return Optional.ofNullable(values.getOrDefault(key(), fallback)).filter(text -> !text.isBlank());
+    }
+
+    double number(Map<String, String> values, double least, double most) {
+        String value = in(values).orElse("");
+        try {
+            double number = Double.parseDouble(value);
+            if (number >= least && number <= most) {
+                return number;
+            }
+        } catch (NumberFormatException exception) {
+            throw bad(value, "a number from " + least + " to " + most).withCause(exception);
+        }
+        throw bad(value, "a number from " + least + " to " + most);
+    }
+
+    BaobabcartException bad(String value, String accepted) {
+        String detail = "'" + value + "' is not accepted; expected " + accepted + " (" + environmentVariable() + ")";
+        return BaobabcartException.of(ResultCode.BAD_SETTING, detail).withLocation(flag);
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/baobabcart/load/PlannedRequest.java
@@ -0,0 +1,12 @@
+package org.baobabcart.load;
+
+/**
+ * One request of a load. Immutable.
+ *
+ * @param startNanos its planned start in nanoseconds from the beginning of the load
+ * @param target the base address it goes to first
+ * @param workspace who sends it
+ * @param rank its rank, or empty
+ * @param body the JSON body
+ */
+record PlannedRequest(long startNanos, String target, LoadWorkspace workspace, String rank, String body) {}
