--- /dev/null
+++ b/policy/src/test/java/org/baobabcart/policy/lease/LeaseHistoryTest.java
@@ -0,0 +1,52 @@
+package org.baobabcart.policy.lease;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.From;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.Size;
+
+/**
+ * Random histories of nodes whose clocks start anywhere and run up to one percent fast or slow, which pause, lose answers
+ * and send orders that arrive late.
+ */
+class LeaseHistoryTest {
+    private static final LeaseTerms TERMS =
+            new LeaseTerms(Duration.ofSeconds(10), Duration.ofSeconds(1), Duration.ofSeconds(2));
+
+    @Provide
+    Arbitrary<LeaseWorld.Step> steps() {
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, LeaseWorld.NODES - 1),
+                        Arbitraries.of(LeaseWorld.Action.class),
+                        Arbitraries.longs().between(0, LeaseWorld.LONGEST_STEP_MILLIS))
+                .as(LeaseWorld.Step::new);
+    }
+
+    @Property(tries = 5000, seed = "7701")
+    void neverDoTwoNodesHoldTheLeaseAtOnce(@ForAll @Size(max = 120) List<LeaseWorld.@From("steps") Step> steps) {
+        LeaseWorld world = new LeaseWorld(TERMS);
+        for (LeaseWorld.Step step : steps) {
+            world.run(step);
+            assertThat(world.holders(), lessThanOrEqualTo(1L));
+        }
+    }
+
+    @Property(tries = 5000, seed = "7702")
+    void anEngineNeverObeysAnOlderHolderAfterANewerOne(
+            @ForAll @Size(max = 120) List<LeaseWorld.@From("steps") Step> steps) {
+        LeaseWorld world = new LeaseWorld(TERMS);
+        steps.forEach(world::run);
+        world.deliverAll();
+        assertThat("orders obeyed without a check", world.obeyedOutOfOrder(), is(0));
+    }
+}
