Roll-out controller: pooled evidence, local stops, one controlling router

A bad version was to leave every router before the platform knows, one router was to move stages on, and its loss was to leave the roll-out as the sheet says. Evidence travels in the periodic exchanges; each router stops for itself; the one chosen by rendezvous writes by conditional update, each change computed again from the state just read, so that a lost answer or a second believer changes nothing twice. The state names its controller, by which a lost one is told from one that handed over.

A notion weighed and dropped: marking the controller by words in the reason, which an operator's command would have overwritten.

--- a/policy/src/main/java/org/baobabcart/policy/rollout/RollOutTransitions.java
+++ b/policy/src/main/java/org/baobabcart/policy/rollout/RollOutTransitions.java
@@ -10,10 +10,6 @@
 
 /** The next states of roll-outs. Stateless; each result is one accepted change and grows the generation by one. */
 public final class RollOutTransitions {
-    /** The reason by which a controller that stops as planned hands its roll-outs over. */
-    public static final String HANDED_OVER = "handed over";
-
-    private static final String TAKEN_OVER = "taken over";
     private static final String CONTROLLER_LOST = "controller lost";
     private static final String STARTED = "started";
     private static final String ALL_STAGES = "all stages passed";
@@ -26,9 +22,9 @@
     }
 
     /** The roll-out begins with its first stage. */
-    public static RollOutState begun(RollOutState state, RollOut rollOut, String writeId) {
+    public static RollOutState begun(RollOutState state, RollOut rollOut, String controller, String writeId) {
         RollOutProgress first = new RollOutProgress(rollOut.model(), rollOut.to(), RollOutStatus.RUNNING, 0, STARTED);
-        return state.withProgress(first, writeId);
+        return state.withProgress(first.withController(controller), writeId);
     }
 
     /** The roll-out is stopped and its new version withdrawn, so that sessions leave it as well. */
@@ -46,28 +42,26 @@
         return state.withProgress(next, writeId);
     }
 
-    /** The roll-out is marked as handed over by a controller that stops as planned. */
+    /** The roll-out waits for another controller, since the present one stops as planned. */
     public static RollOutState handedOver(RollOutState state, RollOutProgress progress, String writeId) {
-        return state.withProgress(progress.withStatus(progress.status(), HANDED_OVER), writeId);
+        return state.withProgress(progress.withController(""), writeId);
     }
 
     /**
-     * The state after another node has taken control of a running roll-out; empty where nothing is written.
+     * The state after a node has taken control of a running roll-out; empty where it has control already.
      *
-     * <p>A roll-out that rests when its controller is lost is paused until an operator resumes it; one that was handed
-     * over goes on.
+     * <p>A roll-out that waits for a controller goes on. One whose controller was lost goes on or rests, by the sheet; one
+     * that rests is paused until an operator resumes it.
      */
     public static Optional<RollOutState> takenOver(
-            RollOutState state, RollOut rollOut, RollOutProgress progress, String writeId) {
-        if (progress.status() != RollOutStatus.RUNNING) {
-            return Optional.empty();
-        }
-        if (progress.reason().equals(HANDED_OVER)) {
-            return Optional.of(state.withProgress(progress.withStatus(RollOutStatus.RUNNING, TAKEN_OVER), writeId));
-        }
-        if (rollOut.whenControllerLost() == WhenControllerLost.CONTINUE) {
+            RollOutState state, RollOut rollOut, RollOutProgress progress, String controller, String writeId) {
+        if (progress.status() != RollOutStatus.RUNNING || progress.controller().equals(controller)) {
             return Optional.empty();
         }
-        return Optional.of(state.withProgress(progress.withStatus(RollOutStatus.PAUSED, CONTROLLER_LOST), writeId));
+        boolean lost = !progress.controller().isEmpty();
+        RollOutProgress taken = progress.withController(controller);
+        boolean rests = lost && rollOut.whenControllerLost() == WhenControllerLost.REST;
+        return Optional.of(
+                state.withProgress(rests ? taken.withStatus(RollOutStatus.PAUSED, CONTROLLER_LOST) : taken, writeId));
     }
 }
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/rollout/RollOutParts.java
@@ -0,0 +1,29 @@
+package org.baobabcart.router.rollout;
+
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.platform.ObjectStore;
+import org.baobabcart.router.timeline.Timeline;
+
+/**
+ * What the control of roll-outs works with. Immutable.
+ *
+ * @param settings the settings
+ * @param blackboard the blackboard
+ * @param loop runs tasks on the control thread
+ * @param timers the time
+ * @param store the platform's object API
+ * @param timeline the time line
+ * @param written is told on the control thread of each object that this router has written
+ */
+public record RollOutParts(
+        RollOutControlSettings settings,
+        Blackboard blackboard,
+        Executor loop,
+        TimerService timers,
+        ObjectStore store,
+        Timeline timeline,
+        Consumer<StoredObject> written) {}
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
@@ -0,0 +1,201 @@
+package org.baobabcart.router.rollout;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.baobabcart.model.platform.Kinds;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.model.rollout.RollOutProgress;
+import org.baobabcart.model.rollout.RollOutState;
+import org.baobabcart.model.sheet.Model;
+import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.model.sheet.RollOut;
+import org.baobabcart.model.sheet.RollOutStage;
+import org.baobabcart.model.sheet.Sheet;
+import org.baobabcart.model.sheet.Version;
+import org.baobabcart.model.sheet.WhenControllerLost;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.Sections;
+import org.baobabcart.router.member.Member;
+import org.baobabcart.router.member.Members;
+import org.baobabcart.router.sheet.SheetDocuments;
+import org.baobabcart.router.testing.InMemoryObjectStore;
+import org.baobabcart.router.testing.ManualTimerService;
+import org.baobabcart.wire.Exchange;
+import org.baobabcart.wire.MemberState;
+import org.baobabcart.wire.MemberUpdate;
+
+/** Several roll-out controllers on one platform and one clock, with membership and exchanges made by hand. */
+final class RollOutFleet {
+    static final String MODEL = "layout";
+    static final String OLD = "v1";
+    static final String NEW = "v2";
+    private static final int OLD_FOR_EACH_NEW = 9;
+
+    final ManualTimerService timers = ManualTimerService.create();
+    final InMemoryObjectStore store = InMemoryObjectStore.create();
+    final Map<String, Node> nodes = new LinkedHashMap<>();
+    private final PublishedSheet sheet;
+
+    RollOutFleet(WhenControllerLost whenControllerLost, String... names) {
+        sheet = new PublishedSheet(1, "publish", "test", 0, sheet(whenControllerLost));
+        for (String name : names) {
+            start(name);
+        }
+        membersChanged();
+    }
+
+    /** One router's part. */
+    record Node(String name, Blackboard blackboard, RollOutController controller) {
+        RollOutState inForce() {
+            return blackboard.read(Sections.ROLL_OUTS);
+        }
+
+        RollOutProgress progress() {
+            return inForce().of(MODEL).orElseThrow();
+        }
+
+        boolean withdrawn() {
+            return inForce().isWithdrawn(MODEL, NEW);
+        }
+
+        void serve(String version, int requests, boolean success, double rating) {
+            for (int index = 0; index < requests; index++) {
+                OptionalDouble rated = success ? OptionalDouble.of(rating) : OptionalDouble.empty();
+                controller.outcome(MODEL, version, success, rated);
+            }
+        }
+
+        /** Requests to the new version and, as in the first stage, nine times as many to the old one. */
+        void serveWell(int requests) {
+            serve(OLD, OLD_FOR_EACH_NEW * requests, true, 0.9);
+            serve(NEW, requests, true, 0.9);
+        }
+    }
+
+    /** Starts a router that knows no other one yet. */
+    Node start(String name) {
+        Blackboard blackboard = Blackboard.create();
+        Member self = member(name);
+        blackboard.write(Sections.MEMBERS, Members.alone(self));
+        blackboard.write(Sections.SHEET, Optional.of(sheet));
+        RollOutParts parts = new RollOutParts(
+                RollOutControlSettings.defaults(),
+                blackboard,
+                Runnable::run,
+                timers,
+                store,
+                (type, request, detail) -> {},
+                this::publish);
+        Node node = new Node(name, blackboard, RollOutController.create(parts, self));
+        nodes.put(name, node);
+        node.controller().start();
+        stored().ifPresent(node.controller()::published);
+        return node;
+    }
+
+    /** Lets all routers know the ones that are in the map now. */
+    void membersChanged() {
+        for (Node node : nodes.values()) {
+            List<Member> others = new ArrayList<>();
+            nodes.keySet().stream().filter(name -> !name.equals(node.name())).forEach(name -> others.add(member(name)));
+            node.blackboard().write(Sections.MEMBERS, new Members(member(node.name()), others));
+        }
+    }
+
+    /** Ends a router without warning. */
+    void kill(Node node) {
+        nodes.remove(node.name());
+        node.controller().stop();
+        membersChanged();
+    }
+
+    /** Seconds in which every router tells every other one what it knows. */
+    void seconds(int count) {
+        for (int second = 0; second < count; second++) {
+            exchange();
+            timers.advance(Duration.ofSeconds(1));
+        }
+    }
+
+    void exchange() {
+        for (Node sender : nodes.values()) {
+            Exchange message = new Exchange(
+                    new MemberUpdate(sender.name(), 1, MemberState.ALIVE),
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    0);
+            sender.controller().contribute(message);
+            nodes.values().stream()
+                    .filter(receiver -> receiver != sender)
+                    .forEach(receiver -> receiver.controller().received(message, "127.0.0.1:1"));
+        }
+    }
+
+    /** The router that the platform names as the one in control. */
+    Node inControl() {
+        String controller = stored().orElseThrow().of(MODEL).orElseThrow().controller();
+        return nodes.get(controller.substring(0, controller.indexOf('#')));
+    }
+
+    Node other(Node node) {
+        return nodes.values().stream().filter(one -> one != node).findFirst().orElseThrow();
+    }
+
+    RollOutProgress storedProgress() {
+        return stored().orElseThrow().of(MODEL).orElseThrow();
+    }
+
+    Optional<RollOutState> stored() {
+        return store.list(Kinds.ROLL_OUTS).await().indefinitely().stream()
+                .findFirst()
+                .map(object -> SheetDocuments.readRollOuts(object.spec()));
+    }
+
+    /** Writes as an operator does. */
+    void write(RollOutState state) {
+        StoredObject current =
+                store.read(Kinds.ROLL_OUTS, Kinds.CURRENT).await().indefinitely();
+        publish(store.update(current.withSpec(new ObjectMapper().valueToTree(state)))
+                .await()
+                .indefinitely());
+    }
+
+    /** Tells all routers of the platform's state, as watches do once the platform answers. */
+    void spread() {
+        stored().ifPresent(state ->
+                nodes.values().forEach(node -> node.controller().published(state)));
+    }
+
+    private void publish(StoredObject object) {
+        RollOutState state = SheetDocuments.readRollOuts(object.spec());
+        nodes.values().forEach(node -> node.controller().published(state));
+    }
+
+    private static Member member(String name) {
+        return new Member(name, 1, Member.State.ALIVE, "a", "127.0.0.1:1", "127.0.0.1:2");
+    }
+
+    private static Sheet sheet(WhenControllerLost whenControllerLost) {
+        List<Version> versions = List.of(new Version(OLD, 1, 0.9, 1), new Version(NEW, 1, 0.9, 0));
+        List<RollOutStage> stages = List.of(new RollOutStage(0.1, 10, 20), new RollOutStage(0.5, 10, 20));
+        RollOut rollOut = new RollOut(MODEL, OLD, NEW, stages, whenControllerLost);
+        return new Sheet(
+                "test",
+                "normal",
+                List.of(),
+                List.of(new Model(MODEL, versions)),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(rollOut),
+                List.of());
+    }
+}
