Failures of upstreams and callers: 19 tests, and what they showed

Seen: a caller or upstream that does not read kept its connection open for good, since Vert.x closes only after all was written; half a request head was never timed out, since with HTTP/2 in clear text the connection is announced only with the first request. Change: the channel below is closed at once; HTTP/2 in clear text is off; a refused request's body is read on for a second before the close. Conclusion: the tests of failures and of callers pass.

--- a/router/src/main/java/org/baobabcart/router/traffic/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerExchange.java
@@ -6,6 +6,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -16,6 +17,7 @@
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
+import org.baobabcart.router.upstream.Connections;
 
 /**
  * One request of a caller and its answer. Confined to the event loop of the caller's connection.
@@ -24,6 +26,7 @@
  */
 final class CallerExchange {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final Duration LINGER = Duration.ofSeconds(1);
     private static final String EVENT_STREAM = "text/event-stream";
     private static final String JSON = "application/json";
 
@@ -174,7 +177,7 @@
 
     /** Closes the caller's connection. */
     void abort() {
-        request.connection().close();
+        Connections.abort(request.connection());
     }
 
     private Future<Void> send(Refusal refusal) {
@@ -203,7 +206,7 @@
         ending.get().onComplete(ignored -> {
             runtime.vertx().cancelTimer(timer);
             if (closeAfterwards) {
-                abort();
+                closeLingering();
             }
         });
     }
@@ -214,6 +217,17 @@
         }
     }
 
+    /** Reads on for a while before it closes, since a close with unread bytes could destroy the answer on its way. */
+    private void closeLingering() {
+        if (request.isEnded()) {
+            request.connection().close();
+            return;
+        }
+        request.handler(ignored -> {});
+        request.endHandler(ignored -> request.connection().close());
+        runtime.vertx().setTimer(LINGER.toMillis(), ignored -> abort());
+    }
+
     private void closeConnection() {
         closeAfterwards = true;
         request.response().putHeader("Connection", "close");
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -48,6 +48,7 @@
         HttpServerOptions options = new HttpServerOptions()
                 .setMaxHeaderSize(runtime.settings().limits().headerBytes())
                 .setMaxInitialLineLength(REQUEST_LINE_BYTES)
+                .setHttp2ClearTextEnabled(false)
                 .setHandle100ContinueAutomatically(true)
                 .setTcpNoDelay(true)
                 .setTcpKeepAlive(true);
--- a/router/src/main/java/org/baobabcart/router/traffic/ConnectionGuard.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ConnectionGuard.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.IdentityHashMap;
 import java.util.Map;
+import org.baobabcart.router.upstream.Connections;
 
 /**
  * Closes connections on which no request arrives, among them those on which half a head arrived. Confined to one event
@@ -43,7 +44,7 @@
     private void arm(HttpConnection connection, Duration limit) {
         long timer = vertx.setTimer(limit.toMillis(), ignored -> {
             timers.remove(connection);
-            connection.close();
+            Connections.abort(connection);
         });
         timers.put(connection, timer);
     }
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamAnswer.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamAnswer.java
@@ -115,7 +115,7 @@
     public void fail(AttemptException failure) {
         if (end.tryFail(failure)) {
             progress.end();
-            request.connection().close();
+            Connections.abort(request.connection());
         }
     }
 
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -195,7 +195,7 @@
             if (answer != null) {
                 answer.fail(failure);
             } else if (open) {
-                opened.connection().close();
+                Connections.abort(opened.connection());
             }
         }
     }
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerBehaviourTest.java
@@ -0,0 +1,224 @@
+package org.baobabcart.router.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.baobabcart.model.request.Headers;
+import org.baobabcart.router.bill.BillService.BillHolder;
+import org.baobabcart.router.claim.ClaimOutcome;
+import org.junit.jupiter.api.Test;
+
+class CallerBehaviourTest extends CallerApiTestBase {
+    private static final int BODY_LIMIT = 64 * 1024;
+
+    @Override
+    TrafficSettings settings() {
+        TrafficSettings defaults = super.settings();
+        TrafficSettings.Limits limits = defaults.limits();
+        TrafficSettings.Timeouts timeouts = defaults.timeouts();
+        return defaults.withLimits(new TrafficSettings.Limits(
+                        BODY_LIMIT, limits.headerBytes(), limits.answerBytes(), 64, 16, limits.attempts()))
+                .withTimeouts(new TrafficSettings.Timeouts(
+                        Duration.ofMillis(300),
+                        timeouts.idleConnection(),
+                        timeouts.whole(),
+                        timeouts.wholeLongest(),
+                        timeouts.connect(),
+                        timeouts.firstByte(),
+                        timeouts.betweenBytes(),
+                        Duration.ofMillis(400)));
+    }
+
+    @Test
+    void firstEventIsPassedOnBeforeTheSecondIsMade() throws Exception {
+        CompletableFuture<HttpServerResponse> open = new CompletableFuture<>();
+        FakeUpstream engine = upstream("e", request -> {
+            HttpServerResponse response = FakeUpstream.beginStream(request);
+            response.write(FakeUpstream.event("first"));
+            open.complete(response);
+        });
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        try (Socket socket = sendChat(true)) {
+            InputStream answer = socket.getInputStream();
+            assertThat(readUntil(answer, "first"), startsWith("HTTP/1.1 200"));
+            HttpServerResponse response = open.get(BOUND.toSeconds(), TimeUnit.SECONDS);
+            vertx.runOnContext(ignored -> response.end("data: [DONE]\n\n"));
+            readUntil(answer, "[DONE]");
+        }
+    }
+
+    @Test
+    void callerThatGoesAwayCancelsTheUpstreamRequestAndPaysForWhatItGot() throws Exception {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        FakeUpstream engine = upstream("e", request -> {
+            request.connection().closeHandler(ignored -> closed.complete(null));
+            FakeUpstream.beginStream(request).write(FakeUpstream.event("first"));
+        });
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        try (Socket socket = sendChat(true)) {
+            readUntil(socket.getInputStream(), "first");
+        }
+        closed.get(BOUND.toSeconds(), TimeUnit.SECONDS);
+        await(() -> fakes.bills.size() == 1);
+        assertThat(fakes.crashes, hasSize(0));
+    }
+
+    @Test
+    void bookingRunsOnWhenItsCallerGoesAway() throws Exception {
+        CompletableFuture<HttpServerRequest> began = new CompletableFuture<>();
+        FakeUpstream service = upstream("s", began::complete);
+        fakes.show(sheet(), service.service("orders"));
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(head("POST /services/orders/bookings", "Idempotency-Key: b1", 2, "{}"));
+            began.get(BOUND.toSeconds(), TimeUnit.SECONDS);
+        }
+        vertx.runOnContext(ignored -> began.join().response().end("booked"));
+        await(() -> fakes.outcomes.size() == 1);
+        assertThat(fakes.outcomes.get(0).kind(), is(ClaimOutcome.Kind.FINISHED));
+        assertThat(
+                post("/services/orders/bookings", "{}", Headers.IDEMPOTENCY_KEY, "b1")
+                        .body(),
+                is("booked"));
+        assertThat(service.requests(), hasSize(1));
+    }
+
+    @Test
+    void lastByteWaitsForTheBill() throws Exception {
+        CompletableFuture<BillHolder> held = new CompletableFuture<>();
+        fakes.holding = Uni.createFrom().completionStage(held);
+        FakeUpstream engine = upstream("e", FakeUpstream.streaming("a"));
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        try (Socket socket = sendChat(true)) {
+            await(() -> fakes.bills.size() == 1);
+            String before = readUntil(socket.getInputStream(), "delta");
+            assertThat(before, not(containsString("[DONE]")));
+            held.complete(BillHolder.PLATFORM);
+            readUntil(socket.getInputStream(), "[DONE]");
+        }
+    }
+
+    @Test
+    void callerThatStopsReadingIsCutOffAndItsUpstreamIsSlowedDown() throws Exception {
+        AtomicLong written = new AtomicLong();
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        Buffer large = FakeUpstream.event("x".repeat(32 * 1024));
+        FakeUpstream engine = upstream("e", request -> {
+            request.connection().closeHandler(ignored -> closed.complete(null));
+            pour(FakeUpstream.beginStream(request), large, written);
+        });
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        try (Socket socket = sendChat(true)) {
+            closed.get(BOUND.toSeconds(), TimeUnit.SECONDS);
+            assertThat(socket.isClosed(), is(false));
+        }
+        assertThat(written.get(), lessThan(64L * 1024 * 1024));
+    }
+
+    @Test
+    void halfAHeadAndHalfABodyEnd() throws Exception {
+        fakes.show(sheet());
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write("POST /v1/chat/compl".getBytes(StandardCharsets.US_ASCII));
+            assertThat(socket.getInputStream().read(), is(-1));
+        }
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(head("POST /v1/chat/completions", "Accept: */*", 100, "{\"model\""));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(answer, startsWith("HTTP/1.1 408"));
+            assertThat(answer, containsString("\"code\":1004"));
+        }
+    }
+
+    @Test
+    void requestsOverTheLimitsAndGarbageAreRefused() throws Exception {
+        fakes.show(sheet());
+        assertThat(post("/v1/completions", "x".repeat(BODY_LIMIT + 1)).statusCode(), is(413));
+        String longHeader = "X-Long: " + "x".repeat(40_000);
+        assertThat(raw(head("GET /v1/models", longHeader, 0, "")), containsString("\"code\":1003"));
+        assertThat(raw("\u0000\u0001 nonsense\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1)), containsString("1001"));
+        String deep = "[".repeat(10_000);
+        assertThat(post("/v1/completions", deep).statusCode(), is(400));
+        assertThat(get("/v1/models").statusCode(), is(200));
+    }
+
+    @Test
+    void drainLetsRunningRequestsEnd() throws Exception {
+        CompletableFuture<HttpServerRequest> began = new CompletableFuture<>();
+        FakeUpstream engine = upstream("e", began::complete);
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        try (Socket socket = sendChat(false)) {
+            HttpServerRequest request = began.get(BOUND.toSeconds(), TimeUnit.SECONDS);
+            CompletableFuture<Void> drained = api.drain(BOUND).subscribeAsCompletionStage();
+            vertx.runOnContext(ignored -> FakeUpstream.answering("done").handle(request));
+            assertThat(
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8), containsString("done"));
+            drained.get(BOUND.toSeconds(), TimeUnit.SECONDS);
+        }
+    }
+
+    private static void pour(HttpServerResponse response, Buffer part, AtomicLong written) {
+        while (!response.closed() && !response.writeQueueFull()) {
+            response.write(part);
+            written.addAndGet(part.length());
+        }
+        if (!response.closed()) {
+            response.drainHandler(ignored -> pour(response, part, written));
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout((int) BOUND.toMillis());
+        return socket;
+    }
+
+    private Socket sendChat(boolean stream) throws IOException {
+        String body = "{\"model\":\"layout-large\",\"stream\":" + stream
+                + ",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+        Socket socket = connect();
+        socket.getOutputStream().write(head("POST /v1/chat/completions", "Accept: */*", body.length(), body));
+        return socket;
+    }
+
+    private String raw(byte[] request) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(request);
+            return readUntil(socket.getInputStream(), "}}");
+        }
+    }
+
+    private static byte[] head(String line, String header, int length, String body) {
+        String text = line + " HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer " + KEY + "\r\n" + header
+                + "\r\nContent-Length: " + length + "\r\n\r\n" + body;
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String readUntil(InputStream stream, String text) throws IOException {
+        StringBuilder read = new StringBuilder();
+        while (read.indexOf(text) < 0) {
+            int next = stream.read();
+            if (next < 0) {
+                throw new AssertionError("ended before " + text + ": " + read);
+            }
+            read.append((char) next);
+        }
+        return read.toString();
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/traffic/UpstreamFailureTest.java
@@ -0,0 +1,238 @@
+package org.baobabcart.router.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+import io.vertx.core.Handler;
+import io.vertx.core.http.HttpServerRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.request.Headers;
+import org.baobabcart.model.rollout.RollOutState;
+import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.model.sheet.Withdrawal;
+import org.baobabcart.router.claim.ClaimOutcome;
+import org.baobabcart.router.view.TrafficView;
+import org.junit.jupiter.api.Test;
+
+class UpstreamFailureTest extends CallerApiTestBase {
+    private static final Handler<HttpServerRequest> BREAKING =
+            request -> request.connection().close();
+    private static final Handler<HttpServerRequest> SILENT = request -> {};
+    private static final Handler<HttpServerRequest> LEAVING = request -> FakeUpstream.echoing(request)
+            .setStatusCode(503)
+            .putHeader("Baobabcart-Not-Run", "true")
+            .end();
+
+    @Override
+    TrafficSettings settings() {
+        TrafficSettings defaults = super.settings();
+        TrafficSettings.Timeouts timeouts = defaults.timeouts();
+        return defaults.withTimeouts(new TrafficSettings.Timeouts(
+                timeouts.request(),
+                timeouts.idleConnection(),
+                timeouts.whole(),
+                timeouts.wholeLongest(),
+                timeouts.connect(),
+                Duration.ofMillis(400),
+                Duration.ofMillis(400),
+                timeouts.callerStall()));
+    }
+
+    @Test
+    void unreachableUpstreamIsPassedOverAndAskedAgainLater() throws Exception {
+        FakeUpstream gone = upstream("gone", FakeUpstream.answering("never"));
+        VirtualMachine goneEngine = gone.engine("layout-large", "v1");
+        gone.stop();
+        fakes.show(sheet(), goneEngine);
+        assertFailed(chat("layout-large", false), 502, 1302, "no");
+        FakeUpstream other = upstream("other", FakeUpstream.answering("done"));
+        fakes.show(sheet(), goneEngine, other.engine("layout-large", "v1"));
+        for (int index = 0; index < 10; index++) {
+            assertThat(chat("layout-large", false).statusCode(), is(200));
+        }
+        assertThat(fakes.unreachable, hasItem("gone"));
+    }
+
+    @Test
+    void answerOfAnotherAttemptIsNeverPassedOn() throws Exception {
+        FakeUpstream crossed = upstream(
+                "crossed",
+                request -> request.response()
+                        .putHeader(Headers.ATTEMPT_ID, "other")
+                        .end("{\"choices\":[{\"message\":{\"content\":\"not yours\"}}]}"));
+        FakeUpstream missing = upstream(
+                "missing", request -> request.response().end("{\"choices\":[{\"message\":{\"content\":\"x\"}}]}"));
+        fakes.show(sheet(), crossed.engine("layout-large", "v1"));
+        assertFailed(chat("layout-large", false), 502, 1303, "unknown");
+        fakes.show(sheet(), missing.engine("layout-large", "v1"));
+        assertFailed(chat("layout-large", true), 502, 1303, "unknown");
+    }
+
+    @Test
+    void cutAnswerIsNotWhole() throws Exception {
+        FakeUpstream cut = upstream("cut", request -> {
+            FakeUpstream.echoing(request).putHeader("Content-Length", "1000");
+            request.response()
+                    .write("{\"choices\":[")
+                    .onSuccess(ignored -> request.connection().close());
+        });
+        fakes.show(sheet(), cut.engine("layout-large", "v1"));
+        assertFailed(chat("layout-large", false), 502, 1303, "unknown");
+        assertThat(fakes.bills, hasSize(0));
+    }
+
+    @Test
+    void upstreamThatStatesNotRunIsASafeRetry() throws Exception {
+        FakeUpstream leaving = upstream("leaving", LEAVING);
+        fakes.show(sheet(), leaving.engine("layout-large", "v1"), leaving.service("orders"));
+        assertFailed(chat("layout-large", true), 503, 1301, "no");
+        assertFailed(booking("b0"), 503, 1301, "no");
+        assertThat(fakes.outcomes, hasSize(1));
+        assertThat(fakes.outcomes.get(0).kind(), is(ClaimOutcome.Kind.NOT_RUN));
+        FakeUpstream other = upstream("other", request -> request.response().end("booked"));
+        fakes.show(sheet(), leaving.service("orders"), other.service("orders"));
+        for (int index = 1; index <= 8; index++) {
+            assertThat(booking("b" + index).body(), is("booked"));
+        }
+        assertThat(other.requests(), hasSize(8));
+    }
+
+    @Test
+    void bookingThatMayHaveRunIsNotSentAgain() throws Exception {
+        FakeUpstream breaking = upstream("breaking", BREAKING);
+        FakeUpstream other = upstream("other", BREAKING);
+        fakes.show(sheet(), breaking.service("orders"), other.service("orders"));
+        assertFailed(booking("b1"), 502, 1303, "unknown");
+        assertFailed(post("/services/orders/notes", "{}"), 502, 1303, "unknown");
+        assertThat(breaking.requests().size() + other.requests().size(), is(2));
+        assertThat(fakes.outcomes.get(0).kind(), is(ClaimOutcome.Kind.UNKNOWN));
+    }
+
+    @Test
+    void claimThatMayNotBeSentSendsNothing() throws Exception {
+        FakeUpstream service = upstream("s", request -> request.response().end("booked"));
+        fakes.show(sheet(), service.service("orders"));
+        fakes.dispatchable = false;
+        assertFailed(booking("b1"), 503, 1405, "no");
+        assertThat(service.requests(), hasSize(0));
+        assertThat(fakes.outcomes.get(0).kind(), is(ClaimOutcome.Kind.NOT_RUN));
+    }
+
+    @Test
+    void silentConnectionIsClosedAndTheWorkRetriedOnANewOne() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        FakeUpstream engine = upstream("e", SILENT);
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        engine.behave(request -> {
+            if (calls.incrementAndGet() > 1) {
+                FakeUpstream.streaming("whole").handle(request);
+            } else {
+                request.connection().closeHandler(ignored -> closed.complete(null));
+            }
+        });
+        HttpResponse<String> answer = chat("layout-large", true);
+        assertThat(answer.body(), endsWith("data: [DONE]\n\n"));
+        assertThat(engine.requests(), hasSize(2));
+        await(closed::isDone);
+        assertThat(fakes.unreachable, hasSize(0));
+        assertThat(fakes.bills, hasSize(1));
+    }
+
+    @Test
+    void streamThatFallsSilentEndsWithAnErrorEvent() throws Exception {
+        FakeUpstream engine =
+                upstream("e", request -> FakeUpstream.beginStream(request).write(FakeUpstream.event("a")));
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        HttpResponse<String> answer = chat("layout-large", true);
+        assertThat(answer.body(), containsString("UPSTREAM_TIMEOUT"));
+        assertThat(answer.body(), not(containsString("[DONE]")));
+    }
+
+    @Test
+    void deadlineOfTheRequestEndsItAtOnce() throws Exception {
+        FakeUpstream engine = upstream("e", SILENT);
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        long begun = System.nanoTime();
+        assertFailed(chat("layout-large", false, Headers.TIMEOUT_MILLIS, "150"), 504, 1304, "unknown");
+        assertThat(Duration.ofNanos(System.nanoTime() - begun), lessThan(BOUND));
+    }
+
+    @Test
+    void requestThatCrashesUpstreamsIsQuarantined() throws Exception {
+        FakeUpstream first = upstream("first", BREAKING);
+        FakeUpstream second = upstream("second", BREAKING);
+        FakeUpstream third = upstream("third", BREAKING);
+        fakes.show(
+                sheet(),
+                first.engine("layout-large", "v1"),
+                second.engine("layout-large", "v1"),
+                third.engine("layout-large", "v1"));
+        chat("layout-large", true);
+        assertFailed(chat("layout-large", false), 422, 1305, "no");
+        int requests = first.requests().size()
+                + second.requests().size()
+                + third.requests().size();
+        assertThat(requests, is(CrashGuard.BOUND));
+    }
+
+    @Test
+    void queuedWorkDoesNotGoToAWithdrawnVersionOrALeavingUpstream() throws Exception {
+        FakeUpstream engine = upstream("e", SILENT);
+        List<CompletableFuture<Void>> held = new java.util.concurrent.CopyOnWriteArrayList<>();
+        engine.behave(request -> {
+            CompletableFuture<Void> release = new CompletableFuture<>();
+            held.add(release);
+            release.thenRun(() ->
+                    vertx.runOnContext(ignored -> FakeUpstream.answering("done").handle(request)));
+        });
+        fakes.show(sheet(), engine.engine("layout-large", "v1"));
+        List<CompletableFuture<HttpResponse<String>>> running = startMany(17);
+        await(() -> held.size() == 16);
+        TrafficView view = fakes.view;
+        PublishedSheet published = view.sheet().orElseThrow();
+        RollOutState withdrawn = RollOutState.empty().withWithdrawal(new Withdrawal("layout-large", "v1"), "w");
+        fakes.view = new TrafficView(Optional.of(published), withdrawn, view.upstreams(), Set.of(), false);
+        held.forEach(release -> release.complete(null));
+        int refused = 0;
+        for (CompletableFuture<HttpResponse<String>> answer : running) {
+            refused += answer.get().statusCode() == 200 ? 0 : 1;
+        }
+        assertThat(refused, is(1));
+        assertThat(engine.requests(), hasSize(16));
+    }
+
+    private List<CompletableFuture<HttpResponse<String>>> startMany(int count) {
+        String body = "{\"model\":\"layout-large\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+        return java.util.stream.IntStream.range(0, count)
+                .mapToObj(index -> http.sendAsync(
+                        request("/v1/chat/completions")
+                                .POST(java.net.http.HttpRequest.BodyPublishers.ofString(body))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString()))
+                .toList();
+    }
+
+    private HttpResponse<String> booking(String key) throws Exception {
+        return post("/services/orders/bookings", "{}", Headers.IDEMPOTENCY_KEY, key);
+    }
+
+    private static void assertFailed(HttpResponse<String> answer, int status, int code, String ran) {
+        assertThat(answer.body(), answer.statusCode(), is(status));
+        assertThat(answer.body(), containsString("\"code\":" + code));
+        assertThat(answer.body(), containsString("\"ran\":\"" + ran + "\""));
+    }
+}
