--- a/router/src/main/java/org/baobabcart/router/claim/PartitionWriter.java
+++ b/router/src/main/java/org/baobabcart/router/claim/PartitionWriter.java
@@ -78,12 +78,21 @@
 
     /** Reports the end of a call or pause, unless it was given up before, and goes on. */
     private void ended(long number, Supplier<OwnerStep> event) {
-        boolean taken = advance(() -> number == callNumber ? Optional.of(event.get()) : Optional.empty());
+        boolean taken = advance(() -> endCall(number) ? Optional.of(event.get()) : Optional.empty());
         if (taken) {
             proceed();
         }
     }
 
+    private boolean endCall(long number) {
+        if (number != callNumber) {
+            return false;
+        }
+        callNumber++;
+        whenOverdue = Optional.empty();
+        return true;
+    }
+
     /** Takes a step, starts the next call and tells what is certain; false where there was no step to take. */
     private boolean advance(Supplier<Optional<OwnerStep>> event) {
         Map<CompletableFuture<ClaimResult>, ClaimResult> certain = new HashMap<>();
@@ -97,7 +106,7 @@
             step = taken.get();
             owner = step.owner();
             step.answers().forEach(answer -> take(answer, certain));
-            number = ++callNumber;
+            number = step.command().isPresent() ? ++callNumber : callNumber;
             step.command().ifPresent(command -> expect(command, number));
         }
         step.command().ifPresent(command -> execute(command, number));
