--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/command/Commands.java
@@ -0,0 +1,31 @@
+package org.baobabcart.cli.command;
+
+import java.util.List;
+import org.baobabcart.cli.Command;
+import org.baobabcart.cli.demo.DemoCommand;
+
+/** All commands in the order of the help text. */
+public final class Commands {
+    private static final List<Command> ALL = List.of(
+            new SheetCheckCommand(),
+            new SheetPublishCommand(),
+            new SheetStatusCommand(),
+            new SheetDiffCommand(),
+            new FleetCommand(),
+            new RollOutShowCommand(),
+            RollOutChangeCommand.pause(),
+            RollOutChangeCommand.resume(),
+            RollOutChangeCommand.withdraw(),
+            new DrainCommand(),
+            new TimelineCommand(),
+            new BillsCommand(),
+            new LoadCommand(),
+            new DemoCommand());
+
+    private Commands() {}
+
+    /** All commands. */
+    public static List<Command> all() {
+        return ALL;
+    }
+}
