--- a/policy/src/test/java/org/baobabcart/policy/lease/LeaseHistoryTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/lease/LeaseHistoryTest.java
@@ -1,6 +1,7 @@
 package org.baobabcart.policy.lease;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -14,6 +15,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
 
 /**
  * Random histories of nodes whose clocks start anywhere and run up to ten percent fast or slow, which pause, lose answers
@@ -49,4 +51,16 @@
         world.deliverAll();
         assertThat("orders obeyed without a check", world.obeyedOutOfOrder(), is(0));
     }
+
+    @Test
+    void aHolderWithASlowClockEndsBeforeATakerWithAFastOneBegins() {
+        LeaseWorld world = new LeaseWorld(TERMS);
+        world.run(new LeaseWorld.Step(0, LeaseWorld.Action.READ_AND_TAKE, 0));
+        for (int tenths = 0; tenths < 200; tenths++) {
+            world.run(new LeaseWorld.Step(2, LeaseWorld.Action.READ_AND_TAKE, 0));
+            assertThat(world.holders(), lessThanOrEqualTo(1L));
+            world.run(new LeaseWorld.Step(0, LeaseWorld.Action.WAIT, 100));
+        }
+        assertThat(world.fencing(), greaterThan(1L));
+    }
 }
--- a/policy/src/test/java/org/baobabcart/policy/lease/LeaseWorld.java
+++ b/policy/src/test/java/org/baobabcart/policy/lease/LeaseWorld.java
@@ -60,6 +60,10 @@
         return Arrays.stream(nodes).filter(Node::mayAct).count();
     }
 
+    long fencing() {
+        return record.fencing();
+    }
+
     void deliverAll() {
         orders.sort(Comparator.comparingLong(Order::arrivesAtNanos));
     }
--- a/router/src/main/java/org/baobabcart/router/peer/PeerConnection.java
+++ b/router/src/main/java/org/baobabcart/router/peer/PeerConnection.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.thrift.TApplicationException;
 import org.apache.thrift.TBase;
 import org.apache.thrift.TException;
@@ -28,6 +29,7 @@
     private final PeerSettings settings;
     private final Map<Integer, Pending<?, ?>> calls = new ConcurrentHashMap<>();
     private final Queue<Buffer> unsent = new ArrayDeque<>();
+    private final AtomicLong backlogBytes = new AtomicLong();
     private NetSocket socket;
     private int nextSequence;
     private boolean retired;
@@ -95,24 +97,29 @@
     private synchronized void send(Buffer frame) {
         if (socket == null) {
             unsent.add(frame);
-        } else if (socket.writeQueueFull()) {
-            throw BaobabcartException.of(ResultCode.UPSTREAM_UNREACHABLE, "the peer does not read");
+        } else if (backlogBytes.get() + frame.length() > settings.largestBacklogBytes()) {
+            throw unreachable("it does not read");
         } else {
-            socket.write(frame);
+            write(frame);
         }
     }
 
+    private void write(Buffer frame) {
+        int bytes = frame.length();
+        backlogBytes.addAndGet(bytes);
+        socket.write(frame).onComplete(ignored -> backlogBytes.addAndGet(-bytes));
+    }
+
     private synchronized void connected(NetSocket opened) {
         if (closed) {
             opened.close();
             return;
         }
-        opened.setWriteQueueMaxSize(settings.largestBacklogBytes());
         opened.handler(new PeerFrames(settings.largestFrameBytes(), this::received, opened::close));
         opened.exceptionHandler(this::broken);
         opened.closeHandler(ignored -> broken(unreachable("the peer closed the connection")));
         socket = opened;
-        unsent.forEach(opened::write);
+        unsent.forEach(this::write);
         unsent.clear();
     }
 
--- a/router/src/main/java/org/baobabcart/router/peer/PeerServer.java
+++ b/router/src/main/java/org/baobabcart/router/peer/PeerServer.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
@@ -77,7 +78,6 @@
     }
 
     private void accept(NetSocket socket) {
-        socket.setWriteQueueMaxSize(settings.largestBacklogBytes());
         socket.exceptionHandler(failure -> socket.close());
         socket.handler(new PeerFrames(settings.largestFrameBytes(), frame -> received(socket, frame), socket::close));
     }
@@ -105,15 +105,17 @@
             A arguments = method.emptyArguments().get();
             arguments.read(protocol);
             handler.apply(method.request().apply(arguments))
+                    .map(reply ->
+                            codec.reply(method.name(), sequence, method.result().apply(reply)))
+                    .onFailure()
+                    .recoverWithItem(failure -> refusal(codec, sequence, failure))
                     .subscribe()
-                    .with(
-                            reply -> socket.write(codec.reply(
-                                    method.name(), sequence, method.result().apply(reply))),
-                            failure -> socket.write(codec.failure(
-                                    method.name(),
-                                    sequence,
-                                    TApplicationException.INTERNAL_ERROR,
-                                    String.valueOf(failure.getMessage()))));
+                    .with(socket::write);
+        }
+
+        private Buffer refusal(PeerCodec codec, int sequence, Throwable failure) {
+            String text = String.valueOf(failure.getMessage());
+            return codec.failure(method.name(), sequence, TApplicationException.INTERNAL_ERROR, text);
         }
     }
 }
