Wire the control of roll-outs into the router; pass evidence on three times

News of other routers' counts was passed on once; one lost exchange could have ended its way. The document controller hands published states to the control of roll-outs, which puts them in force with this router's stops.

--- a/router/src/main/java/org/baobabcart/router/ControlPlane.java
+++ b/router/src/main/java/org/baobabcart/router/ControlPlane.java
@@ -23,6 +23,9 @@
 import org.baobabcart.router.platform.PlatformSettings;
 import org.baobabcart.router.platform.VirtualMachineController;
 import org.baobabcart.router.platform.VirtualMachineList;
+import org.baobabcart.router.rollout.RollOutControlSettings;
+import org.baobabcart.router.rollout.RollOutController;
+import org.baobabcart.router.rollout.RollOutParts;
 import org.baobabcart.router.sheet.SheetDocuments;
 
 /**
@@ -33,6 +36,7 @@
  * @param documents the documents towards peers
  * @param sheets the sheet
  * @param rollOuts the roll-outs' state
+ * @param rollOutControl evidence, stages and stops of roll-outs
  * @param secrets the session keys
  * @param machines the list of VMs
  */
@@ -41,6 +45,7 @@
         DocumentRegistry documents,
         DocumentController<PublishedSheet> sheets,
         DocumentController<RollOutState> rollOuts,
+        RollOutController rollOutControl,
         DocumentController<SessionSecrets> secrets,
         VirtualMachineController machines) {
     private static final Duration LIST_PERIOD = Duration.ofSeconds(1);
@@ -59,19 +64,23 @@
                 members::spread);
         DocumentController<PublishedSheet> sheets = DocumentController.create(
                 SheetDocuments.sheet(), parts, sheet -> core.blackboard().write(Sections.SHEET, Optional.of(sheet)));
+        RollOutController rollOutControl = RollOutController.create(rollOutParts(core), self);
         DocumentController<RollOutState> rollOuts =
-                document(core, SheetDocuments.rollOuts(), parts, Sections.ROLL_OUTS);
+                DocumentController.create(SheetDocuments.rollOuts(), parts, rollOutControl::published);
+        rollOutControl.onWritten(rollOuts::written);
         DocumentController<SessionSecrets> secrets =
                 document(core, SessionSecretDocument.kind(), parts, Sections.SESSION_SECRETS);
         DocumentRegistry documents = DocumentRegistry.create(core.loop());
         List.of(sheets, rollOuts, secrets).forEach(documents::add);
         members.addParticipant(documents);
-        return new ControlPlane(members, documents, sheets, rollOuts, secrets, machines(core));
+        members.addParticipant(rollOutControl);
+        core.feedback().addListener(rollOutControl);
+        return new ControlPlane(members, documents, sheets, rollOuts, rollOutControl, secrets, machines(core));
     }
 
     /** The controllers in the order of their start. */
     List<Controller> controllers() {
-        return List.of(members, machines, sheets, rollOuts, secrets);
+        return List.of(members, machines, sheets, rollOuts, secrets, rollOutControl);
     }
 
     private static MembershipController members(RouterCore core, Member self) {
@@ -86,6 +95,16 @@
         return MembershipController.create(parts, self, core.settings().peers());
     }
 
+    private static RollOutParts rollOutParts(RouterCore core) {
+        return new RollOutParts(
+                RollOutControlSettings.defaults(),
+                core.blackboard(),
+                core.loop(),
+                core.timers(),
+                core.store(),
+                core.timeline());
+    }
+
     private static <T> DocumentController<T> document(
             RouterCore core, DocumentKind<T> kind, DocumentParts parts, Section<T> section) {
         return DocumentController.create(
--- a/router/src/main/java/org/baobabcart/router/rollout/EvidenceCounts.java
+++ b/router/src/main/java/org/baobabcart/router/rollout/EvidenceCounts.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -15,13 +15,15 @@
 /**
  * What this router has counted and what others have told. Confined to the control thread.
  *
- * <p>Own counts go into each exchange; counts of others are passed on in turn, the longest unsent first, so that an
- * exchange stays small however many routers there are.
+ * <p>Own counts go into each exchange; counts of others are passed on a few times, the longest unsent first, so that
+ * an exchange stays small however many routers there are.
  */
 final class EvidenceCounts {
+    private static final int FORWARDS = 3;
+
     private final String nodeId;
     private final Map<Counted, VersionTotals> own = new HashMap<>();
-    private final Set<Origin> unsent = new LinkedHashSet<>();
+    private final Map<Origin, Integer> unsent = new LinkedHashMap<>();
     private EvidenceTable others = EvidenceTable.empty();
 
     private EvidenceCounts(String nodeId) {
@@ -53,14 +55,16 @@
         EvidenceTable merged = others.merged(entry);
         if (merged != others) {
             others = merged;
-            unsent.add(new Origin(new Counted(entry.model(), entry.version(), entry.stageEpoch()), entry.nodeId()));
+            Counted counted = new Counted(entry.model(), entry.version(), entry.stageEpoch());
+            unsent.put(new Origin(counted, entry.nodeId()), FORWARDS);
         }
     }
 
     /** Forgets stages that are over. */
     void retain(Set<Long> knownStages) {
         own.keySet().removeIf(counted -> !knownStages.contains(counted.stageEpoch()));
-        unsent.removeIf(origin -> !knownStages.contains(origin.counted().stageEpoch()));
+        unsent.keySet()
+                .removeIf(origin -> !knownStages.contains(origin.counted().stageEpoch()));
         others = others.retaining(knownStages::contains);
     }
 
@@ -74,7 +78,7 @@
     List<EvidenceReport> reports(int maximum) {
         List<EvidenceReport> reports = new ArrayList<>();
         own.forEach((counted, totals) -> reports.add(report(counted, nodeId, totals)));
-        for (Origin origin : List.copyOf(unsent)) {
+        for (Origin origin : List.copyOf(unsent.keySet())) {
             if (reports.size() >= maximum) {
                 break;
             }
--- a/router/src/main/java/org/baobabcart/router/rollout/RollOutController.java
+++ b/router/src/main/java/org/baobabcart/router/rollout/RollOutController.java
@@ -11,7 +11,9 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.rollout.RollOutState;
 import org.baobabcart.model.sheet.PublishedSheet;
 import org.baobabcart.model.sheet.Sheet;
@@ -53,6 +55,7 @@
     private RollOutState published = RollOutState.empty();
     private List<ActiveRollOut> active = List.of();
     private Set<Long> knownStages = Set.of();
+    private Consumer<StoredObject> written = ignored -> {};
     private long publishedAtNanos = Long.MIN_VALUE;
     private OptionalLong controllingSinceNanos = OptionalLong.empty();
     private Optional<TimerService.Subscription> timer = Optional.empty();
@@ -60,7 +63,7 @@
     private RollOutController(RollOutParts parts, Member self) {
         this.parts = parts;
         this.judge = RollOutJudge.of(parts.settings().judgement());
-        this.writer = RollOutWriter.create(parts);
+        this.writer = RollOutWriter.create(parts, object -> written.accept(object));
         this.nodeId = self.nodeId() + "#" + self.incarnation();
         this.counts = EvidenceCounts.create(nodeId);
     }
@@ -89,6 +92,11 @@
         return writer.write(RollOutProposals.handOver(nodeId));
     }
 
+    /** Tells a listener, on the control thread, of each object that this router writes to the platform. */
+    public void onWritten(Consumer<StoredObject> listener) {
+        written = listener;
+    }
+
     /** Takes in the state that the platform or a peer has published, and puts it in force with this router's stops. */
     public void published(RollOutState state) {
         published = state;
--- a/router/src/main/java/org/baobabcart/router/rollout/RollOutParts.java
+++ b/router/src/main/java/org/baobabcart/router/rollout/RollOutParts.java
@@ -1,8 +1,6 @@
 package org.baobabcart.router.rollout;
 
 import java.util.concurrent.Executor;
-import java.util.function.Consumer;
-import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.platform.ObjectStore;
@@ -17,7 +15,6 @@
  * @param timers the time
  * @param store the platform's object API
  * @param timeline the time line
- * @param written is told on the control thread of each object that this router has written
  */
 public record RollOutParts(
         RollOutControlSettings settings,
@@ -25,5 +22,4 @@
         Executor loop,
         TimerService timers,
         ObjectStore store,
-        Timeline timeline,
-        Consumer<StoredObject> written) {}
+        Timeline timeline) {}
--- a/router/src/main/java/org/baobabcart/router/rollout/RollOutWriter.java
+++ b/router/src/main/java/org/baobabcart/router/rollout/RollOutWriter.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.baobabcart.model.platform.Kinds;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.request.RequestIds;
@@ -22,14 +23,17 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final RollOutParts parts;
+    private final Consumer<StoredObject> written;
     private boolean writing;
 
-    private RollOutWriter(RollOutParts parts) {
+    private RollOutWriter(RollOutParts parts, Consumer<StoredObject> written) {
         this.parts = parts;
+        this.written = written;
     }
 
-    static RollOutWriter create(RollOutParts parts) {
-        return new RollOutWriter(parts);
+    /** A writer that tells of each object that it has written. */
+    static RollOutWriter create(RollOutParts parts, Consumer<StoredObject> written) {
+        return new RollOutWriter(parts, written);
     }
 
     /** Whether a write is under way. */
@@ -42,7 +46,7 @@
         writing = true;
         return read().flatMap(object -> write(object, change))
                 .emitOn(parts.loop())
-                .invoke(stored -> stored.ifPresent(parts.written()))
+                .invoke(stored -> stored.ifPresent(written))
                 .onFailure()
                 .invoke(RollOutWriter::logFailure)
                 .onFailure()
--- a/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
+++ b/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
@@ -90,10 +90,10 @@
                 Runnable::run,
                 timers,
                 store,
-                (type, request, detail) -> {},
-                this::publish);
+                (type, request, detail) -> {});
         Node node = new Node(name, blackboard, RollOutController.create(parts, self));
         nodes.put(name, node);
+        node.controller().onWritten(this::publish);
         node.controller().start();
         stored().ifPresent(node.controller()::published);
         return node;
