Entries for traffic: cascades that learn, and evidence of roll-outs

The caller API starts every cascade at its first step and reports outcomes only of answers that it rates before passing them on, so that a direct request to a version under roll-out gives no evidence.

--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/cascade/CascadeChooserTest.java
@@ -0,0 +1,58 @@
+package org.baobabcart.router.cascade;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalDouble;
+import org.baobabcart.policy.cascade.CascadePlan;
+import org.baobabcart.policy.cascade.CascadeSettings;
+import org.baobabcart.policy.cascade.CascadeStep;
+import org.baobabcart.router.testing.ManualTimerService;
+import org.junit.jupiter.api.Test;
+
+class CascadeChooserTest {
+    private static final String KIND = "kind";
+    private static final CascadePlan PLAN =
+            new CascadePlan(0.8, List.of(new CascadeStep("small", 0.1, 0.7), new CascadeStep("large", 1, 0.95)));
+
+    private final ManualTimerService timers = ManualTimerService.create();
+    private final CascadeChooser chooser = CascadeChooser.create(CascadeSettings.defaults(), timers, () -> 0.5);
+
+    @Test
+    void learnsFromRatingsPerKind() {
+        assertThat(chooser.firstStep(PLAN, KIND), equalTo(0));
+        for (int answer = 0; answer < 40; answer++) {
+            assertThat(answer(OptionalDouble.of(0.7)), is(false));
+        }
+        assertThat(chooser.firstStep(PLAN, KIND), equalTo(1));
+        assertThat(chooser.firstStep(PLAN, "another"), equalTo(0));
+    }
+
+    @Test
+    void goesByDeclaredQualityWhileRatingsAreAwayAndTriesAgainAfterAnInterval() {
+        for (int answer = 0; answer < 3; answer++) {
+            assertThat(answer(OptionalDouble.empty()), is(false));
+        }
+        assertThat(chooser.firstStep(PLAN, KIND), equalTo(1));
+        timers.advance(Duration.ofSeconds(6));
+        assertThat(chooser.firstStep(PLAN, KIND), equalTo(0));
+        assertThat(chooser.firstStep(PLAN, KIND), equalTo(1));
+        assertThat(answer(OptionalDouble.of(0.9)), is(true));
+        assertThat(chooser.firstStep(PLAN, KIND), equalTo(0));
+    }
+
+    @Test
+    void kindsDifferByWorkspaceAndLength() {
+        assertThat(WorkKind.of("one", "chat", 100), equalTo(WorkKind.of("one", "chat", 120)));
+        assertThat(WorkKind.of("one", "chat", 100), not(WorkKind.of("one", "chat", 4_000)));
+        assertThat(WorkKind.of("one", "chat", 100), not(WorkKind.of("two", "chat", 100)));
+    }
+
+    private boolean answer(OptionalDouble rating) {
+        return chooser.afterAnswer(PLAN, KIND, 0, false, rating).accepted();
+    }
+}
--- a/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
+++ b/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
@@ -183,7 +183,7 @@
         return new Member(name, 1, Member.State.ALIVE, "a", "127.0.0.1:1", "127.0.0.1:2");
     }
 
-    private static Sheet sheet(WhenControllerLost whenControllerLost) {
+    static Sheet sheet(WhenControllerLost whenControllerLost) {
         List<Version> versions = List.of(new Version(OLD, 1, 0.9, 1), new Version(NEW, 1, 0.9, 0));
         List<RollOutStage> stages = List.of(new RollOutStage(0.1, 10, 20), new RollOutStage(0.5, 10, 20));
         RollOut rollOut = new RollOut(MODEL, OLD, NEW, stages, whenControllerLost);
