--- a/router/src/main/java/org/baobabcart/router/cascade/CascadeChooser.java
+++ b/router/src/main/java/org/baobabcart/router/cascade/CascadeChooser.java
@@ -4,12 +4,12 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
 import org.baobabcart.policy.cascade.CascadeDecision;
 import org.baobabcart.policy.cascade.CascadeKnowledge;
 import org.baobabcart.policy.cascade.CascadePlan;
 import org.baobabcart.policy.cascade.CascadePolicy;
 import org.baobabcart.policy.cascade.CascadeSettings;
-import org.baobabcart.router.control.TimerService;
 
 /**
  * Chooses the steps of cascades for requests and learns from their ratings. Thread-safe and never blocking; each router
@@ -17,31 +17,31 @@
  */
 public final class CascadeChooser {
     private final CascadePolicy policy;
-    private final TimerService timers;
+    private final LongSupplier nanoTime;
     private final DoubleSupplier random;
     private final AtomicReference<CascadeKnowledge> knowledge;
     private final AtomicReference<RatingHealth> health = new AtomicReference<>(RatingHealth.good());
 
-    private CascadeChooser(CascadeSettings settings, TimerService timers, DoubleSupplier random) {
+    private CascadeChooser(CascadeSettings settings, LongSupplier nanoTime, DoubleSupplier random) {
         this.policy = CascadePolicy.of(settings);
-        this.timers = timers;
+        this.nanoTime = nanoTime;
         this.random = random;
         this.knowledge = new AtomicReference<>(CascadeKnowledge.empty(settings));
     }
 
-    /** A chooser that knows nothing yet. */
-    public static CascadeChooser create(CascadeSettings settings, TimerService timers) {
-        return create(settings, timers, () -> ThreadLocalRandom.current().nextDouble());
+    /** A chooser that knows nothing yet; the supplier gives monotonic time in nanoseconds and is thread-safe. */
+    public static CascadeChooser create(CascadeSettings settings, LongSupplier nanoTime) {
+        return create(settings, nanoTime, () -> ThreadLocalRandom.current().nextDouble());
     }
 
     /** A chooser with its own source of numbers from 0 inclusive to 1 exclusive, which must be thread-safe. */
-    static CascadeChooser create(CascadeSettings settings, TimerService timers, DoubleSupplier random) {
+    static CascadeChooser create(CascadeSettings settings, LongSupplier nanoTime, DoubleSupplier random) {
         return new CascadeChooser(settings, timers, random);
     }
 
     /** The index of the step that a request of this kind starts at. */
     public int firstStep(CascadePlan plan, String kind) {
-        long now = timers.nanoTime();
+        long now = nanoTime.getAsLong();
         boolean available = health.getAndUpdate(before -> before.started(now)).isAvailable(now);
         return policy.firstStep(plan, kind, knowledge.get(), available, random.getAsDouble());
     }
@@ -62,7 +62,7 @@
      */
     public CascadeDecision afterAnswer(
             CascadePlan plan, String kind, int step, boolean escalated, OptionalDouble rating) {
-        long now = timers.nanoTime();
+        long now = nanoTime.getAsLong();
         health.updateAndGet(before -> before.after(rating.isPresent(), now));
         CascadeKnowledge before = knowledge.get();
         if (rating.isPresent()) {
--- a/router/src/test/java/org/baobabcart/router/cascade/CascadeChooserTest.java
+++ b/router/src/test/java/org/baobabcart/router/cascade/CascadeChooserTest.java
@@ -20,7 +20,8 @@
             new CascadePlan(0.8, List.of(new CascadeStep("small", 0.1, 0.7), new CascadeStep("large", 1, 0.95)));
 
     private final ManualTimerService timers = ManualTimerService.create();
-    private final CascadeChooser chooser = CascadeChooser.create(CascadeSettings.defaults(), timers, () -> 0.5);
+    private final CascadeChooser chooser =
+            CascadeChooser.create(CascadeSettings.defaults(), timers::nanoTime, () -> 0.5);
 
     @Test
     void learnsFromRatingsPerKind() {
