--- a/router/src/main/java/org/baobabcart/router/cascade/CascadeChooser.java
+++ b/router/src/main/java/org/baobabcart/router/cascade/CascadeChooser.java
@@ -36,7 +36,7 @@
 
     /** A chooser with its own source of numbers from 0 inclusive to 1 exclusive, which must be thread-safe. */
     static CascadeChooser create(CascadeSettings settings, LongSupplier nanoTime, DoubleSupplier random) {
-        return new CascadeChooser(settings, timers, random);
+        return new CascadeChooser(settings, nanoTime, random);
     }
 
     /** The index of the step that a request of this kind starts at. */
