Bound the crashes of one request over the fleet

Cause: each router counted crashes for itself, and a request sent many times at once reached every engine before the first crash was counted (seen: 30 sendings at once crash all of 5 engines). Change: routers add up their counts by exchanges; of a request that no engine has begun to answer, as many run at once as may crash; a request that was running when an engine crashed runs alone among such until its first byte. Conclusion: 30 sendings at once reach 2 engines; at most 2 crashes through one router, and 2 for each router in the worst case when no exchange gets through between them.

--- a/router/src/main/java/org/baobabcart/router/ControlPlane.java
+++ b/router/src/main/java/org/baobabcart/router/ControlPlane.java
@@ -24,6 +24,7 @@
 import org.baobabcart.router.platform.VirtualMachineController;
 import org.baobabcart.router.platform.VirtualMachineList;
 import org.baobabcart.router.sheet.SheetDocuments;
+import org.baobabcart.router.upstream.CrashController;
 
 /**
  * The controllers of membership, documents and the list of VMs, wired to each other. Immutable; made once the addresses
@@ -66,6 +67,10 @@
         DocumentRegistry documents = DocumentRegistry.create(core.loop());
         List.of(sheets, rollOuts, secrets).forEach(documents::add);
         members.addParticipant(documents);
+        CrashController crashes =
+                CrashController.create(core.blackboard(), core.timeline(), members::spread, self.nodeId());
+        members.addParticipant(crashes);
+        core.feedback().addListener(crashes);
         return new ControlPlane(members, documents, sheets, rollOuts, secrets, machines(core));
     }
 
--- a/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
@@ -27,6 +27,8 @@
  * @param <T> what an answer is turned into
  */
 final class AttemptRunner<T> {
+    private static final CrashGuard.Pass UNGUARDED = CrashGuard.unguarded();
+
     private final TrafficRuntime runtime;
     private final CallerExchange exchange;
     private final CallerContext context;
@@ -77,17 +79,19 @@
                 exchange.mayHaveRun() || number > 1 ? context.deadlineNanos() : context.latestStartNanos(),
                 plan.affinity(),
                 failed);
-        return runtime.dispatcher()
+        return enter().compose(pass -> runtime.dispatcher()
                 .acquire(work, exchange.abandoned())
-                .compose(slot -> send(slot).recover(failure -> {
-                    if (failure instanceof AttemptException attemptFailure) {
-                        return again(number, failed, slot.upstream(), attemptFailure);
-                    }
-                    return Future.failedFuture(failure);
-                }));
+                .compose(slot -> send(slot, pass).recover(failure -> again(number, failed, slot.upstream(), failure)))
+                .onComplete(ignored -> pass.ended()));
     }
 
-    private Future<T> send(Slot slot) {
+    private Future<CrashGuard.Pass> enter() {
+        return plan.fingerprint()
+                .map(runtime.guards().crashes()::enter)
+                .orElseGet(() -> Future.succeededFuture(UNGUARDED));
+    }
+
+    private Future<T> send(Slot slot, CrashGuard.Pass pass) {
         boolean mayHaveRunBefore = exchange.mayHaveRun();
         long begun = System.nanoTime();
         UpstreamRequest request = plan.request().apply(plan.attemptIds().get());
@@ -97,17 +101,20 @@
                 .compose(answer -> {
                     Optional<String> load = Optional.ofNullable(answer.headers().get(Headers.LOAD));
                     slot.observe(System.nanoTime() - begun, load);
+                    answer.onFirstPart(pass::answered);
                     return consumer.apply(answer);
                 })
                 .onSuccess(ignored -> slot.release(Optional.empty()))
-                .onFailure(failure -> release(slot, failure, mayHaveRunBefore));
+                .onFailure(failure -> failed(slot, failure, mayHaveRunBefore))
+                .onComplete(ignored -> pass.ended());
     }
 
-    private void release(Slot slot, Throwable failure, boolean mayHaveRunBefore) {
+    private void failed(Slot slot, Throwable failure, boolean mayHaveRunBefore) {
         if (!(failure instanceof AttemptException attemptFailure) || abandoned.isComplete()) {
             slot.release(Optional.empty());
             return;
         }
+        report(slot.upstream(), attemptFailure.kind());
         slot.release(Optional.of(attemptFailure.kind()));
         if (attemptFailure.kind().ran() == Ran.NO) {
             exchange.restoreSent(mayHaveRunBefore);
@@ -147,11 +154,13 @@
         }
     }
 
-    private Future<T> again(int number, Set<String> failed, VirtualMachine upstream, AttemptException failure) {
+    private Future<T> again(int number, Set<String> failed, VirtualMachine upstream, Throwable cause) {
+        if (!(cause instanceof AttemptException failure)) {
+            return Future.failedFuture(cause);
+        }
         if (abandoned.isComplete()) {
             return Future.failedFuture(failure.toResult());
         }
-        report(upstream, failure.kind());
         boolean allowed =
                 !exchange.started() && runtime.guards().retries().mayRetry(failure.kind(), plan.repeatable(), number);
         if (!allowed) {
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -47,7 +47,7 @@
                         settings.limits().queued(), settings.limits().queuedPerWorkspace()));
         Dispatcher dispatcher = Dispatcher.create(vertx, dispatching, parts.views(), health);
         TrafficRuntime.Guards guards = new TrafficRuntime.Guards(
-                RetryGuard.create(settings.limits().attempts()), CrashGuard.create(), new Drain());
+                RetryGuard.create(settings.limits().attempts()), CrashGuard.create(vertx), new Drain());
         TrafficRuntime runtime = new TrafficRuntime(vertx, parts, settings, dispatcher, upstreams, health, guards);
         return new CallerApi(vertx, runtime);
     }
--- a/router/src/main/java/org/baobabcart/router/traffic/CrashGuard.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CrashGuard.java
@@ -1,31 +1,174 @@
 package org.baobabcart.router.traffic;
 
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import org.baobabcart.policy.crash.CrashCounts;
 import org.baobabcart.router.view.TrafficView;
 
 /**
- * Keeps this router's own crash counts, which act at once, beside those of the fleet, which come with the view.
- * Thread-safe.
+ * Bounds the crashes that one request can cause through this router, however often and however many times at once its
+ * caller sends it. Thread-safe.
+ *
+ * <p>Requests are known by their fingerprint. Of one that no upstream has begun to answer yet, as many run at once as may
+ * crash. A request that was running when an upstream crashed is a suspect: only one suspect at a time runs until its
+ * first byte, so that the next crash is blamed on one request and not on all that shared the upstream. This router's own
+ * counts act at once, beside those of the fleet, which come with the view.
  */
 final class CrashGuard {
     /** The crashes after which no upstream gets a request any more. */
     static final int BOUND = 2;
 
     private static final String SELF = "";
+    private static final int PROVEN_LIMIT = 16 * 1024;
 
-    private volatile CrashCounts counts = CrashCounts.empty();
+    private final Vertx vertx;
+    private final Map<String, Boolean> proven = new LinkedHashMap<>();
+    private final Map<String, Integer> unproven = new HashMap<>();
+    private final Deque<Waiter> waiting = new ArrayDeque<>();
+    private CrashCounts counts = CrashCounts.empty();
+    private boolean suspectRuns;
 
-    private CrashGuard() {}
+    /** The permission to run one attempt. */
+    interface Pass {
+        /** Tells that the upstream has begun to answer. */
+        void answered();
 
-    static CrashGuard create() {
-        return new CrashGuard();
+        /** Tells that the attempt has ended. */
+        void ended();
+    }
+
+    private record Waiter(String fingerprint, Context context, Promise<Pass> promise) {}
+
+    private CrashGuard(Vertx vertx) {
+        this.vertx = vertx;
+    }
+
+    static CrashGuard create(Vertx vertx) {
+        return new CrashGuard(vertx);
+    }
+
+    /** A pass for work that is not guarded. */
+    static Pass unguarded() {
+        return new Pass() {
+            @Override
+            public void answered() {}
+
+            @Override
+            public void ended() {}
+        };
+    }
+
+    /** Completes on the calling event loop when an attempt of the request may run. */
+    Future<Pass> enter(String fingerprint) {
+        Waiter waiter = new Waiter(fingerprint, vertx.getOrCreateContext(), Promise.promise());
+        synchronized (this) {
+            if (proven.containsKey(fingerprint) || mayRun(fingerprint)) {
+                return Future.succeededFuture(begin(fingerprint));
+            }
+            waiting.add(waiter);
+        }
+        return waiter.promise.future();
     }
 
     synchronized void crashed(String fingerprint) {
         counts = counts.withCrash(fingerprint, SELF);
+        proven.remove(fingerprint);
     }
 
-    boolean isQuarantined(TrafficView view, String fingerprint) {
+    synchronized boolean isQuarantined(TrafficView view, String fingerprint) {
         return view.quarantined().contains(fingerprint) || counts.total(fingerprint) >= BOUND;
     }
+
+    private boolean mayRun(String fingerprint) {
+        int crashes = counts.total(fingerprint);
+        if (crashes >= BOUND) {
+            return true;
+        }
+        boolean room = crashes + unproven.getOrDefault(fingerprint, 0) < BOUND;
+        return room && (crashes == 0 || !suspectRuns);
+    }
+
+    private Pass begin(String fingerprint) {
+        int crashes = counts.total(fingerprint);
+        boolean counted = !proven.containsKey(fingerprint) && crashes < BOUND;
+        boolean suspect = counted && crashes > 0;
+        if (counted) {
+            unproven.merge(fingerprint, 1, Integer::sum);
+        }
+        suspectRuns |= suspect;
+        return new CountedPass(fingerprint, counted, suspect);
+    }
+
+    private void leave(CountedPass pass, boolean answered) {
+        List<Runnable> admitted;
+        synchronized (this) {
+            if (!pass.open) {
+                return;
+            }
+            pass.open = false;
+            if (pass.counted) {
+                unproven.computeIfPresent(pass.fingerprint, (name, count) -> count > 1 ? count - 1 : null);
+            }
+            if (pass.suspect) {
+                suspectRuns = false;
+            }
+            if (answered && counts.total(pass.fingerprint) == 0) {
+                prove(pass.fingerprint);
+            }
+            admitted = admit();
+        }
+        admitted.forEach(Runnable::run);
+    }
+
+    private void prove(String fingerprint) {
+        proven.put(fingerprint, true);
+        if (proven.size() > PROVEN_LIMIT) {
+            proven.remove(proven.keySet().iterator().next());
+        }
+    }
+
+    private List<Runnable> admit() {
+        List<Runnable> admitted = new ArrayList<>();
+        waiting.removeIf(waiter -> {
+            boolean allowed = proven.containsKey(waiter.fingerprint) || mayRun(waiter.fingerprint);
+            if (allowed) {
+                Pass pass = begin(waiter.fingerprint);
+                admitted.add(() -> waiter.context.runOnContext(ignored -> waiter.promise.complete(pass)));
+            }
+            return allowed;
+        });
+        return admitted;
+    }
+
+    private final class CountedPass implements Pass {
+        private final String fingerprint;
+        private final boolean counted;
+        private final boolean suspect;
+        private boolean open = true;
+
+        private CountedPass(String fingerprint, boolean counted, boolean suspect) {
+            this.fingerprint = fingerprint;
+            this.counted = counted;
+            this.suspect = suspect;
+        }
+
+        @Override
+        public void answered() {
+            leave(this, true);
+        }
+
+        @Override
+        public void ended() {
+            leave(this, false);
+        }
+    }
 }
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamAnswer.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamAnswer.java
@@ -22,6 +22,7 @@
     private final UpstreamRequest.Progress limits;
     private final Promise<Void> end = Promise.promise();
 
+    private Runnable firstPart = () -> {};
     private boolean bodyBegun;
 
     private UpstreamAnswer(
@@ -64,6 +65,11 @@
         return response.headers();
     }
 
+    /** Runs an action when the first part of the body arrives. */
+    public void onFirstPart(Runnable action) {
+        firstPart = action;
+    }
+
     /** Reads the body part by part; the result completes after the last part or fails. */
     public Future<Void> forEachPart(Handler<Buffer> part) {
         response.handler(buffer -> {
@@ -124,6 +130,7 @@
             progress.progress();
             return;
         }
+        firstPart.run();
         bodyBegun = true;
         progress.start(limits.betweenBytes());
     }
