--- a/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
@@ -115,6 +115,7 @@
             return;
         }
         report(slot.upstream(), attemptFailure.kind());
+        countFailure(attemptFailure.kind());
         slot.release(Optional.of(attemptFailure.kind()));
         if (attemptFailure.kind().ran() == Ran.NO) {
             exchange.restoreSent(mayHaveRunBefore);
@@ -185,6 +186,12 @@
         }
     }
 
+    private void countFailure(FailureKind kind) {
+        if (kind.ran() == Ran.UNKNOWN && !plan.pool().model().isEmpty()) {
+            runtime.guards().evidence().failed(plan.pool().model(), plan.pool().version());
+        }
+    }
+
     private void crashed(VirtualMachine upstream, String fingerprint) {
         runtime.guards().crashes().crashed(fingerprint);
         runtime.parts().feedback().crashed(upstream.name(), fingerprint);
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -47,8 +47,13 @@
                         settings.limits().queued(), settings.limits().queuedPerWorkspace()));
         Dispatcher dispatcher = Dispatcher.create(vertx, dispatching, parts.views(), health);
         TrafficRuntime.Guards guards = new TrafficRuntime.Guards(
-                RetryGuard.create(settings.limits().attempts()), CrashGuard.create(vertx), new Drain());
+                RetryGuard.create(settings.limits().attempts()),
+                CrashGuard.create(vertx),
+                new Drain(),
+                Evidence.create(parts));
         TrafficRuntime runtime = new TrafficRuntime(vertx, parts, settings, dispatcher, upstreams, health, guards);
+        parts.metrics().gauge("caller.running", () -> () -> guards.drain().running());
+        parts.metrics().gauge("dispatcher.waiting", () -> dispatcher::waiting);
         return new CallerApi(vertx, runtime);
     }
 
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerExchange.java
@@ -35,6 +35,7 @@
     private final String requestId = RequestIds.next();
     private final Promise<AttemptException> abandoned = Promise.promise();
     private long deadlineTimer = -1;
+    private final long begunNanos = System.nanoTime();
     private boolean closeAfterwards;
     private boolean ended;
     private boolean gone;
@@ -51,6 +52,7 @@
         request.response().closeHandler(ignored -> exchange.callerGone());
         request.response().exceptionHandler(ignored -> exchange.callerGone());
         request.response().putHeader(Headers.REQUEST_ID, exchange.requestId);
+        runtime.parts().metrics().meter("caller.requests").mark();
         exchange.record(EventType.REQUEST_RECEIVED, request.method() + " " + request.path());
         return exchange;
     }
@@ -113,6 +115,7 @@
         headers.forEach(response::putHeader);
         response.putHeader("Content-Type", EVENT_STREAM);
         response.putHeader("Cache-Control", "no-cache");
+        measureFirstByte();
         closeConnectionIfStopping();
         response.setChunked(true);
     }
@@ -138,6 +141,7 @@
         headers.forEach(response::putHeader);
         closeConnectionIfStopping();
         response.setStatusCode(status);
+        measureFirstByte();
         finish(EventType.REQUEST_FINISHED, "status " + status, () -> response.end(body));
     }
 
@@ -211,6 +215,13 @@
         });
     }
 
+    private void measureFirstByte() {
+        runtime.parts()
+                .metrics()
+                .timer("caller.first-byte")
+                .update(System.nanoTime() - begunNanos, TimeUnit.NANOSECONDS);
+    }
+
     private void closeConnectionIfStopping() {
         if (runtime.drain().isDraining() || runtime.parts().views().current().stopping()) {
             closeConnection();
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -71,7 +71,7 @@
             answer = Future.failedFuture(refusal);
         }
         return answer.onFailure(ignored -> billCancelled())
-                .compose(whole -> last ? deliver(whole) : rate(index, whole))
+                .compose(whole -> last ? deliverLast(whole) : rate(index, whole))
                 .recover(failure -> lesser.isPresent() && !exchange.started() && !exchange.isGone()
                         ? deliver(lesser.get())
                         : Future.failedFuture(failure));
@@ -90,21 +90,12 @@
     }
 
     private Future<Void> rate(int index, ModelAnswer answer) {
-        RatingRequest rating = new RatingRequest(
-                exchange.requestId(),
-                answer.version().model(),
-                answer.version().version(),
-                request.kind().text(),
-                request.prompt(),
-                answer.text());
         return Future.fromCompletionStage(
-                        runtime.parts().ratings().rate(rating).subscribeAsCompletionStage(),
+                        runtime.parts().ratings().rate(ratingRequest(answer)).subscribeAsCompletionStage(),
                         runtime.vertx().getOrCreateContext())
                 .compose(rated -> {
                     double quality = rated.orElse(answer.version().quality());
-                    runtime.parts()
-                            .feedback()
-                            .outcome(answer.version().model(), answer.version().version(), true, rated);
+                    runtime.guards().evidence().rated(answer.version(), rated);
                     if (quality >= steps.qualityTarget()) {
                         return deliver(answer);
                     }
@@ -114,6 +105,16 @@
                 });
     }
 
+    private RatingRequest ratingRequest(ModelAnswer answer) {
+        return new RatingRequest(
+                exchange.requestId(),
+                answer.version().model(),
+                answer.version().version(),
+                request.kind().text(),
+                request.prompt(),
+                answer.text());
+    }
+
     private Future<ModelAnswer> ask(SelectedVersion version, boolean direct) {
         AttemptPlan plan = new AttemptPlan(
                 version.pool(),
@@ -190,6 +191,14 @@
                 new ModelAnswer(version, answer.status(), "application/json", List.of(body), text, units));
     }
 
+    private Future<Void> deliverLast(ModelAnswer answer) {
+        return deliver(answer).onSuccess(ignored -> {
+            if (answer.status() == STATUS_OK) {
+                runtime.guards().evidence().answered(ratingRequest(answer));
+            }
+        });
+    }
+
     private Future<Void> deliver(ModelAnswer answer) {
         if (answer.status() != STATUS_OK) {
             exchange.answer(answer.status(), headersOf(answer), answer.parts().get(0));
--- a/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
@@ -15,7 +15,7 @@
         UpstreamHealth health,
         Guards guards) {
     /** What limits retries, crashes and the stop of the process. */
-    record Guards(RetryGuard retries, CrashGuard crashes, Drain drain) {}
+    record Guards(RetryGuard retries, CrashGuard crashes, Drain drain, Evidence evidence) {}
 
     /** The running requests. */
     Drain drain() {
--- a/router/src/test/java/org/baobabcart/router/traffic/CallerApiTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerApiTest.java
@@ -4,13 +4,20 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
 import java.net.http.HttpResponse;
+import java.util.List;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.baobabcart.model.request.Headers;
+import org.baobabcart.model.rollout.RollOutProgress;
+import org.baobabcart.model.rollout.RollOutState;
+import org.baobabcart.model.rollout.RollOutStatus;
+import org.baobabcart.router.view.TrafficView;
 import org.junit.jupiter.api.Test;
 
 class CallerApiTest extends CallerApiTestBase {
@@ -116,6 +123,25 @@
         assertThat(fakes.bills, hasSize(1));
     }
 
+    @Test
+    void answersUnderARollOutAreRatedAndFailuresCounted() throws Exception {
+        FakeUpstream engine = upstream("e1", FakeUpstream.streaming("good"));
+        fakes.show(sheet(), engine.engine("layout-large", "v1"), engine.engine("layout-large", "v2"));
+        RollOutProgress progress = new RollOutProgress("layout-large", "v2", RollOutStatus.RUNNING, 0, "");
+        fakes.view = new TrafficView(
+                fakes.view.sheet(),
+                RollOutState.empty().withProgress(progress, "w"),
+                fakes.view.upstreams(),
+                Set.of(),
+                false);
+        fakes.rating = OptionalDouble.of(0.25);
+        chat("layout-large@v2", true);
+        await(() -> fakes.versionOutcomes.equals(List.of("layout-large@v2 true OptionalDouble[0.25]")));
+        engine.behave(request -> request.response().setStatusCode(500).end());
+        assertThat(chat("layout-large@v1", true).statusCode(), is(502));
+        assertThat(fakes.versionOutcomes, hasItem("layout-large@v1 false OptionalDouble.empty"));
+    }
+
     @Test
     void listsModelsOfTheWorkspace() throws Exception {
         fakes.show(sheet());
--- a/router/src/test/java/org/baobabcart/router/traffic/FakeParts.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/FakeParts.java
@@ -35,6 +35,7 @@
     final List<Bill> bills = new CopyOnWriteArrayList<>();
     final List<ClaimOutcome> outcomes = new CopyOnWriteArrayList<>();
     final List<String> crashes = new CopyOnWriteArrayList<>();
+    final List<String> versionOutcomes = new CopyOnWriteArrayList<>();
     final List<String> unreachable = new CopyOnWriteArrayList<>();
     final Map<String, StoredReply> stored = new ConcurrentHashMap<>();
     volatile TrafficView view = TrafficView.empty();
@@ -95,7 +96,9 @@
     }
 
     @Override
-    public void outcome(String model, String version, boolean success, OptionalDouble givenRating) {}
+    public void outcome(String model, String version, boolean success, OptionalDouble givenRating) {
+        versionOutcomes.add(model + "@" + version + " " + success + " " + givenRating);
+    }
 
     @Override
     public void record(EventType type, String requestId, String detail) {}
