Process tests of bookings; a finished call is replayed while its partition waits for the platform

Cause: during an outage the replay of a finished call failed where another key of its partition was being retried: the owner answered nothing until its call to the platform had ended, and had dropped its copy after a write of unknown outcome. Ruled out: peer transport (multiplexed, not blocked) and ownership (unchanged). Change: the owner keeps the last copy as stale and answers lasting results from it at once.

--- /dev/null
+++ b/integration/src/test/java/org/baobabcart/integration/claims/BookingProcessTest.java
@@ -0,0 +1,172 @@
+package org.baobabcart.integration.claims;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.baobabcart.launcher.FleetNode;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.claim.Attempt;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Bookings run at most once while routers are killed and paused and the platform fails. */
+class BookingProcessTest {
+    private static final int KEYS = 12;
+    private static final Duration PAST_EVERY_TIMEOUT =
+            Duration.ofNanos(Attempt.GRANT_BOUND_NANOS).plusSeconds(2);
+    private static ClaimFleet fleet;
+
+    private final CallerClient caller = fleet.caller();
+    private final List<Ending> endings = new ArrayList<>();
+
+    @BeforeAll
+    static void start() {
+        fleet = ClaimFleet.start("bookings");
+    }
+
+    @AfterAll
+    static void stop() {
+        fleet.close();
+    }
+
+    @AfterEach
+    void noKeyRanTwiceAndNotRunIsTrue() {
+        fleet.platformFault("{\"outage\":false,\"lose-answers-after-write\":false,\"slow\":0}");
+        fleet.serviceFault("{\"slow\":1}");
+        assertThat(
+                fleet.runsByKey().entrySet().stream()
+                        .filter(entry -> entry.getValue() > 1)
+                        .toList(),
+                empty());
+        Set<String> run = fleet.requestsRun();
+        List<String> notRun = endings.stream()
+                .filter(Ending::saysNotRun)
+                .map(Ending::requestId)
+                .toList();
+        assertThat(notRun.stream().filter(run::contains).toList(), empty());
+        List<Ending> dishonest = endings.stream()
+                .filter(ending -> !ending.booked() && !ending.saysNotRun() && !ending.saysUnknown())
+                .toList();
+        assertThat(dishonest, empty());
+    }
+
+    @Test
+    void theSameKeyAtSeveralRoutersAtOnceRunsOnceAndIsReplayedAtAll() {
+        List<String> keys = keys("at-once");
+        keys.forEach(key -> all(
+                fleet.routers().stream().map(router -> caller.book(router, key)).toList()));
+        for (String key : keys) {
+            List<Ending> again = all(fleet.routers().stream()
+                    .map(router -> caller.book(router, key))
+                    .toList());
+            assertThat(again.stream().map(Ending::booked).toList(), everyItem(is(true)));
+            assertThat(again.stream().map(Ending::booking).distinct().count(), equalTo(1L));
+            assertThat(fleet.runsByKey().get(key), equalTo(1));
+        }
+    }
+
+    @Test
+    void aKilledHolderLeavesAnHonestUnknown() {
+        FleetNode victim = fleet.routers().get(0);
+        List<String> keys = keys("killed");
+        fleet.serviceFault("{\"slow\":400}");
+        List<CompletableFuture<Ending>> cut =
+                keys.stream().map(key -> caller.book(victim, key)).toList();
+        Eventually.holds("every booking runs", () -> fleet.runsByKey().keySet().containsAll(keys));
+        victim.process().kill();
+        all(cut);
+        for (String key : keys) {
+            for (FleetNode router : fleet.routers().subList(1, 4)) {
+                assertThat(one(caller.book(router, key)).code(), equalTo(ResultCode.OUTCOME_UNKNOWN.number()));
+            }
+        }
+        victim.process().restart();
+        fleet.awaitWhole();
+        for (String key : keys) {
+            assertThat(one(caller.book(victim, key)).code(), equalTo(ResultCode.OUTCOME_UNKNOWN.number()));
+        }
+    }
+
+    @Test
+    void aPausedHolderNeverSendsWhatAnotherMayHaveSent() {
+        FleetNode paused = fleet.routers().get(1);
+        List<String> keys = keys("paused");
+        fleet.platformFault("{\"slow\":300}");
+        List<CompletableFuture<Ending>> begun =
+                keys.stream().map(key -> caller.book(paused, key)).toList();
+        Eventually.lasts(Duration.ofMillis(400));
+        paused.process().pause();
+        fleet.platformFault("{\"slow\":0}");
+        FleetNode other = fleet.routers().get(2);
+        all(keys.stream().map(key -> caller.book(other, key)).toList());
+        Eventually.lasts(PAST_EVERY_TIMEOUT);
+        all(keys.stream().map(key -> caller.book(other, key)).toList());
+        paused.process().resume();
+        all(begun);
+        fleet.awaitWhole();
+        all(keys.stream().map(key -> caller.book(other, key)).toList());
+    }
+
+    @Test
+    void anOutageOfThePlatformRefusesTrulyAndLeavesTheKeysFree() {
+        List<String> keys = keys("outage");
+        String finished = "finished-before-the-outage";
+        assertThat(one(caller.book(fleet.routers().get(0), finished)).booked(), is(true));
+        fleet.platformFault("{\"outage\":true}");
+        for (String key : keys) {
+            Ending refused = one(caller.book(fleet.routers().get(3), key));
+            assertThat(refused.code(), equalTo(ResultCode.CLAIM_UNAVAILABLE.number()));
+        }
+        Ending replayed = one(caller.book(fleet.routers().get(0), finished));
+        assertThat(replayed.toString(), replayed.booked(), is(true));
+        fleet.platformFault("{\"outage\":false}");
+        for (String key : keys) {
+            Eventually.holds(
+                    key + " is booked",
+                    () -> one(caller.book(fleet.routers().get(0), key)).booked());
+        }
+    }
+
+    @Test
+    void lostAnswersOfThePlatformDoubleNothing() {
+        List<String> keys = keys("lost-answers");
+        fleet.platformFault("{\"lose-answers-after-write\":true}");
+        for (String key : keys) {
+            all(fleet.routers().stream().map(router -> caller.book(router, key)).toList());
+        }
+        fleet.platformFault("{\"lose-answers-after-write\":false}");
+        for (String key : keys) {
+            Eventually.holds(key + " has an outcome", () -> {
+                Ending ending = one(caller.book(fleet.routers().get(2), key));
+                return ending.booked() || ending.code() == ResultCode.OUTCOME_UNKNOWN.number();
+            });
+        }
+        assertThat(fleet.runsByKey().keySet().stream().filter(keys::contains).toList(), not(empty()));
+    }
+
+    private List<Ending> all(List<CompletableFuture<Ending>> calls) {
+        return calls.stream().map(this::one).toList();
+    }
+
+    private Ending one(CompletableFuture<Ending> call) {
+        Ending ending = call.join();
+        endings.add(ending);
+        return ending;
+    }
+
+    private static List<String> keys(String name) {
+        return IntStream.range(0, KEYS).mapToObj(index -> name + "-" + index).toList();
+    }
+}
--- a/policy/src/main/java/org/baobabcart/policy/claim/ClaimResult.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/ClaimResult.java
@@ -26,7 +26,7 @@
         /** There is no claim of this attempt any more. */
         NO_CLAIM(false, false),
         /** The operation could not be done. */
-        UNAVAILABLE(true, false);
+        UNAVAILABLE(false, false);
 
         private final boolean lasting;
 
--- a/policy/src/main/java/org/baobabcart/policy/claim/JournalOwner.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/JournalOwner.java
@@ -64,22 +64,19 @@
         return builder.build();
     }
 
-    /** Starts the next call to the platform, unless one is under way or nothing waits. */
+    /**
+     * Answers what needs no call, and starts the next call to the platform unless one is under way or nothing waits. The
+     * answer of a finished call never changes, so that a copy that may be stale suffices, also while the platform is away.
+     */
     public OwnerStep proceed(long nowNanos, String newWriteId) {
-        if (busy) {
-            return OwnerStep.of(this, List.of());
-        }
         Builder builder = new Builder(this);
         List<Answer> answers = builder.takeExpired(nowNanos);
-        if (builder.waiting.isEmpty()) {
+        held.or(() -> stale).ifPresent(known -> answers.addAll(builder.takeLasting(known.at(nowNanos))));
+        if (busy || builder.waiting.isEmpty()) {
             return OwnerStep.of(builder.build(), answers);
         }
-        if (held.isEmpty()) {
-            return builder.busy(answers, new OwnerStep.Read());
-        }
-        answers.addAll(builder.takeLasting(held.get().at(nowNanos)));
-        return builder.waiting.isEmpty()
-                ? OwnerStep.of(builder.build(), answers)
+        return held.isEmpty()
+                ? builder.busy(answers, new OwnerStep.Read())
                 : write(builder, answers, nowNanos, newWriteId);
     }
 
@@ -114,8 +111,7 @@
 
     /** The write had no effect, since someone else has written in the meantime. */
     public OwnerStep writeConflicted() {
-        Builder builder = new Builder(this).idle().withBatchBack();
-        builder.held = Optional.empty();
+        Builder builder = new Builder(this).idle().withBatchBack().stale();
         return OwnerStep.of(builder.build(), List.of());
     }
 
@@ -123,8 +119,7 @@
     public OwnerStep writeLost() {
         Builder builder = new Builder(this).idle().withBatchBack();
         builder.unsettled = underway;
-        builder.held = Optional.empty();
-        return failed(builder);
+        return failed(builder.stale());
     }
 
     /** The write surely had no effect, since the platform could not be reached. */
@@ -150,9 +145,7 @@
             builder.waiting.clear();
             return OwnerStep.of(builder.build(), answers);
         }
-        builder.stale = held;
-        builder.held = Optional.empty();
-        return builder.busy(answers, new OwnerStep.Read());
+        return builder.stale().busy(answers, new OwnerStep.Read());
     }
 
     private static OwnerStep failed(Builder builder) {
@@ -198,6 +191,12 @@
             return new JournalOwner(this);
         }
 
+        private Builder stale() {
+            stale = held.or(() -> stale);
+            held = Optional.empty();
+            return this;
+        }
+
         private Builder idle() {
             busy = false;
             return this;
