--- /dev/null
+++ b/integration/src/test/java/org/baobabcart/integration/claims/BillProcessTest.java
@@ -0,0 +1,119 @@
+package org.baobabcart.integration.claims;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.baobabcart.launcher.FleetNode;
+import org.baobabcart.policy.bill.BillLedger;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Each finished request has one bill while routers are killed and the platform fails. */
+class BillProcessTest {
+    private static final int REQUESTS = 20;
+    private static final Duration OUTAGE = Duration.ofSeconds(60);
+    private static ClaimFleet fleet;
+
+    private final CallerClient caller = fleet.caller();
+    private final List<String> finished = new ArrayList<>();
+
+    @BeforeAll
+    static void start() {
+        fleet = ClaimFleet.start("bills");
+    }
+
+    @AfterAll
+    static void stop() {
+        fleet.close();
+    }
+
+    @AfterEach
+    void eachFinishedRequestHasOneBill() {
+        assertThat(finished, not(List.of()));
+        Eventually.holds("every finished request is billed", this::allBilled);
+    }
+
+    @Test
+    void aRouterKilledRightAfterTheLastByte() {
+        for (FleetNode victim : List.of(fleet.routers().get(0), fleet.routers().get(3))) {
+            serve(victim, "killed-" + victim.name());
+            victim.process().kill();
+            Eventually.holds("the bills of " + victim.name(), this::allBilled);
+            victim.process().restart();
+            fleet.awaitWhole();
+        }
+    }
+
+    @Test
+    void aHolderKilledBeforeItCommits() {
+        fleet.platformFault("{\"outage\":true}");
+        fleet.routers().forEach(router -> chat(router, "before"));
+        FleetNode victim = fleet.routers().get(1);
+        victim.process().kill();
+        fleet.platformFault("{\"outage\":false}");
+        Eventually.holds("bills survive one router", this::allBilled);
+        victim.process().restart();
+        fleet.awaitWhole();
+    }
+
+    @Test
+    void anOutageOfAMinute() {
+        fleet.platformFault("{\"outage\":true}");
+        long begin = System.nanoTime();
+        while (System.nanoTime() - begin < OUTAGE.toNanos()) {
+            fleet.routers().forEach(router -> chat(router, "during the outage"));
+            Eventually.lasts(Duration.ofSeconds(2));
+        }
+        fleet.platformFault("{\"outage\":false}");
+    }
+
+    @Test
+    void lostAnswersOfThePlatform() {
+        fleet.platformFault("{\"lose-answers-after-write\":true}");
+        fleet.routers().forEach(router -> chat(router, "lost answers"));
+        Eventually.lasts(Duration.ofSeconds(3));
+        fleet.platformFault("{\"lose-answers-after-write\":false}");
+    }
+
+    @Test
+    void aPlannedStopLeavesNoBillBehind() {
+        FleetNode leaving = fleet.routers().get(2);
+        serve(leaving, "planned-stop");
+        assertThat(leaving.process().terminate(Duration.ofSeconds(60)), is(0));
+        Eventually.holds("the bills of a planned stop", this::allBilled);
+        leaving.process().restart();
+        fleet.awaitWhole();
+    }
+
+    private void serve(FleetNode router, String name) {
+        List<CompletableFuture<Ending>> calls = new ArrayList<>();
+        IntStream.range(0, REQUESTS).forEach(index -> {
+            calls.add(caller.chat(router, name + " " + index));
+            calls.add(caller.book(router, name + "-" + index));
+        });
+        calls.forEach(this::finish);
+    }
+
+    private void chat(FleetNode router, String prompt) {
+        finish(caller.chat(router, prompt));
+    }
+
+    private void finish(CompletableFuture<Ending> call) {
+        Ending ending = call.join();
+        assertThat(ending.toString(), ending.status() / 100, is(2));
+        finished.add(ending.requestId());
+    }
+
+    private boolean allBilled() {
+        BillLedger ledger = fleet.ledger();
+        return finished.stream().allMatch(requestId -> ledger.bill(requestId).isPresent());
+    }
+}
