--- a/policy/src/main/java/org/baobabcart/policy/claim/JournalOwner.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/JournalOwner.java
@@ -29,6 +29,7 @@
     private final List<PendingOperation> waiting;
     private final Optional<JournalWrite> underway;
     private final Optional<JournalWrite> unsettled;
+    private final Optional<WritePace> pace;
     private final boolean busy;
     private final int failures;
 
@@ -38,6 +39,7 @@
         this.waiting = List.copyOf(builder.waiting);
         this.underway = builder.underway;
         this.unsettled = builder.unsettled;
+        this.pace = builder.pace;
         this.busy = builder.busy;
         this.failures = builder.failures;
     }
@@ -136,6 +138,11 @@
         HeldJournal base = held.orElseThrow();
         JournalChange change = base.at(nowNanos).apply(operations(builder.waiting), newWriteId);
         if (change.changed()) {
+            WritePace current = pace.map(earlier -> earlier.at(nowNanos)).orElseGet(() -> WritePace.full(nowNanos));
+            if (current.delayNanos() > 0) {
+                return builder.busy(answers, new OwnerStep.Pause(current.delayNanos()));
+            }
+            builder.pace = Optional.of(current.spent());
             builder.underway = Optional.of(new JournalWrite(List.copyOf(builder.waiting), change));
             builder.waiting.clear();
             return builder.busy(answers, new OwnerStep.Write(change.journal(), base.resourceVersion()));
@@ -172,6 +179,7 @@
         private List<PendingOperation> waiting = new ArrayList<>();
         private Optional<JournalWrite> underway = Optional.empty();
         private Optional<JournalWrite> unsettled = Optional.empty();
+        private Optional<WritePace> pace = Optional.empty();
         private boolean busy;
         private int failures;
 
@@ -183,6 +191,7 @@
             waiting = new ArrayList<>(owner.waiting);
             underway = owner.underway;
             unsettled = owner.unsettled;
+            pace = owner.pace;
             busy = owner.busy;
             failures = owner.failures;
         }
--- a/policy/src/main/java/org/baobabcart/policy/claim/PartitionOwners.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/PartitionOwners.java
@@ -13,7 +13,7 @@
  */
 public final class PartitionOwners {
     /** Journals in the platform, the same at every router; each router writes its share. */
-    public static final int PARTITIONS = 64;
+    public static final int PARTITIONS = 128;
 
     private static final long GOLDEN_GAMMA = 0x9E3779B97F4A7C15L;
 
--- a/policy/src/test/java/org/baobabcart/policy/claim/ClaimWorld.java
+++ b/policy/src/test/java/org/baobabcart/policy/claim/ClaimWorld.java
@@ -397,8 +397,9 @@
             platform(() -> read(caller));
         } else if (command instanceof OwnerStep.Write write) {
             platform(() -> write(caller, write));
-        } else {
+        } else if (command instanceof OwnerStep.Pause pause) {
             at(nodeIndex, () -> {
+                nowNanos += pause.delayNanos();
                 node.owner = node.owner.resumed();
                 proceed(nodeIndex);
             });
