--- a/policy/src/main/java/org/baobabcart/policy/claim/Claim.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/Claim.java
@@ -23,7 +23,7 @@
         Optional<KeptAnswer> answer,
         long changedAtMillis,
         long retentionMillis) {
-    private static final int FIXED_CHARACTERS = 256;
+    private static final int FIXED_CHARACTERS = 300;
     private static final long GRANT_BOUND_MILLIS = Attempt.GRANT_BOUND_NANOS / 1_000_000;
 
     /** What is known of the attempt. */
@@ -65,7 +65,7 @@
         return clockMillis - changedAtMillis > retentionMillis + GRANT_BOUND_MILLIS;
     }
 
-    /** About how many characters the claim takes in a journal. */
+    /** At most how many bytes the claim takes in a journal, if its texts are ASCII. */
     public int characters() {
         return FIXED_CHARACTERS
                 + claimant.length()
--- a/policy/src/main/java/org/baobabcart/policy/claim/ClaimJournal.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/ClaimJournal.java
@@ -59,7 +59,7 @@
         return new JournalChange(new ClaimJournal(newWriteId, clockMillis, draft.claims()), results, draft.changed());
     }
 
-    /** About how many characters the journal takes. */
+    /** At most how many bytes the claims take. */
     public int characters() {
         return claims.values().stream().mapToInt(Claim::characters).sum();
     }
--- a/policy/src/main/java/org/baobabcart/policy/claim/KeptAnswer.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/KeptAnswer.java
@@ -15,8 +15,9 @@
     /** Largest answer, in characters of headers and Base64 body, that is kept whole. */
     public static final int LARGEST_CHARACTERS = 4096;
 
-    private static final int FIXED_CHARACTERS = 64;
+    private static final int FIXED_CHARACTERS = 128;
     private static final int CHARACTERS_PER_HEADER = 8;
+    private static final int LONGEST_ESCAPE = 6;
 
     /** Copies the headers. */
     public KeptAnswer {
@@ -40,11 +41,20 @@
         return new KeptAnswer(status, Map.of(), "", true);
     }
 
-    /** About how many characters the answer takes in a journal. */
+    /** At most how many bytes the answer takes in a journal. */
     public int characters() {
         int headerCharacters = headers.entrySet().stream()
-                .mapToInt(header -> header.getKey().length() + header.getValue().length() + CHARACTERS_PER_HEADER)
+                .mapToInt(header -> CHARACTERS_PER_HEADER + escaped(header.getKey()) + escaped(header.getValue()))
                 .sum();
         return FIXED_CHARACTERS + headerCharacters + body.length();
     }
+
+    /** Characters that JSON escapes or UTF-8 spreads over several bytes are counted as the longest escape. */
+    private static int escaped(String text) {
+        return text.chars()
+                .map(character -> character >= ' ' && character < '\u007f' && character != '"' && character != '\\'
+                        ? 1
+                        : LONGEST_ESCAPE)
+                .sum();
+    }
 }
