--- a/bench/src/main/java/org/baobabcart/bench/BenchFleet.java
+++ b/bench/src/main/java/org/baobabcart/bench/BenchFleet.java
@@ -12,7 +12,7 @@
 import org.baobabcart.model.result.ResultCode;
 
 /** A local fleet with its sheet in force. Used by one thread. */
-final class BenchFleet implements AutoCloseable {
+public final class BenchFleet implements AutoCloseable {
     private static final Duration READY_TIMEOUT = Duration.ofSeconds(30);
     private static final long POLL_MILLIS = 100;
 
@@ -23,12 +23,12 @@
     }
 
     /** Starts a fleet with its default sheet and waits until each router has it and sees all upstreams. */
-    static BenchFleet start(FleetSettings settings) {
+    public static BenchFleet start(FleetSettings settings) {
         return start(settings, null);
     }
 
     /** Starts a fleet with a sheet of its own. */
-    static BenchFleet start(FleetSettings settings, JsonNode sheet) {
+    public static BenchFleet start(FleetSettings settings, JsonNode sheet) {
         BenchFleet bench = new BenchFleet(LocalFleet.start(settings));
         try {
             LocalFleet fleet = bench.fleet;
@@ -44,23 +44,25 @@
         return bench;
     }
 
-    LocalFleet processes() {
+    /** The processes. */
+    public LocalFleet processes() {
         return fleet;
     }
 
-    List<String> callerAddresses() {
+    /** Addresses of the caller ports. */
+    public List<String> callerAddresses() {
         return fleet.routers().stream().map(FleetNode::caller).toList();
     }
 
     /** The workspaces of the sheet as load, all with the same share. */
-    List<LoadWorkspace> workspaces() {
+    public List<LoadWorkspace> workspaces() {
         return fleet.defaultSheet().workspaces().stream()
                 .map(workspace -> new LoadWorkspace(workspace.name(), workspace.key(), 1))
                 .toList();
     }
 
     /** Waits until each router's status satisfies a condition. */
-    void await(Predicate<JsonNode> condition) {
+    public void await(Predicate<JsonNode> condition) {
         long deadline = System.nanoTime() + READY_TIMEOUT.toNanos();
         for (FleetNode router : fleet.routers()) {
             while (!condition.test(fleet.calls().get(router.admin() + "/status").body())) {
--- a/load/src/main/java/org/baobabcart/load/LoadPlan.java
+++ b/load/src/main/java/org/baobabcart/load/LoadPlan.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.ToDoubleFunction;
+import org.baobabcart.model.request.RequestIds;
 
 /** Draws all requests of a load from its seed before the first one is sent. */
 final class LoadPlan {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String CHAT_PATH = "/v1/chat/completions";
     private static final double NANOS_PER_SECOND = 1e9;
 
     private LoadPlan() {}
@@ -26,11 +28,22 @@
             String rank = draw(settings.ranks(), RankShare::share, random).rank();
             String target = settings.targets().get(index % settings.targets().size());
             String body = body(settings, random.nextInt(settings.prompts()), index);
-            requests.add(new PlannedRequest(starts[index], target, workspace, rank, body));
+            requests.add(
+                    settings.bookingService().isEmpty()
+                            ? new PlannedRequest(starts[index], target, workspace, rank, CHAT_PATH, "", body)
+                            : booking(settings, starts[index], target, workspace, rank, index));
         }
         return requests;
     }
 
+    /** A booking; its key is unique over all loads of this machine, since a repeated one would be replayed. */
+    private static PlannedRequest booking(
+            LoadSettings settings, long start, String target, LoadWorkspace workspace, String rank, int index) {
+        String path = "/services/" + settings.bookingService() + "/bookings";
+        String body = MAPPER.createObjectNode().put("item", "pane " + index).toString();
+        return new PlannedRequest(start, target, workspace, rank, path, RequestIds.next(), body);
+    }
+
     private static <T> T draw(List<T> choices, ToDoubleFunction<T> share, SplittableRandom random) {
         double total = choices.stream().mapToDouble(share).sum();
         double point = random.nextDouble() * total;
--- a/load/src/main/java/org/baobabcart/load/LoadSettings.java
+++ b/load/src/main/java/org/baobabcart/load/LoadSettings.java
@@ -20,6 +20,7 @@
  * @param promptCharacters the length of a prompt
  * @param retries how often a refused request is sent again after the time that the refusal names
  * @param timeout when a request is given up, from its planned start
+ * @param bookingService the service that takes bookings with fresh keys in place of model requests, or empty
  * @param seed the seed of arrivals, ranks, workspaces and prompts
  */
 public record LoadSettings(
@@ -37,6 +38,7 @@
         int promptCharacters,
         int retries,
         Duration timeout,
+        String bookingService,
         long seed) {
     private static final int MOST_REQUESTS = 100_000;
     private static final int TOKENS = 16;
@@ -67,6 +69,7 @@
                 PROMPT_CHARACTERS,
                 0,
                 Duration.ofSeconds(30),
+                "",
                 1);
     }
 
@@ -87,6 +90,7 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
                 seed);
     }
 
@@ -107,6 +111,7 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
                 seed);
     }
 
@@ -127,6 +132,7 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
                 seed);
     }
 
@@ -147,6 +153,7 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
                 seed);
     }
 
@@ -167,6 +174,7 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
                 seed);
     }
 
@@ -187,6 +195,7 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
                 seed);
     }
 
@@ -207,6 +216,7 @@
                 newCharacters,
                 retries,
                 timeout,
+                bookingService,
                 seed);
     }
 
@@ -227,6 +237,28 @@
                 promptCharacters,
                 newRetries,
                 newTimeout,
+                bookingService,
+                seed);
+    }
+
+    /** Bookings of a service, each with a key of its own, in place of model requests. */
+    public LoadSettings withBookings(String service) {
+        return new LoadSettings(
+                targets,
+                shape,
+                ratePerSecond,
+                duration,
+                mostRequests,
+                workspaces,
+                ranks,
+                model,
+                false,
+                tokens,
+                prompts,
+                promptCharacters,
+                retries,
+                timeout,
+                service,
                 seed);
     }
 
@@ -247,6 +279,7 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
                 newSeed);
     }
 }
--- a/load/src/main/java/org/baobabcart/load/PlannedRequest.java
+++ b/load/src/main/java/org/baobabcart/load/PlannedRequest.java
@@ -7,6 +7,15 @@
  * @param target the base address it goes to first
  * @param workspace who sends it
  * @param rank its rank, or empty
+ * @param path the path below the target
+ * @param idempotencyKey the key of a call that may not be repeated, or empty
  * @param body the JSON body
  */
-record PlannedRequest(long startNanos, String target, LoadWorkspace workspace, String rank, String body) {}
+record PlannedRequest(
+        long startNanos,
+        String target,
+        LoadWorkspace workspace,
+        String rank,
+        String path,
+        String idempotencyKey,
+        String body) {}
--- a/load/src/main/java/org/baobabcart/load/RequestRun.java
+++ b/load/src/main/java/org/baobabcart/load/RequestRun.java
@@ -22,10 +22,10 @@
  */
 final class RequestRun {
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final String PATH = "/v1/chat/completions";
     private static final String STREAM_END = "data: [DONE]";
     private static final String FIRST_CONTENT = "data: {";
     private static final int OK = 200;
+    private static final int FIRST_FAILURE_STATUS = 300;
 
     private final Vertx vertx;
     private final HttpClient client;
@@ -76,7 +76,7 @@
         recorder.record(request, GroupRecorder::tried);
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.POST)
-                .setAbsoluteURI(request.target() + PATH)
+                .setAbsoluteURI(request.target() + request.path())
                 .setTimeout(leftMillis());
         client.request(options)
                 .compose(this::sendBody)
@@ -91,6 +91,9 @@
         if (!request.rank().isEmpty()) {
             http.putHeader(Headers.RANK, request.rank());
         }
+        if (!request.idempotencyKey().isEmpty()) {
+            http.putHeader(Headers.IDEMPOTENCY_KEY, request.idempotencyKey());
+        }
         http.idleTimeout(settings.timeout().toMillis());
         return http.send(request.body());
     }
@@ -120,7 +123,7 @@
     }
 
     private void finish(HttpClientResponse response) {
-        if (response.statusCode() != OK) {
+        if (response.statusCode() < OK || response.statusCode() >= FIRST_FAILURE_STATUS) {
             refused();
         } else if (whole()) {
             complete();
