Measurements upstream-choice, rank-flood, small-callers and wake-storm with their baselines

Change: fleets of four routers and six engines; baselines go straight to the engines (round robin, least-request, one first-come queue), the wake storm's baseline comes back after a fixed time.

--- a/bench/src/main/java/org/baobabcart/bench/BenchMain.java
+++ b/bench/src/main/java/org/baobabcart/bench/BenchMain.java
@@ -20,8 +20,13 @@
     private static final int REACHED = 0;
     private static final int NOT_REACHED = 1;
     private static final int COULD_NOT_RUN = 2;
-    private static final List<Measurement> MEASUREMENTS =
-            List.of(new AddedLatencyMeasurement(), new ThroughputMeasurement());
+    private static final List<Measurement> MEASUREMENTS = List.of(
+            new AddedLatencyMeasurement(),
+            new ThroughputMeasurement(),
+            new UpstreamChoiceMeasurement(),
+            new RankFloodMeasurement(),
+            new SmallCallersMeasurement(),
+            new WakeStormMeasurement());
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build();
 
--- a/load/src/main/java/org/baobabcart/load/LatencySummary.java
+++ b/load/src/main/java/org/baobabcart/load/LatencySummary.java
@@ -1,5 +1,8 @@
 package org.baobabcart.load;
 
+import java.util.Collections;
+import java.util.Map;
+import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -10,13 +13,20 @@
  * @param p95 the 95th percentile
  * @param p99 the 99th percentile
  * @param most the greatest value
+ * @param within the number of values up to each of some limits in milliseconds
  */
-public record LatencySummary(long count, double p50, double p95, double p99, double most) {
+public record LatencySummary(long count, double p50, double p95, double p99, double most, Map<Long, Long> within) {
+    private static final long[] LIMITS_MILLIS = {100, 200, 400, 800, 1_600, 3_000, 10_000, 30_000};
     private static final double NANOS_PER_MILLI = 1e6;
     private static final double MEDIAN = 50;
     private static final double PERCENTILE_95 = 95;
     private static final double PERCENTILE_99 = 99;
 
+    /** Copies the map and keeps its order. */
+    public LatencySummary {
+        within = Collections.unmodifiableMap(new TreeMap<>(within));
+    }
+
     /** The summary of a histogram of nanoseconds. */
     static LatencySummary of(Histogram histogram) {
         return new LatencySummary(
@@ -24,6 +34,15 @@
                 histogram.getValueAtPercentile(MEDIAN) / NANOS_PER_MILLI,
                 histogram.getValueAtPercentile(PERCENTILE_95) / NANOS_PER_MILLI,
                 histogram.getValueAtPercentile(PERCENTILE_99) / NANOS_PER_MILLI,
-                histogram.getMaxValue() / NANOS_PER_MILLI);
+                histogram.getMaxValue() / NANOS_PER_MILLI,
+                within(histogram));
+    }
+
+    private static Map<Long, Long> within(Histogram histogram) {
+        Map<Long, Long> counts = new TreeMap<>();
+        for (long limit : LIMITS_MILLIS) {
+            counts.put(limit, histogram.getCountBetweenValues(0, (long) (limit * NANOS_PER_MILLI)));
+        }
+        return counts;
     }
 }
--- a/load/src/main/java/org/baobabcart/load/LoadGenerator.java
+++ b/load/src/main/java/org/baobabcart/load/LoadGenerator.java
@@ -41,10 +41,16 @@
         LoadRecorder recorder = new LoadRecorder();
         CountDownLatch open = new CountDownLatch(plan.size());
         long origin = System.nanoTime();
-        for (PlannedRequest request : plan) {
-            pauseUntil(origin + request.startNanos());
+        Targets targets = Targets.of(settings.targets());
+        for (PlannedRequest planned : plan) {
+            pauseUntil(origin + planned.startNanos());
+            PlannedRequest request = targets.aim(planned, settings.choice());
+            targets.begun(request);
             recorder.record(request, GroupRecorder::planned);
-            RequestRun.start(vertx, client, settings, request, origin, recorder, open::countDown);
+            RequestRun.start(vertx, client, settings, request, origin, recorder, () -> {
+                targets.ended(request);
+                open.countDown();
+            });
         }
         await(open, settings);
         return recorder.report();
--- a/load/src/main/java/org/baobabcart/load/LoadSettings.java
+++ b/load/src/main/java/org/baobabcart/load/LoadSettings.java
@@ -21,6 +21,8 @@
  * @param retries how often a refused request is sent again after the time that the refusal names
  * @param timeout when a request is given up, from its planned start
  * @param bookingService the service that takes bookings with fresh keys in place of model requests, or empty
+ * @param choice which target a request goes to
+ * @param fixedRetry the time to the next try in place of the refusal's own, or zero
  * @param seed the seed of arrivals, ranks, workspaces and prompts
  */
 public record LoadSettings(
@@ -39,6 +41,8 @@
         int retries,
         Duration timeout,
         String bookingService,
+        TargetChoice choice,
+        Duration fixedRetry,
         long seed) {
     private static final int MOST_REQUESTS = 100_000;
     private static final int TOKENS = 16;
@@ -70,6 +74,8 @@
                 0,
                 Duration.ofSeconds(30),
                 "",
+                TargetChoice.ROUND_ROBIN,
+                Duration.ZERO,
                 1);
     }
 
@@ -91,6 +97,8 @@
                 retries,
                 timeout,
                 bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -112,6 +120,8 @@
                 retries,
                 timeout,
                 bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -133,6 +143,8 @@
                 retries,
                 timeout,
                 bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -154,6 +166,8 @@
                 retries,
                 timeout,
                 bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -175,6 +189,8 @@
                 retries,
                 timeout,
                 bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -196,6 +212,8 @@
                 retries,
                 timeout,
                 bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -217,6 +235,8 @@
                 retries,
                 timeout,
                 bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -238,6 +258,8 @@
                 newRetries,
                 newTimeout,
                 bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -259,6 +281,54 @@
                 retries,
                 timeout,
                 service,
+                choice,
+                fixedRetry,
+                seed);
+    }
+
+    /** The same load with another choice of targets. */
+    public LoadSettings withChoice(TargetChoice newChoice) {
+        return new LoadSettings(
+                targets,
+                shape,
+                ratePerSecond,
+                duration,
+                mostRequests,
+                workspaces,
+                ranks,
+                model,
+                stream,
+                tokens,
+                prompts,
+                promptCharacters,
+                retries,
+                timeout,
+                bookingService,
+                newChoice,
+                fixedRetry,
+                seed);
+    }
+
+    /** The same load whose refused requests come back after a fixed time, whatever the refusal says. */
+    public LoadSettings withFixedRetry(Duration newFixedRetry) {
+        return new LoadSettings(
+                targets,
+                shape,
+                ratePerSecond,
+                duration,
+                mostRequests,
+                workspaces,
+                ranks,
+                model,
+                stream,
+                tokens,
+                prompts,
+                promptCharacters,
+                retries,
+                timeout,
+                bookingService,
+                choice,
+                newFixedRetry,
                 seed);
     }
 
@@ -280,6 +350,8 @@
                 retries,
                 timeout,
                 bookingService,
+                choice,
+                fixedRetry,
                 newSeed);
     }
 }
--- a/load/src/main/java/org/baobabcart/load/PlannedRequest.java
+++ b/load/src/main/java/org/baobabcart/load/PlannedRequest.java
@@ -18,4 +18,9 @@
         String rank,
         String path,
         String idempotencyKey,
-        String body) {}
+        String body) {
+    /** The same request to another target. */
+    PlannedRequest withTarget(String newTarget) {
+        return new PlannedRequest(startNanos, newTarget, workspace, rank, path, idempotencyKey, body);
+    }
+}
--- a/load/src/main/java/org/baobabcart/load/RequestRun.java
+++ b/load/src/main/java/org/baobabcart/load/RequestRun.java
@@ -140,7 +140,10 @@
     private void refused() {
         JsonNode error = errorOf(body);
         boolean notRun = "no".equals(error.path("ran").asText());
-        long retryMillis = error.path("retry_after_ms").asLong(0);
+        long ownMillis = error.path("retry_after_ms").asLong(0);
+        long retryMillis = settings.fixedRetry().isZero()
+                ? ownMillis
+                : settings.fixedRetry().toMillis();
         if (notRun && triesMade <= settings.retries() && retryMillis > 0 && retryMillis < leftMillis()) {
             body = Buffer.buffer();
             firstTokenNanoTime = 0;
