Membership: bounded bursts of news, no news from whole lists; tests of fleets in memory

Cause: after a start of many routers at once news waited long behind a fixed six items a message, and each joiner passed on the whole list that it had just been given. Change: a message carries a quarter of the waiting news, at most 64 items; members learned from a whole list are not news.

--- a/policy/src/main/java/org/baobabcart/policy/member/GossipQueue.java
+++ b/policy/src/main/java/org/baobabcart/policy/member/GossipQueue.java
@@ -51,6 +51,11 @@
         return taken;
     }
 
+    /** The number of items that are still to be passed on. */
+    public int size() {
+        return items.size();
+    }
+
     /** How often an item is passed on in a fleet of this size. */
     public static int sends(int fleetSize) {
         int doublings = Integer.SIZE - Integer.numberOfLeadingZeros(Math.max(1, fleetSize));
--- a/router/src/main/java/org/baobabcart/router/member/MembershipController.java
+++ b/router/src/main/java/org/baobabcart/router/member/MembershipController.java
@@ -37,6 +37,11 @@
 public final class MembershipController implements Controller, MemberHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    /** A message carries more news when more than this many messages' worth is waiting, as after a power cut. */
+    private static final int BURST_SHARE = 4;
+
+    private static final int UPDATES_BESIDES_NEWS = 2;
+
     private final MembershipSettings settings;
     private final Blackboard blackboard;
     private final Executor loop;
@@ -52,6 +57,8 @@
     private final List<TimerService.Subscription> subscriptions = new ArrayList<>();
     private MembershipTable table = MembershipTable.empty();
     private MemberStatement self;
+    private MembershipTable publishedTable;
+    private MemberStatement publishedSelf;
     private long periods;
     private boolean spreading;
 
@@ -221,7 +228,7 @@
     private void missed(MemberStatement target) {
         table.of(target.nodeId())
                 .filter(current -> current.incarnation() == target.incarnation())
-                .ifPresent(current -> merge(current.withLiveness(afterMiss(current.liveness()))));
+                .ifPresent(current -> learn(current.withLiveness(afterMiss(current.liveness()))));
         publish();
     }
 
@@ -236,7 +243,7 @@
         long timeout = settings.suspicion(table.statements().size() + 1).toNanos();
         for (MemberStatement statement : List.copyOf(table.statements())) {
             if (statement.liveness() == Liveness.SUSPECT && unchangedFor(statement, timeout)) {
-                merge(statement.withLiveness(Liveness.DEAD));
+                learn(statement.withLiveness(Liveness.DEAD));
             }
         }
         publish();
@@ -269,27 +276,40 @@
 
     private void take(Exchange incoming, String peerAddress) {
         timeline.receive(incoming.getClock());
-        merge(MemberCodec.fromWire(incoming.getSender()));
+        learn(MemberCodec.fromWire(incoming.getSender()));
+        boolean wholeList = incoming.getUpdatesSize() > settings.updatesInBurst() + UPDATES_BESIDES_NEWS;
         for (MemberUpdate update : incoming.getUpdates()) {
-            merge(MemberCodec.fromWire(update));
+            MemberStatement statement = MemberCodec.fromWire(update);
+            boolean changed = merge(statement);
+            if (changed && !wholeList) {
+                news.add(statement);
+            }
         }
         publish();
         participants.forEach(participant -> participant.received(incoming, peerAddress));
     }
 
-    private void merge(MemberStatement statement) {
+    private void learn(MemberStatement statement) {
+        if (merge(statement)) {
+            news.add(statement);
+        }
+    }
+
+    /** Takes a statement in; the result is whether it told anything new of another member. */
+    private boolean merge(MemberStatement statement) {
         if (statement.nodeId().equals(self.nodeId())) {
             refute(statement);
-            return;
+            return false;
         }
         MembershipTable merged = table.with(statement);
-        if (merged != table) {
-            table = merged;
-            changedAtNanos.put(statement.nodeId(), timers.nanoTime());
-            news.add(statement);
-            timeline.record(EventType.MEMBER_CHANGED, describe(statement));
-            LOGGER.atInfo().log("event=member_changed %s", describe(statement));
+        if (merged == table) {
+            return false;
         }
+        table = merged;
+        changedAtNanos.put(statement.nodeId(), timers.nanoTime());
+        timeline.record(EventType.MEMBER_CHANGED, describe(statement));
+        LOGGER.atInfo().log("event=member_changed %s", describe(statement));
+        return true;
     }
 
     private void refute(MemberStatement statement) {
@@ -338,7 +358,13 @@
                 .toList();
     }
 
+    /** Tables are immutable, so that an unchanged one is the same instance. */
     private void publish() {
+        if (table == publishedTable && self.equals(publishedSelf)) {
+            return;
+        }
+        publishedTable = table;
+        publishedSelf = self;
         List<Member> others =
                 table.statements().stream().map(MemberCodec::toMember).toList();
         blackboard.write(Sections.MEMBERS, new Members(MemberCodec.toMember(self), others));
--- a/router/src/main/java/org/baobabcart/router/member/MembershipSettings.java
+++ b/router/src/main/java/org/baobabcart/router/member/MembershipSettings.java
@@ -11,6 +11,7 @@
  * @param suspicionPeriods how many probe periods a suspect has to refute, for each tenfold size of the fleet
  * @param deadRetention how long a dead member is remembered
  * @param updatesPerMessage the greatest number of news items in one message
+ * @param updatesInBurst the greatest number of news items in one message while much news is waiting
  * @param updatesForJoiner the greatest number of members told to one that has just joined
  * @param seedPeriods every how many probe periods one seed that is not a live member is tried
  * @param fanOut how many members are told at once of something new
@@ -22,13 +23,14 @@
         int suspicionPeriods,
         Duration deadRetention,
         int updatesPerMessage,
+        int updatesInBurst,
         int updatesForJoiner,
         int seedPeriods,
         int fanOut) {
     /** Settings for a fleet of some hundred routers. */
     public static MembershipSettings defaults() {
         return new MembershipSettings(
-                Duration.ofSeconds(1), Duration.ofMillis(500), 2, 3, Duration.ofMinutes(10), 6, 500, 4, 3);
+                Duration.ofSeconds(1), Duration.ofMillis(500), 2, 3, Duration.ofMinutes(10), 6, 64, 500, 4, 3);
     }
 
     /** How long a suspect has to refute in a fleet of this size. */
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/document/Fleet.java
@@ -0,0 +1,97 @@
+package org.baobabcart.router.document;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.model.sheet.Sheet;
+import org.baobabcart.router.sheet.PublishRequest;
+import org.baobabcart.router.sheet.SheetPublisher;
+import org.baobabcart.router.testing.InMemoryObjectStore;
+import org.baobabcart.router.testing.ManualExecutor;
+import org.baobabcart.router.testing.ManualTimerService;
+import org.baobabcart.router.testing.PeerNetwork;
+import org.baobabcart.router.testing.TestSheets;
+
+/** Nodes with real controllers of membership and sheet over a platform and a network in memory; time is driven by hand. */
+final class Fleet {
+    private static final Duration TICK = Duration.ofMillis(100);
+
+    final InMemoryObjectStore store = InMemoryObjectStore.create();
+    final ManualTimerService timers = ManualTimerService.create();
+    final ManualExecutor loop = ManualExecutor.create();
+    final PeerNetwork network = PeerNetwork.create();
+    final SplittableRandom random;
+    final List<FleetNode> nodes = new ArrayList<>();
+    private final int dataCentres;
+
+    Fleet(int size, int dataCentres, long seed) {
+        this.random = new SplittableRandom(seed);
+        this.dataCentres = dataCentres;
+        timers.advance(Duration.ofSeconds(1));
+        for (int index = 0; index < size; index++) {
+            nodes.add(FleetNode.start(this, index, List.of(FleetNode.address(0), FleetNode.address(1))));
+        }
+        loop.runAll();
+    }
+
+    String dataCentre(int index) {
+        return "dc-" + index % dataCentres;
+    }
+
+    void advance(Duration duration) {
+        for (long ticks = duration.dividedBy(TICK); ticks > 0; ticks--) {
+            timers.advance(TICK);
+            loop.runAll();
+        }
+    }
+
+    void restart(int index) {
+        nodes.get(index).stop();
+        advance(TICK);
+        nodes.set(index, FleetNode.start(this, index, List.of(FleetNode.address(0), FleetNode.address(1))));
+        loop.runAll();
+    }
+
+    PublishedSheet publish(String name) {
+        return publish(TestSheets.named(name));
+    }
+
+    PublishedSheet publish(Sheet sheet) {
+        SheetPublisher publisher = SheetPublisher.create(store, timers, PublishSettings.defaults());
+        PublishedSheet published = publisher
+                .publish(PublishRequest.of(sheet, "operator"))
+                .await()
+                .indefinitely()
+                .document();
+        loop.runAll();
+        return published;
+    }
+
+    List<Long> generations() {
+        return nodes.stream().map(FleetNode::generation).toList();
+    }
+
+    boolean everyoneHas(long generation) {
+        return generations().stream().allMatch(held -> held == generation);
+    }
+
+    boolean everyoneSeesEveryone() {
+        return nodes.stream().allMatch(node -> node.liveOthers() == nodes.size() - 1);
+    }
+
+    /** How long it took until the condition held; empty if it did not within the bound. */
+    Optional<Duration> timeUntil(java.util.function.BooleanSupplier condition, Duration bound) {
+        Duration passed = Duration.ZERO;
+        while (!condition.getAsBoolean()) {
+            if (passed.compareTo(bound) >= 0) {
+                return Optional.empty();
+            }
+            advance(TICK);
+            passed = passed.plus(TICK);
+        }
+        return Optional.of(passed);
+    }
+}
