--- /dev/null
+++ b/integration/src/test/java/org/baobabcart/integration/control/ControlFleetTest.java
@@ -0,0 +1,244 @@
+package org.baobabcart.integration.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.is;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.Vertx;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.baobabcart.launcher.FleetNode;
+import org.baobabcart.launcher.FleetSettings;
+import org.baobabcart.launcher.LocalFleet;
+import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.model.sheet.Sheet;
+import org.baobabcart.router.control.ControlLoop;
+import org.baobabcart.router.control.SystemTimerService;
+import org.baobabcart.router.document.Publication;
+import org.baobabcart.router.document.PublishSettings;
+import org.baobabcart.router.platform.HttpObjectStore;
+import org.baobabcart.router.platform.ObjectStore;
+import org.baobabcart.router.platform.PlatformSettings;
+import org.baobabcart.router.sheet.PublishRequest;
+import org.baobabcart.router.sheet.SheetPublisher;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.MethodOrderer;
+import org.junit.jupiter.api.Order;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.TestMethodOrder;
+
+/** The control plane of real router processes: sheets, an outage of the platform, racing operators and planned stops. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+@TestMethodOrder(MethodOrderer.OrderAnnotation.class)
+class ControlFleetTest {
+    private static final Duration BOUND = Duration.ofSeconds(60);
+    private static final Duration POLL = Duration.ofMillis(20);
+    private static final int OPERATORS = 6;
+    private static final int STREAMS = 12;
+    private static final int TOKENS = 200;
+
+    private final HttpClient http = HttpClient.newHttpClient();
+    private final Vertx vertx = Vertx.vertx();
+    private final ControlLoop loop = ControlLoop.create("operators");
+    private LocalFleet fleet;
+
+    @BeforeAll
+    void startFleet() {
+        fleet = LocalFleet.start(FleetSettings.defaults().withName("control").withRoutersPerDataCentre(2));
+    }
+
+    @AfterAll
+    void closeFleet() {
+        if (fleet != null) {
+            fleet.close();
+        }
+        loop.close();
+        vertx.close();
+    }
+
+    @Test
+    @Order(1)
+    void aPublishedSheetIsInForceOnEveryRouter() {
+        long generation = fleet.publish(fleet.defaultSheet().toJson());
+        await(() -> generations().allMatch(held -> held == generation));
+        await(() -> statuses().allMatch(status -> status.path("ready").asBoolean()));
+    }
+
+    @Test
+    @Order(2)
+    void ofRacingOperatorsOneWinsEverywhere() {
+        String platform = fleet.platform().url("http");
+        ObjectStore store = HttpObjectStore.create(vertx, URI.create(platform), PlatformSettings.defaults());
+        SheetPublisher publisher =
+                SheetPublisher.create(store, SystemTimerService.on(loop), PublishSettings.defaults());
+        List<CompletableFuture<Publication<PublishedSheet>>> racing = new ArrayList<>();
+        for (int operator = 0; operator < OPERATORS; operator++) {
+            PublishRequest request = PublishRequest.of(renamed("race-" + operator), "operator-" + operator);
+            racing.add(publisher.publish(request).subscribeAsCompletionStage());
+        }
+        List<Publication<PublishedSheet>> ends =
+                racing.stream().map(CompletableFuture::join).toList();
+        List<PublishedSheet> accepted = ends.stream()
+                .filter(Publication::accepted)
+                .map(Publication::document)
+                .toList();
+        assertThat(accepted.isEmpty(), is(false));
+        assertThat(accepted.stream().map(PublishedSheet::generation).distinct().count(), is((long) accepted.size()));
+        PublishedSheet winner = publisher.current().await().atMost(BOUND).orElseThrow();
+        assertThat(accepted.stream().anyMatch(sheet -> sheet.publishId().equals(winner.publishId())), is(true));
+        await(() -> publishIds().allMatch(winner.publishId()::equals));
+        fleet.routers().forEach(this::assertGenerationsOnlyGrow);
+    }
+
+    @Test
+    @Order(3)
+    void aRouterThatStartsWhileThePlatformIsAwayTakesSheetAndKeysFromAPeer() {
+        long generation = generations().findFirst().orElseThrow();
+        fleet.fault(fleet.platform(), "{\"outage\":true}");
+        FleetNode started = fleet.startRouter("router-a-late", "a");
+        await(() -> status(started).path("ready").asBoolean());
+        JsonNode sheet = status(started).path("sheet");
+        assertThat(sheet.path("generation").asLong(), is(generation));
+        assertThat(sheet.path("source").asText(), is("PEER"));
+        assertThat(sheet.path("ageMillis").asLong() >= 0, is(true));
+        fleet.fault(fleet.platform(), "{\"outage\":false}");
+        await(() -> status(started).path("platformReachable").asBoolean());
+    }
+
+    @Test
+    @Order(4)
+    void aPlannedStopCutsOffNoStream() {
+        FleetNode stopping = fleet.routers().get(0);
+        await(() -> status(stopping).path("ready").asBoolean());
+        List<CompletableFuture<HttpResponse<String>>> streams = new ArrayList<>();
+        for (int stream = 0; stream < STREAMS; stream++) {
+            streams.add(http.sendAsync(streamRequest(stopping), HttpResponse.BodyHandlers.ofString()));
+        }
+        await(() -> running() > 0);
+        stopping.process().requestStop();
+        await(() -> readiness(stopping) == 503);
+        streams.add(http.sendAsync(streamRequest(stopping), HttpResponse.BodyHandlers.ofString()));
+        List<HttpResponse<String>> answers =
+                streams.stream().map(CompletableFuture::join).toList();
+        assertThat(answers.stream().map(HttpResponse::statusCode).toList(), everyItem(is(200)));
+        assertThat(answers.stream().map(HttpResponse::body).toList(), everyItem(containsString("data: [DONE]")));
+        assertThat(stopping.process().awaitExit(BOUND), is(0));
+        FleetNode other = fleet.routers().get(1);
+        await(() -> Stream.of("LEAVING", "DEAD").anyMatch(memberState(other, stopping.name())::equals));
+    }
+
+    private Sheet renamed(String name) {
+        Sheet sheet = fleet.defaultSheet().sheet();
+        return new Sheet(
+                name,
+                sheet.defaultRank(),
+                sheet.ranks(),
+                sheet.models(),
+                sheet.cascades(),
+                sheet.workspaces(),
+                sheet.services(),
+                sheet.rollOuts(),
+                sheet.withdrawals());
+    }
+
+    private HttpRequest streamRequest(FleetNode router) {
+        String body = "{\"model\":\"layout-large\",\"stream\":true,\"max_tokens\":" + TOKENS
+                + ",\"messages\":[{\"role\":\"user\",\"content\":\"cut\"}]}";
+        return HttpRequest.newBuilder(URI.create(router.caller() + "/v1/chat/completions"))
+                .header(
+                        "Authorization",
+                        "Bearer " + fleet.defaultSheet().workspaces().get(0).key())
+                .header("Content-Type", "application/json")
+                .timeout(BOUND)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+    }
+
+    private int running() {
+        return fleet.engines().stream()
+                .mapToInt(engine -> fleet.runs(engine).size())
+                .sum();
+    }
+
+    private int readiness(FleetNode router) {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create(router.admin() + "/readyz")).build();
+        return http.sendAsync(request, HttpResponse.BodyHandlers.discarding())
+                .join()
+                .statusCode();
+    }
+
+    private void assertGenerationsOnlyGrow(FleetNode router) {
+        JsonNode events = fleet.calls()
+                .get(router.admin() + "/timeline?type=SHEET_APPLIED")
+                .body()
+                .path("events");
+        long last = 0;
+        for (JsonNode event : events) {
+            String detail = event.path("detail").asText();
+            long generation = Long.parseLong(detail.replaceAll(".*generation=(\\d+).*", "$1"));
+            assertThat(generation > last, is(true));
+            last = generation;
+        }
+    }
+
+    private static String memberState(JsonNode status, String name) {
+        for (JsonNode member : status.path("members")) {
+            if (member.path("nodeId").asText().equals(name)) {
+                return member.path("state").asText();
+            }
+        }
+        return "";
+    }
+
+    private String memberState(FleetNode router, String name) {
+        return memberState(status(router), name);
+    }
+
+    private Stream<Long> generations() {
+        return statuses().map(status -> status.path("sheet").path("generation").asLong());
+    }
+
+    private Stream<String> publishIds() {
+        return statuses().map(status -> status.path("sheet").path("publishId").asText());
+    }
+
+    private Stream<JsonNode> statuses() {
+        return fleet.routers().stream().map(this::status);
+    }
+
+    private JsonNode status(FleetNode router) {
+        return fleet.calls().get(router.admin() + "/status").body();
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long deadline = System.nanoTime() + BOUND.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - deadline > 0) {
+                throw new AssertionError("the condition did not come about within " + BOUND);
+            }
+            pause();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(POLL.toMillis());
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(exception);
+        }
+    }
+}
