--- a/router/src/main/java/org/baobabcart/router/platform/HttpObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/HttpObjectStore.java
@@ -1,5 +1,8 @@
 package org.baobabcart.router.platform;
 
+import static org.baobabcart.router.platform.CallEffect.NONE;
+import static org.baobabcart.router.platform.CallEffect.WRITE;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.smallrye.mutiny.Multi;
@@ -8,6 +11,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.ext.web.client.HttpRequest;
 import io.vertx.ext.web.client.HttpResponse;
 import io.vertx.ext.web.client.WebClient;
@@ -17,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.router.control.Futures;
@@ -27,7 +32,9 @@
  * <p>No call is repeated here: whether a repeat is safe is known to the caller alone.
  */
 public final class HttpObjectStore implements ObjectStore {
-    static final String BASE_PATH = "/apis/baobabcart/v1";
+    private static final String BASE_PATH = "/apis/baobabcart/v1";
+    private static final int STATUS_CLASS = 100;
+    private static final int SUCCESS = 2;
 
     private final String base;
     private final PlatformSettings settings;
@@ -40,8 +47,7 @@
         WebClientOptions options = new WebClientOptions()
                 .setConnectTimeout((int) settings.connectTimeout().toMillis())
                 .setKeepAlive(true);
-        this.client = WebClient.create(
-                vertx, options, new io.vertx.core.http.PoolOptions().setHttp1MaxSize(settings.connections()));
+        this.client = WebClient.create(vertx, options, new PoolOptions().setHttp1MaxSize(settings.connections()));
         this.watches = WatchStream.create(vertx, settings);
     }
 
@@ -52,13 +58,18 @@
 
     @Override
     public Uni<StoredObject> read(String kind, String name) {
-        return call(HttpMethod.GET, path(kind, name), CallEffect.NONE)
-                .map(response -> ObjectJson.object(kind, response.body().getBytes()));
+        return call(HttpMethod.GET, path(kind, name), NONE)
+                .map(answer -> ObjectJson.object(kind, answer))
+                .onFailure()
+                .transform(NONE::failure);
     }
 
     @Override
     public Uni<List<StoredObject>> list(String kind) {
-        return call(HttpMethod.GET, path(kind), CallEffect.NONE).map(response -> items(kind, response));
+        return call(HttpMethod.GET, path(kind), NONE)
+                .map(answer -> items(kind, answer))
+                .onFailure()
+                .transform(NONE::failure);
     }
 
     @Override
@@ -74,7 +85,7 @@
     @Override
     public Uni<Void> delete(StoredObject object) {
         String path = path(object.kind(), object.name()) + "?resourceVersion=" + encoded(object.resourceVersion());
-        return call(HttpMethod.DELETE, path, CallEffect.WRITE).replaceWithVoid();
+        return call(HttpMethod.DELETE, path, WRITE).replaceWithVoid();
     }
 
     @Override
@@ -86,40 +97,39 @@
 
     private Uni<StoredObject> write(HttpMethod method, String path, StoredObject object) {
         Buffer body = Buffer.buffer(ObjectJson.bytes(object));
-        return Futures.toUni(() -> request(method, path)
-                        .putHeader("Content-Type", "application/json")
-                        .sendBuffer(body))
+        return call(
+                        () -> request(method, path)
+                                .putHeader("Content-Type", "application/json")
+                                .sendBuffer(body),
+                        WRITE)
+                .map(answer -> ObjectJson.object(object.kind(), answer))
                 .onFailure()
-                .transform(CallEffect.WRITE::failure)
-                .map(response -> ObjectJson.object(object.kind(), checked(response, CallEffect.WRITE)));
+                .transform(WRITE::failure);
     }
 
-    private Uni<HttpResponse<Buffer>> call(HttpMethod method, String path, CallEffect effect) {
-        return Futures.toUni(() -> sent(method, path))
-                .onFailure()
-                .transform(effect::failure)
-                .invoke(response -> checked(response, effect));
+    private Uni<byte[]> call(HttpMethod method, String path, CallEffect effect) {
+        return call(() -> request(method, path).send(), effect);
     }
 
-    private Future<HttpResponse<Buffer>> sent(HttpMethod method, String path) {
-        return request(method, path).send();
+    private static Uni<byte[]> call(Supplier<Future<HttpResponse<Buffer>>> operation, CallEffect effect) {
+        return Futures.toUni(operation).onFailure().transform(effect::failure).map(response -> body(response, effect));
     }
 
     private HttpRequest<Buffer> request(HttpMethod method, String path) {
         return client.requestAbs(method, path).timeout(settings.callTimeout().toMillis());
     }
 
-    private static byte[] checked(HttpResponse<Buffer> response, CallEffect effect) {
+    private static byte[] body(HttpResponse<Buffer> response, CallEffect effect) {
         byte[] body = response.body() == null ? new byte[0] : response.body().getBytes();
-        if (response.statusCode() / 100 != 2) {
+        if (response.statusCode() / STATUS_CLASS != SUCCESS) {
             throw effect.refusal(response.statusCode(), ObjectJson.message(body), response.getHeader("Retry-After"));
         }
         return body;
     }
 
-    private static List<StoredObject> items(String kind, HttpResponse<Buffer> response) {
+    private static List<StoredObject> items(String kind, byte[] answer) {
         List<StoredObject> items = new ArrayList<>();
-        for (JsonNode item : ObjectJson.tree(response.body().getBytes()).path("items")) {
+        for (JsonNode item : ObjectJson.tree(answer).path("items")) {
             items.add(ObjectJson.object(kind, (ObjectNode) item));
         }
         return items;
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectJson.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectJson.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
@@ -56,8 +57,7 @@
         try {
             return MAPPER.readTree(body);
         } catch (IOException exception) {
-            throw BaobabcartException.of(ResultCode.PLATFORM_UNAVAILABLE, "the answer is not JSON")
-                    .withCause(exception);
+            throw new UncheckedIOException(exception);
         }
     }
 
--- a/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
+++ b/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
@@ -9,9 +9,11 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.parsetools.RecordParser;
-import java.time.Duration;
+import java.io.UncheckedIOException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.result.BaobabcartException;
@@ -24,17 +26,19 @@
  * by something between the two ends.
  */
 final class WatchStream {
+    private static final int MOST_WATCHES = 32;
     private static final int LONGEST_LINE_BYTES = 4 * 1024 * 1024;
 
     private final HttpClient client;
-    private final Duration silence;
 
     private WatchStream(Vertx vertx, PlatformSettings settings) {
         HttpClientOptions options = new HttpClientOptions()
                 .setConnectTimeout((int) settings.connectTimeout().toMillis())
-                .setKeepAlive(false);
-        this.client = vertx.createHttpClient(options);
-        this.silence = settings.watchDuration().plus(settings.watchSilence());
+                .setKeepAlive(false)
+                .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
+                .setIdleTimeout((int)
+                        settings.watchDuration().plus(settings.watchSilence()).toMillis());
+        this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MOST_WATCHES));
     }
 
     static WatchStream create(Vertx vertx, PlatformSettings settings) {
@@ -48,10 +52,7 @@
     private void begin(String kind, String address, MultiEmitter<? super ObjectEvent> emitter) {
         AtomicReference<HttpClientRequest> open = new AtomicReference<>();
         emitter.onTermination(() -> close(open.get()));
-        RequestOptions options = new RequestOptions()
-                .setMethod(HttpMethod.GET)
-                .setAbsoluteURI(address)
-                .setIdleTimeout(silence.toMillis());
+        RequestOptions options = new RequestOptions().setMethod(HttpMethod.GET).setAbsoluteURI(address);
         client.request(options)
                 .compose(request -> {
                     open.set(request);
@@ -80,7 +81,7 @@
         }
         try {
             emitter.emit(ObjectJson.event(kind, line.getBytes()));
-        } catch (IllegalArgumentException | BaobabcartException exception) {
+        } catch (IllegalArgumentException | UncheckedIOException exception) {
             emitter.fail(BaobabcartException.of(ResultCode.PLATFORM_UNAVAILABLE, "the watch sent an unknown event")
                     .withCause(exception));
         }
