Tests of view, feedback, readiness and a planned stop behind a balancer

Cause: a listener of feedback that throws took the rest of the queue with it; it is now guarded. The balancer test has not run yet.

--- a/integration/src/test/java/org/baobabcart/integration/control/ControlFleetTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/control/ControlFleetTest.java
@@ -48,6 +48,8 @@
     private static final int OPERATORS = 6;
     private static final int STREAMS = 12;
     private static final int TOKENS = 200;
+    private static final int CALLERS = 6;
+    private static final int CALLS = 60;
 
     private final HttpClient http = HttpClient.newHttpClient();
     private final Vertx vertx = Vertx.vertx();
@@ -139,6 +141,36 @@
         await(() -> Stream.of("LEAVING", "DEAD").anyMatch(memberState(other, stopping.name())::equals));
     }
 
+    @Test
+    @Order(5)
+    void aPlannedStopBehindABalancerFailsNoRequest() {
+        List<FleetNode> routers = fleet.routers().subList(2, 4);
+        ReadinessBalancer balancer = ReadinessBalancer.before(routers, this::readiness);
+        List<CompletableFuture<List<Integer>>> callers = new ArrayList<>();
+        for (int caller = 0; caller < CALLERS; caller++) {
+            callers.add(CompletableFuture.supplyAsync(() -> callAgainAndAgain(balancer)));
+        }
+        await(() -> balancer.chosen() > CALLERS);
+        routers.get(0).process().requestStop();
+        assertThat(routers.get(0).process().awaitExit(BOUND), is(0));
+        List<Integer> statuses =
+                callers.stream().flatMap(caller -> caller.join().stream()).toList();
+        balancer.close();
+        assertThat(statuses, everyItem(is(200)));
+        assertThat(statuses.size(), is(CALLERS * CALLS));
+    }
+
+    private List<Integer> callAgainAndAgain(ReadinessBalancer balancer) {
+        List<Integer> statuses = new ArrayList<>();
+        for (int call = 0; call < CALLS; call++) {
+            HttpRequest request = request(balancer.choose(), false, 1);
+            statuses.add(http.sendAsync(request, HttpResponse.BodyHandlers.discarding())
+                    .handle((answer, failure) -> failure == null ? answer.statusCode() : -1)
+                    .join());
+        }
+        return statuses;
+    }
+
     private Sheet renamed(String name) {
         Sheet sheet = fleet.defaultSheet().sheet();
         return new Sheet(
@@ -154,7 +186,11 @@
     }
 
     private HttpRequest streamRequest(FleetNode router) {
-        String body = "{\"model\":\"layout-large\",\"stream\":true,\"max_tokens\":" + TOKENS
+        return request(router, true, TOKENS);
+    }
+
+    private HttpRequest request(FleetNode router, boolean stream, int tokens) {
+        String body = "{\"model\":\"layout-large\",\"stream\":" + stream + ",\"max_tokens\":" + tokens
                 + ",\"messages\":[{\"role\":\"user\",\"content\":\"cut\"}]}";
         return HttpRequest.newBuilder(URI.create(router.caller() + "/v1/chat/completions"))
                 .header(
--- a/router/src/main/java/org/baobabcart/router/view/FeedbackQueue.java
+++ b/router/src/main/java/org/baobabcart/router/view/FeedbackQueue.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -16,6 +17,7 @@
  * an observation is dropped and counted.
  */
 public final class FeedbackQueue implements TrafficFeedback {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int CAPACITY = 4096;
 
     private final BlockingQueue<Consumer<FeedbackListener>> queue = new ArrayBlockingQueue<>(CAPACITY);
@@ -67,8 +69,19 @@
         draining.set(false);
         Consumer<FeedbackListener> observation = queue.poll();
         while (observation != null) {
-            listeners.forEach(observation);
+            for (FeedbackListener listener : listeners) {
+                deliver(observation, listener);
+            }
             observation = queue.poll();
         }
     }
+
+    /** A listener that fails takes nothing away from the others. */
+    private static void deliver(Consumer<FeedbackListener> observation, FeedbackListener listener) {
+        try {
+            observation.accept(listener);
+        } catch (RuntimeException exception) {
+            LOGGER.atSevere().withCause(exception).log("event=feedback_failed");
+        }
+    }
 }
