--- /dev/null
+++ b/integration/src/test/java/org/baobabcart/integration/RollOutProcessTest.java
@@ -0,0 +1,125 @@
+package org.baobabcart.integration;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.baobabcart.launcher.EngineSettings;
+import org.baobabcart.launcher.FleetNode;
+import org.baobabcart.launcher.FleetSettings;
+import org.baobabcart.launcher.LocalFleet;
+import org.junit.jupiter.api.Test;
+
+/** A bad version in a roll-out over two real routers: stopped by pooled ratings, then given no work by either. */
+class RollOutProcessTest {
+    private static final int GREATEST_EXPOSURE = 200;
+    private static final int MAXIMUM_REQUESTS = 5_000;
+    private static final Duration BOUND = Duration.ofSeconds(60);
+    private static final String ROLL_OUTS = "/apis/baobabcart/v1/rollouts/current";
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    @Test
+    void aBadVersionIsStoppedAndGetsNoMoreWork() throws Exception {
+        List<EngineSettings> engines = List.of(
+                EngineSettings.large("v1").withCapacity(8, 1),
+                EngineSettings.large("v2").withCapacity(8, 1).withQuality(0.2));
+        try (LocalFleet fleet = LocalFleet.start(FleetSettings.defaults()
+                .withName("roll-out")
+                .withDataCentres("a")
+                .withRoutersPerDataCentre(2)
+                .withEngines(2, engines))) {
+            fleet.publish(sheetWithRollOut(fleet));
+            awaitTrue(() -> status(fleet).equals("RUNNING"));
+            int sent = 0;
+            while (!status(fleet).equals("STOPPED") && sent < MAXIMUM_REQUESTS) {
+                ask(fleet, sent);
+                sent++;
+            }
+            assertThat(status(fleet), equalTo("STOPPED"));
+            FleetNode bad = fleet.engines().get(1);
+            fleet.routers().forEach(router -> awaitTrue(() -> generation(fleet, router) == storedGeneration(fleet)));
+            int exposures = fleet.runs(bad).size();
+            System.out.printf("roll-out of processes: %d requests, %d exposures%n", sent, exposures);
+            for (int request = 0; request < 200; request++) {
+                ask(fleet, request);
+            }
+            assertThat(fleet.runs(bad).size(), equalTo(exposures));
+            assertThat(exposures, lessThanOrEqualTo(GREATEST_EXPOSURE));
+        }
+    }
+
+    private void ask(LocalFleet fleet, int number) throws Exception {
+        FleetNode router = fleet.routers().get(number % fleet.routers().size());
+        String body =
+                "{\"model\":\"layout-large\",\"max_tokens\":2,\"messages\":[{\"role\":\"user\",\"content\":\"pane "
+                        + number + "\"}]}";
+        HttpRequest request = HttpRequest.newBuilder(URI.create(router.caller() + "/v1/chat/completions"))
+                .header(
+                        "Authorization",
+                        "Bearer " + fleet.defaultSheet().workspaces().get(0).key())
+                .timeout(BOUND)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+        assertThat(response.body(), response.statusCode(), equalTo(200));
+    }
+
+    private static String status(LocalFleet fleet) {
+        return stored(fleet).path("progress").path(0).path("status").asText();
+    }
+
+    private static long storedGeneration(LocalFleet fleet) {
+        return stored(fleet).path("generation").asLong();
+    }
+
+    private static long generation(LocalFleet fleet, FleetNode router) {
+        return fleet.calls()
+                .get(router.admin() + "/status")
+                .body()
+                .path("rollOuts")
+                .path("generation")
+                .asLong();
+    }
+
+    private static JsonNode stored(LocalFleet fleet) {
+        return fleet.calls()
+                .get(fleet.platform().url("http") + ROLL_OUTS)
+                .body()
+                .path("spec");
+    }
+
+    private static JsonNode sheetWithRollOut(LocalFleet fleet) {
+        ObjectNode sheet = (ObjectNode) fleet.defaultSheet().toJson();
+        ArrayNode rollOuts = sheet.putArray("rollOuts");
+        ObjectNode rollOut = rollOuts.addObject();
+        rollOut.put("model", "layout-large").put("from", "v1").put("to", "v2");
+        rollOut.putArray("stages")
+                .addObject()
+                .put("share", 0.1)
+                .put("minimumSeconds", 600)
+                .put("minimumSamples", 50);
+        return sheet;
+    }
+
+    private static void awaitTrue(BooleanSupplier condition) {
+        long bound = System.nanoTime() + BOUND.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > bound) {
+                throw new AssertionError("the condition did not come true");
+            }
+            Thread.onSpinWait();
+        }
+    }
+}
