A fresh connection judges before a crash is counted; doubt at once; first byte by rank

Seen with real processes (trials): a frozen engine cost two requests 10 s each, since it was passed over only after the judgement; a prompt whose connection broke at an engine that lived on was quarantined as if it had killed it. Change: an upstream is passed over while it is judged; a broken connection weighs 1 where the host still answers and 2 where it does not, and 4 is the bound; the time to the first byte is twice what the rank is promised, from 2 s to 10 s; a quarantined request is refused before it waits.

--- a/policy/src/main/java/org/baobabcart/policy/crash/CrashCounts.java
+++ b/policy/src/main/java/org/baobabcart/policy/crash/CrashCounts.java
@@ -7,13 +7,20 @@
 import java.util.stream.Collectors;
 
 /**
- * Upstream crashes counted by request fingerprint and by the router that saw them.
+ * Upstream crashes counted, by their weight, for each request fingerprint and each router that saw them.
  *
  * <p>A grow-only counter in the sense of Shapiro and others, "A comprehensive study of convergent and commutative
  * replicated data types" (2011): reports may arrive late, twice and in any order. Fingerprints beyond a limit fall out,
  * the oldest first. Immutable and thread-safe.
  */
 public final class CrashCounts {
+    /** The weight of a broken connection to an upstream whose host still answers. */
+    public static final int BROKEN_CONNECTION = 1;
+    /** The weight of a broken connection to an upstream that answers no more. */
+    public static final int LOST_UPSTREAM = 2;
+    /** The sum of weights at which no upstream gets a request any more. */
+    public static final int BOUND = 4;
+
     private static final int FINGERPRINTS_LIMIT = 4096;
     private static final CrashCounts EMPTY = new CrashCounts(Map.of());
 
@@ -28,9 +35,9 @@
         return EMPTY;
     }
 
-    /** The counts after one more crash seen by a router. */
-    public CrashCounts withCrash(String fingerprint, String router) {
-        return withReport(fingerprint, router, of(fingerprint).getOrDefault(router, 0) + 1);
+    /** The counts after one more crash of this weight seen by a router. */
+    public CrashCounts withCrash(String fingerprint, String router, int weight) {
+        return withReport(fingerprint, router, of(fingerprint).getOrDefault(router, 0) + weight);
     }
 
     /** The counts after a report of all crashes that a router has seen for a fingerprint. */
--- a/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
@@ -11,6 +11,7 @@
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.Ran;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.crash.CrashCounts;
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
@@ -79,6 +80,9 @@
                 exchange.mayHaveRun() || number > 1 ? context.deadlineNanos() : context.latestStartNanos(),
                 plan.affinity(),
                 failed);
+        if (isQuarantined(runtime.parts().views().current())) {
+            return Future.failedFuture(BaobabcartException.of(ResultCode.REQUEST_QUARANTINED));
+        }
         return enter().compose(pass -> runtime.dispatcher()
                 .acquire(work, exchange.abandoned())
                 .compose(slot -> send(slot, pass).recover(failure -> again(number, failed, slot.upstream(), failure)))
@@ -104,22 +108,29 @@
                     answer.onFirstPart(pass::answered);
                     return consumer.apply(answer);
                 })
-                .onSuccess(ignored -> slot.release(Optional.empty()))
-                .onFailure(failure -> failed(slot, failure, mayHaveRunBefore))
-                .onComplete(ignored -> pass.ended());
+                .onSuccess(ignored -> {
+                    slot.release(Optional.empty());
+                    pass.ended();
+                })
+                .recover(failure -> failed(slot, failure, mayHaveRunBefore)
+                        .onComplete(ignored -> pass.ended())
+                        .compose(ignored -> Future.failedFuture(failure)));
     }
 
-    private void failed(Slot slot, Throwable failure, boolean mayHaveRunBefore) {
+    /** Draws the conclusions from a failure; completes at once unless a retry depends on them. */
+    private Future<Void> failed(Slot slot, Throwable failure, boolean mayHaveRunBefore) {
         if (!(failure instanceof AttemptException attemptFailure) || abandoned.isComplete()) {
             slot.release(Optional.empty());
-            return;
+            return Future.succeededFuture();
         }
-        report(slot.upstream(), attemptFailure.kind());
         countFailure(attemptFailure.kind());
-        slot.release(Optional.of(attemptFailure.kind()));
         if (attemptFailure.kind().ran() == Ran.NO) {
             exchange.restoreSent(mayHaveRunBefore);
         }
+        Future<Void> judged = report(slot.upstream(), attemptFailure.kind());
+        slot.release(Optional.of(attemptFailure.kind()));
+        boolean retryPossible = plan.repeatable() && !exchange.started();
+        return retryPossible ? judged : Future.succeededFuture();
     }
 
     private void passGate(VirtualMachine upstream) {
@@ -133,10 +144,7 @@
         if (!view.upstreams().contains(upstream)) {
             throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "leaving");
         }
-        boolean quarantined = plan.fingerprint()
-                .filter(fingerprint -> runtime.guards().crashes().isQuarantined(view, fingerprint))
-                .isPresent();
-        if (quarantined) {
+        if (isQuarantined(view)) {
             throw BaobabcartException.of(ResultCode.REQUEST_QUARANTINED);
         }
         checkVersion(view);
@@ -144,6 +152,12 @@
         exchange.markSent();
     }
 
+    private boolean isQuarantined(TrafficView view) {
+        return plan.fingerprint()
+                .filter(fingerprint -> runtime.guards().crashes().isQuarantined(view, fingerprint))
+                .isPresent();
+    }
+
     private void checkVersion(TrafficView view) {
         String model = plan.pool().model();
         String version = plan.pool().version();
@@ -173,17 +187,19 @@
         return attempt(number + 1, avoid);
     }
 
-    private void report(VirtualMachine upstream, FailureKind kind) {
+    private Future<Void> report(VirtualMachine upstream, FailureKind kind) {
         switch (kind) {
             case SILENT -> judge(upstream);
             case NOT_CONNECTED -> unreachable(upstream);
             case NOT_RUN -> runtime.health().markResting(upstream);
             case BROKEN -> {
-                plan.fingerprint().ifPresent(fingerprint -> crashed(upstream, fingerprint));
-                judge(upstream);
+                return judge(upstream)
+                        .onSuccess(alive -> broken(upstream, alive))
+                        .mapEmpty();
             }
             default -> {}
         }
+        return Future.succeededFuture();
     }
 
     private void countFailure(FailureKind kind) {
@@ -192,9 +208,14 @@
         }
     }
 
-    private void crashed(VirtualMachine upstream, String fingerprint) {
-        runtime.guards().crashes().crashed(fingerprint);
-        runtime.parts().feedback().crashed(upstream.name(), fingerprint);
+    private void broken(VirtualMachine upstream, boolean alive) {
+        int weight = alive ? CrashCounts.BROKEN_CONNECTION : CrashCounts.LOST_UPSTREAM;
+        plan.fingerprint().ifPresent(fingerprint -> {
+            runtime.guards().crashes().crashed(fingerprint, weight);
+            for (int unit = 0; unit < weight; unit++) {
+                runtime.parts().feedback().crashed(upstream.name(), fingerprint);
+            }
+        });
     }
 
     private void unreachable(VirtualMachine upstream) {
@@ -203,14 +224,12 @@
     }
 
     /** Gives up the connections of the upstream, and asks on a new one whether its host is there. */
-    private void judge(VirtualMachine upstream) {
+    private Future<Boolean> judge(VirtualMachine upstream) {
         runtime.upstreams().renewConnections(upstream.name());
-        runtime.upstreams()
-                .isHostAlive(upstream, runtime.settings().timeouts().connect())
-                .onSuccess(alive -> {
-                    if (!alive) {
-                        unreachable(upstream);
-                    }
-                });
+        return runtime.health().judge(upstream).onSuccess(alive -> {
+            if (!alive) {
+                runtime.parts().feedback().unreachable(upstream.name());
+            }
+        });
     }
 }
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerContext.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerContext.java
@@ -33,6 +33,8 @@
         long deadlineNanos,
         Optional<String> session,
         Optional<String> idempotencyKey) {
+    private static final int FIRST_BYTE_FACTOR = 2;
+    private static final Duration FIRST_BYTE_SHORTEST = Duration.ofSeconds(2);
     private static final int TEXT_LIMIT = 1024;
 
     /** Reads and checks the headers. */
@@ -61,6 +63,13 @@
         return Math.min(byRank, deadlineNanos);
     }
 
+    /** The time in which the first byte has to come: a few times what the rank is promised, within bounds. */
+    Duration firstByteTimeout(Duration longest) {
+        Duration byRank = Duration.ofMillis(rank.targetMillis()).multipliedBy(FIRST_BYTE_FACTOR);
+        Duration atLeast = byRank.compareTo(FIRST_BYTE_SHORTEST) < 0 ? FIRST_BYTE_SHORTEST : byRank;
+        return atLeast.compareTo(longest) > 0 ? longest : atLeast;
+    }
+
     private static Duration timeout(TrafficSettings settings, String header) {
         if (header == null) {
             return settings.timeouts().whole();
--- a/router/src/main/java/org/baobabcart/router/traffic/CrashGuard.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CrashGuard.java
@@ -24,9 +24,6 @@
  * counts act at once, beside those of the fleet, which come with the view.
  */
 final class CrashGuard {
-    /** The crashes after which no upstream gets a request any more. */
-    static final int BOUND = 2;
-
     private static final String SELF = "";
     private static final int PROVEN_LIMIT = 16 * 1024;
 
@@ -79,27 +76,28 @@
         return waiter.promise.future();
     }
 
-    synchronized void crashed(String fingerprint) {
-        counts = counts.withCrash(fingerprint, SELF);
+    synchronized void crashed(String fingerprint, int weight) {
+        counts = counts.withCrash(fingerprint, SELF, weight);
         proven.remove(fingerprint);
     }
 
     synchronized boolean isQuarantined(TrafficView view, String fingerprint) {
-        return view.quarantined().contains(fingerprint) || counts.total(fingerprint) >= BOUND;
+        return view.quarantined().contains(fingerprint) || counts.total(fingerprint) >= CrashCounts.BOUND;
     }
 
     private boolean mayRun(String fingerprint) {
         int crashes = counts.total(fingerprint);
-        if (crashes >= BOUND) {
+        if (crashes >= CrashCounts.BOUND) {
             return true;
         }
-        boolean room = crashes + unproven.getOrDefault(fingerprint, 0) < BOUND;
+        int running = unproven.getOrDefault(fingerprint, 0);
+        boolean room = running == 0 || crashes + CrashCounts.LOST_UPSTREAM * (running + 1) <= CrashCounts.BOUND;
         return room && (crashes == 0 || !suspectRuns);
     }
 
     private Pass begin(String fingerprint) {
         int crashes = counts.total(fingerprint);
-        boolean counted = !proven.containsKey(fingerprint) && crashes < BOUND;
+        boolean counted = !proven.containsKey(fingerprint) && crashes < CrashCounts.BOUND;
         boolean suspect = counted && crashes > 0;
         if (counted) {
             unproven.merge(fingerprint, 1, Integer::sum);
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -136,7 +136,8 @@
         headers.put(Headers.WORKSPACE, context.workspace().name());
         headers.put(Headers.PRIORITY, Integer.toString(context.rankIndex()));
         headers.put(Headers.VERSION, version.version());
-        Duration firstByte = runtime.settings().timeouts().firstByte();
+        Duration firstByte =
+                context.firstByteTimeout(runtime.settings().timeouts().firstByte());
         if (!request.stream()) {
             firstByte = firstByte.plus(TOKEN_TIMEOUT.multipliedBy(request.maximumTokens()));
         }
--- a/router/src/main/java/org/baobabcart/router/upstream/CrashController.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/CrashController.java
@@ -17,7 +17,6 @@
  * the control thread.
  */
 public final class CrashController implements FeedbackListener, ExchangeParticipant {
-    private static final int BOUND = 2;
     private static final int REPORTS_LIMIT = 256;
 
     private final Blackboard blackboard;
@@ -43,9 +42,10 @@
         return new CrashController(blackboard, timeline, spread, router);
     }
 
+    /** Counts a broken connection; the traffic path reports one twice where the upstream answers no more. */
     @Override
     public void crashed(String upstream, String fingerprint) {
-        counts = counts.withCrash(fingerprint, router);
+        counts = counts.withCrash(fingerprint, router, CrashCounts.BROKEN_CONNECTION);
         publish();
         spread.run();
     }
@@ -68,7 +68,7 @@
     }
 
     private void publish() {
-        Set<String> quarantined = counts.atLeast(BOUND);
+        Set<String> quarantined = counts.atLeast(CrashCounts.BOUND);
         Set<String> fresh = new HashSet<>(quarantined);
         fresh.removeAll(blackboard.read(Sections.QUARANTINED));
         fresh.forEach(fingerprint -> timeline.record(EventType.FINGERPRINT_QUARANTINED, fingerprint));
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
@@ -1,5 +1,6 @@
 package org.baobabcart.router.upstream;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.Map;
@@ -56,6 +57,17 @@
                 upstream.name(), name -> vertx.setPeriodic(PROBE_PERIOD.toMillis(), timer -> probe(upstream, timer)));
     }
 
+    /** Passes over an upstream until it is known whether its host answers on a new connection; tells whether it does. */
+    public Future<Boolean> judge(VirtualMachine upstream) {
+        markDown(upstream);
+        return client.isHostAlive(upstream, PROBE_TIMEOUT).onSuccess(alive -> {
+            Long timer = down.get(upstream.name());
+            if (alive && timer != null) {
+                forget(upstream, timer);
+            }
+        });
+    }
+
     /** States that the upstream takes no new work for now. */
     public void markResting(VirtualMachine upstream) {
         resting.put(upstream.name(), System.nanoTime() + REST.toNanos());
--- a/router/src/test/java/org/baobabcart/router/traffic/FakeUpstream.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/FakeUpstream.java
@@ -69,6 +69,12 @@
         behaviour = newBehaviour;
     }
 
+    /** Breaks the connection and refuses new ones, as a process that dies. */
+    void die() {
+        behaviour = request ->
+                server.close().onComplete(ignored -> request.connection().close());
+    }
+
     List<HttpServerRequest> requests() {
         return requests;
     }
