--- a/policy/src/main/java/org/baobabcart/policy/claim/JournalOwner.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/JournalOwner.java
@@ -29,6 +29,7 @@
     private final List<PendingOperation> waiting;
     private final Optional<JournalWrite> underway;
     private final Optional<JournalWrite> unsettled;
+    private final Optional<WritePace> pace;
     private final boolean busy;
     private final int failures;
 
@@ -38,6 +39,7 @@
         this.waiting = List.copyOf(builder.waiting);
         this.underway = builder.underway;
         this.unsettled = builder.unsettled;
+        this.pace = builder.pace;
         this.busy = builder.busy;
         this.failures = builder.failures;
     }
@@ -64,22 +66,19 @@
         return builder.build();
     }
 
-    /** Starts the next call to the platform, unless one is under way or nothing waits. */
+    /**
+     * Answers what needs no call, and starts the next call to the platform unless one is under way or nothing waits. The
+     * answer of a finished call never changes, so that a copy that may be stale suffices, also while the platform is away.
+     */
     public OwnerStep proceed(long nowNanos, String newWriteId) {
-        if (busy) {
-            return OwnerStep.of(this, List.of());
-        }
         Builder builder = new Builder(this);
         List<Answer> answers = builder.takeExpired(nowNanos);
-        if (builder.waiting.isEmpty()) {
+        held.or(() -> stale).ifPresent(known -> answers.addAll(builder.takeLasting(known.at(nowNanos))));
+        if (busy || builder.waiting.isEmpty()) {
             return OwnerStep.of(builder.build(), answers);
         }
-        if (held.isEmpty()) {
-            return builder.busy(answers, new OwnerStep.Read());
-        }
-        answers.addAll(builder.takeLasting(held.get().at(nowNanos)));
-        return builder.waiting.isEmpty()
-                ? OwnerStep.of(builder.build(), answers)
+        return held.isEmpty()
+                ? builder.busy(answers, new OwnerStep.Read())
                 : write(builder, answers, nowNanos, newWriteId);
     }
 
@@ -114,8 +113,7 @@
 
     /** The write had no effect, since someone else has written in the meantime. */
     public OwnerStep writeConflicted() {
-        Builder builder = new Builder(this).idle().withBatchBack();
-        builder.held = Optional.empty();
+        Builder builder = new Builder(this).idle().withBatchBack().stale();
         return OwnerStep.of(builder.build(), List.of());
     }
 
@@ -123,8 +121,7 @@
     public OwnerStep writeLost() {
         Builder builder = new Builder(this).idle().withBatchBack();
         builder.unsettled = underway;
-        builder.held = Optional.empty();
-        return failed(builder);
+        return failed(builder.stale());
     }
 
     /** The write surely had no effect, since the platform could not be reached. */
@@ -141,6 +138,11 @@
         HeldJournal base = held.orElseThrow();
         JournalChange change = base.at(nowNanos).apply(operations(builder.waiting), newWriteId);
         if (change.changed()) {
+            WritePace current = pace.map(earlier -> earlier.at(nowNanos)).orElseGet(() -> WritePace.full(nowNanos));
+            if (current.delayNanos() > 0) {
+                return builder.busy(answers, new OwnerStep.Pause(current.delayNanos()));
+            }
+            builder.pace = Optional.of(current.spent());
             builder.underway = Optional.of(new JournalWrite(List.copyOf(builder.waiting), change));
             builder.waiting.clear();
             return builder.busy(answers, new OwnerStep.Write(change.journal(), base.resourceVersion()));
@@ -150,9 +152,7 @@
             builder.waiting.clear();
             return OwnerStep.of(builder.build(), answers);
         }
-        builder.stale = held;
-        builder.held = Optional.empty();
-        return builder.busy(answers, new OwnerStep.Read());
+        return builder.stale().busy(answers, new OwnerStep.Read());
     }
 
     private static OwnerStep failed(Builder builder) {
@@ -179,6 +179,7 @@
         private List<PendingOperation> waiting = new ArrayList<>();
         private Optional<JournalWrite> underway = Optional.empty();
         private Optional<JournalWrite> unsettled = Optional.empty();
+        private Optional<WritePace> pace = Optional.empty();
         private boolean busy;
         private int failures;
 
@@ -190,6 +191,7 @@
             waiting = new ArrayList<>(owner.waiting);
             underway = owner.underway;
             unsettled = owner.unsettled;
+            pace = owner.pace;
             busy = owner.busy;
             failures = owner.failures;
         }
@@ -198,6 +200,12 @@
             return new JournalOwner(this);
         }
 
+        private Builder stale() {
+            stale = held.or(() -> stale);
+            held = Optional.empty();
+            return this;
+        }
+
         private Builder idle() {
             busy = false;
             return this;
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/rollout/RollOutParts.java
@@ -0,0 +1,25 @@
+package org.baobabcart.router.rollout;
+
+import java.util.concurrent.Executor;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.platform.ObjectStore;
+import org.baobabcart.router.timeline.Timeline;
+
+/**
+ * What the control of roll-outs works with. Immutable.
+ *
+ * @param settings the settings
+ * @param blackboard the blackboard
+ * @param loop runs tasks on the control thread
+ * @param timers the time
+ * @param store the platform's object API
+ * @param timeline the time line
+ */
+public record RollOutParts(
+        RollOutControlSettings settings,
+        Blackboard blackboard,
+        Executor loop,
+        TimerService timers,
+        ObjectStore store,
+        Timeline timeline) {}
