Nothing is sent for a request that was answered; every bad path gets a numbered refusal

Seen by reading: the timer of a deadline can fire up to 1 ms early, and a booking granted a slot in that time could be sent after its caller was told "not run". Seen by a test: a path with a broken escape got a bare 400. Change: the gate before the first byte refuses what was answered already; errors of the routing layer carry codes.

--- a/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
@@ -138,7 +138,7 @@
         if (abandoned.isComplete()) {
             throw abandoned.result();
         }
-        if (context.deadlineNanos() - System.nanoTime() <= 0) {
+        if (exchange.isEnded() || context.deadlineNanos() - System.nanoTime() <= 0) {
             throw BaobabcartException.of(ResultCode.DEADLINE_UNREACHABLE);
         }
         if (!view.upstreams().contains(upstream)) {
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerExchange.java
@@ -70,6 +70,11 @@
         return request.response().headWritten();
     }
 
+    /** Whether the caller has its answer, or is gone; from then on nothing may be sent for it. */
+    boolean isEnded() {
+        return ended;
+    }
+
     boolean isGone() {
         return gone;
     }
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -74,7 +74,9 @@
         router.route("/v1/models").handler(routing -> refuse(routing, ResultCode.METHOD_NOT_ALLOWED));
         router.route("/services/*").handler(routing -> withBody(routing, service(routing)));
         router.route().handler(routing -> refuse(routing, ResultCode.UNKNOWN_PATH));
-        router.route().failureHandler(routing -> refuse(routing, ResultCode.BAD_REQUEST));
+        router.errorHandler(ResultCode.BAD_REQUEST.httpStatus(), routing -> refuse(routing, ResultCode.BAD_REQUEST));
+        router.errorHandler(ResultCode.UNKNOWN_PATH.httpStatus(), routing -> refuse(routing, ResultCode.UNKNOWN_PATH));
+        router.errorHandler(ResultCode.INTERNAL.httpStatus(), routing -> refuse(routing, ResultCode.INTERNAL));
         return router;
     }
 
--- a/router/src/main/java/org/baobabcart/router/traffic/ServicePath.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ServicePath.java
@@ -21,6 +21,9 @@
      * @param normalized the path without dot segments and needless escapes
      */
     static ServicePath parse(String normalized) {
+        if (!normalized.startsWith(PREFIX)) {
+            throw BaobabcartException.of(ResultCode.UNKNOWN_PATH);
+        }
         String rest = normalized.substring(PREFIX.length());
         int slash = rest.indexOf('/');
         String service = slash < 0 ? rest : rest.substring(0, slash);
--- a/router/src/test/java/org/baobabcart/router/traffic/CallerBehaviourTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerBehaviourTest.java
@@ -153,6 +153,8 @@
         String longHeader = "X-Long: " + "x".repeat(40_000);
         assertThat(raw(head("GET /v1/models", longHeader, 0, "")), containsString("\"code\":1003"));
         assertThat(raw("\u0000\u0001 nonsense\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1)), containsString("1001"));
+        assertThat(raw(head("GET /services/%zz/x", "Accept: */*", 0, "")), containsString("\"code\":1001"));
+        assertThat(raw(head("GET /services", "Accept: */*", 0, "")), containsString("\"code\":1006"));
         String deep = "[".repeat(10_000);
         assertThat(post("/v1/completions", deep).statusCode(), is(400));
         assertThat(get("/v1/models").statusCode(), is(200));
