Bills start on clocks of any origin; abandoned attempts are remembered for two minutes

Cause: pauses began at zero of a clock with an arbitrary origin, so that a negative clock would have stopped all offers; attempts were kept for ten minutes after they were refused, for nothing that still asks for them. The holder of a bill was recorded twice on the time line.

--- a/policy/src/main/java/org/baobabcart/policy/claim/JournalOwner.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/JournalOwner.java
@@ -147,7 +147,7 @@
             builder.waiting.clear();
             return builder.busy(answers, new OwnerStep.Write(change.journal(), base.resourceVersion()));
         }
-        if (builder.waiting.stream().allMatch(pending -> pending.submittedNanos() <= base.obtainedNanos())) {
+        if (builder.waiting.stream().allMatch(pending -> base.obtainedNanos() - pending.submittedNanos() >= 0)) {
             answers.addAll(OwnerStep.answers(builder.waiting, change.results()));
             builder.waiting.clear();
             return OwnerStep.of(builder.build(), answers);
--- a/router/src/main/java/org/baobabcart/router/bill/PeerBillService.java
+++ b/router/src/main/java/org/baobabcart/router/bill/PeerBillService.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -79,6 +80,8 @@
         this.timeline = timeline;
         this.metrics = new BillMetrics(registry);
         this.settings = settings;
+        this.nextOfferNanos = timers.nanoTime();
+        this.nextCommitNanos = nextOfferNanos;
     }
 
     /** A service that takes part in bills once it is started. */
@@ -289,19 +292,16 @@
     }
 
     private void tell(Collection<String> requestIds, BillHolder holder) {
-        Map<String, CompletableFuture<BillHolder>> told = new HashMap<>();
+        List<CompletableFuture<BillHolder>> told = new ArrayList<>();
         synchronized (this) {
             for (String requestId : requestIds) {
                 CompletableFuture<BillHolder> waiter = waiters.remove(requestId);
                 if (waiter != null) {
-                    told.put(requestId, waiter);
+                    told.add(waiter);
                 }
             }
         }
-        told.forEach((requestId, waiter) -> {
-            timeline.record(EventType.BILL_HELD, requestId, holder.name());
-            waiter.complete(holder);
-        });
+        told.forEach(waiter -> waiter.complete(holder));
     }
 
     private void tick() {
--- a/router/src/main/java/org/baobabcart/router/claim/Attempts.java
+++ b/router/src/main/java/org/baobabcart/router/claim/Attempts.java
@@ -9,8 +9,8 @@
 
 /** This node's attempts, by which it tells others what became of them. Thread-safe. */
 final class Attempts {
-    private static final long REMEMBERED_NANOS = 600_000_000_000L;
-    private static final long LONGEST_RUN_NANOS = 6 * REMEMBERED_NANOS;
+    private static final long REMEMBERED_NANOS = 120_000_000_000L;
+    private static final long LONGEST_RUN_NANOS = 3_600_000_000_000L;
 
     private final Map<String, Attempt> attempts = new ConcurrentHashMap<>();
 
