--- a/load/src/main/java/org/baobabcart/load/LoadSettings.java
+++ b/load/src/main/java/org/baobabcart/load/LoadSettings.java
@@ -20,6 +20,9 @@
  * @param promptCharacters the length of a prompt
  * @param retries how often a refused request is sent again after the time that the refusal names
  * @param timeout when a request is given up, from its planned start
+ * @param bookingService the service that takes bookings with fresh keys in place of model requests, or empty
+ * @param choice which target a request goes to
+ * @param fixedRetry the time to the next try in place of the refusal's own, or zero
  * @param seed the seed of arrivals, ranks, workspaces and prompts
  */
 public record LoadSettings(
@@ -37,6 +40,9 @@
         int promptCharacters,
         int retries,
         Duration timeout,
+        String bookingService,
+        TargetChoice choice,
+        Duration fixedRetry,
         long seed) {
     private static final int MOST_REQUESTS = 100_000;
     private static final int TOKENS = 16;
@@ -67,6 +73,9 @@
                 PROMPT_CHARACTERS,
                 0,
                 Duration.ofSeconds(30),
+                "",
+                TargetChoice.ROUND_ROBIN,
+                Duration.ZERO,
                 1);
     }
 
@@ -87,6 +96,9 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -107,6 +119,9 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -127,6 +142,9 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -147,6 +165,9 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -167,6 +188,9 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -187,6 +211,9 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -207,6 +234,9 @@
                 newCharacters,
                 retries,
                 timeout,
+                bookingService,
+                choice,
+                fixedRetry,
                 seed);
     }
 
@@ -227,6 +257,78 @@
                 promptCharacters,
                 newRetries,
                 newTimeout,
+                bookingService,
+                choice,
+                fixedRetry,
+                seed);
+    }
+
+    /** Bookings of a service, each with a key of its own, in place of model requests. */
+    public LoadSettings withBookings(String service) {
+        return new LoadSettings(
+                targets,
+                shape,
+                ratePerSecond,
+                duration,
+                mostRequests,
+                workspaces,
+                ranks,
+                model,
+                false,
+                tokens,
+                prompts,
+                promptCharacters,
+                retries,
+                timeout,
+                service,
+                choice,
+                fixedRetry,
+                seed);
+    }
+
+    /** The same load with another choice of targets. */
+    public LoadSettings withChoice(TargetChoice newChoice) {
+        return new LoadSettings(
+                targets,
+                shape,
+                ratePerSecond,
+                duration,
+                mostRequests,
+                workspaces,
+                ranks,
+                model,
+                stream,
+                tokens,
+                prompts,
+                promptCharacters,
+                retries,
+                timeout,
+                bookingService,
+                newChoice,
+                fixedRetry,
+                seed);
+    }
+
+    /** The same load whose refused requests come back after a fixed time, whatever the refusal says. */
+    public LoadSettings withFixedRetry(Duration newFixedRetry) {
+        return new LoadSettings(
+                targets,
+                shape,
+                ratePerSecond,
+                duration,
+                mostRequests,
+                workspaces,
+                ranks,
+                model,
+                stream,
+                tokens,
+                prompts,
+                promptCharacters,
+                retries,
+                timeout,
+                bookingService,
+                choice,
+                newFixedRetry,
                 seed);
     }
 
@@ -247,6 +349,9 @@
                 promptCharacters,
                 retries,
                 timeout,
+                bookingService,
+                choice,
+                fixedRetry,
                 newSeed);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/ControlPlane.java
+++ b/router/src/main/java/org/baobabcart/router/ControlPlane.java
@@ -27,6 +27,7 @@
 import org.baobabcart.router.rollout.RollOutController;
 import org.baobabcart.router.rollout.RollOutParts;
 import org.baobabcart.router.sheet.SheetDocuments;
+import org.baobabcart.router.upstream.CrashController;
 
 /**
  * The controllers of membership, documents and the list of VMs, wired to each other. Immutable; made once the addresses
@@ -75,6 +76,10 @@
         members.addParticipant(documents);
         members.addParticipant(rollOutControl);
         core.feedback().addListener(rollOutControl);
+        CrashController crashes =
+                CrashController.create(core.blackboard(), core.timeline(), members::spread, self.nodeId());
+        members.addParticipant(crashes);
+        core.feedback().addListener(crashes);
         return new ControlPlane(members, documents, sheets, rollOuts, rollOutControl, secrets, machines(core));
     }
 
