--- a/bench/src/main/java/org/baobabcart/bench/AddedLatencyMeasurement.java
+++ b/bench/src/main/java/org/baobabcart/bench/AddedLatencyMeasurement.java
@@ -63,6 +63,9 @@
         figures.put("addedFirstTokenMillis", difference(routed.firstToken(), direct.firstToken()));
         figures.put("directBetweenTokensMillis", direct.betweenTokens());
         figures.put("routedBetweenTokensMillis", routed.betweenTokens());
+        figures.put("directOutcomes", direct.outcomes());
+        figures.put("routedOutcomes", routed.outcomes());
+        figures.put("routedCodes", routed.codes());
         double planned = direct.planned() + routed.planned();
         double complete = direct.count(Outcome.COMPLETE) + routed.count(Outcome.COMPLETE);
         return new MeasurementResult(
--- a/cli/src/main/java/org/baobabcart/cli/command/Commands.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/Commands.java
@@ -8,6 +8,7 @@
 public final class Commands {
     private static final List<Command> ALL = List.of(
             new SheetCheckCommand(),
+            new SheetImportCommand(),
             new SheetPublishCommand(),
             new SheetStatusCommand(),
             new SheetDiffCommand(),
