Capacity of a fleet is measured under steady overload

Cause: a burst ended with engines idle one after the other, so that rank-flood took 25.5 requests a second for the capacity while its own floods were answered at 39.

--- a/bench/src/main/java/org/baobabcart/bench/SharedFleet.java
+++ b/bench/src/main/java/org/baobabcart/bench/SharedFleet.java
@@ -31,7 +31,9 @@
     private static final int WORKSPACES = 10;
     private static final int SLOTS = 4;
     private static final double TOKEN_MILLIS = 20;
-    private static final int CAPACITY_REQUESTS = 240;
+    private static final double OVERLOAD_RATE = 100;
+    private static final Duration OVERLOAD = Duration.ofSeconds(10);
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
 
     private final BenchFleet fleet;
     private final LoadGenerator generator = LoadGenerator.create();
@@ -89,7 +91,8 @@
     double measureCapacity(LoadSettings load) {
         LoadReport report = run(load.withTargets(engineAddresses())
                 .withChoice(TargetChoice.LEAST_REQUEST)
-                .withRate(Shape.WAKE_STORM, CAPACITY_REQUESTS, Duration.ofSeconds(1)));
+                .withPatience(0, PATIENCE)
+                .withRate(Shape.STEADY, OVERLOAD_RATE, OVERLOAD));
         return report.goodput();
     }
 
