--- a/cli/src/main/java/org/baobabcart/cli/command/TimelineCommand.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/TimelineCommand.java
@@ -2,6 +2,7 @@
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import org.baobabcart.cli.Command;
@@ -13,6 +14,7 @@
 import org.baobabcart.cli.settings.CommonFlags;
 import org.baobabcart.cli.settings.Flag;
 import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.router.timeline.EventType;
 
 /** {@code timeline}: the events of all routers in one order. */
 final class TimelineCommand implements Command {
@@ -77,10 +79,18 @@
             long since = System.currentTimeMillis() - MILLIS_PER_SECOND * arguments.number(SINCE, 1, MOST_SECONDS);
             append(query, "since", Long.toString(since));
         }
-        arguments.optional(TYPE).ifPresent(value -> append(query, "type", value));
+        arguments.optional(TYPE).ifPresent(value -> append(query, "type", checkedType(value)));
         return query.toString();
     }
 
+    private static String checkedType(String value) {
+        return Arrays.stream(EventType.values())
+                .map(EventType::name)
+                .filter(value::equals)
+                .findFirst()
+                .orElseThrow(() -> Arguments.bad(TYPE, value, "one of " + Arrays.toString(EventType.values())));
+    }
+
     private static void append(StringBuilder query, String name, String value) {
         query.append(query.isEmpty() ? '?' : '&');
         query.append(name).append('=').append(URLEncoder.encode(value, StandardCharsets.UTF_8));
--- a/cli/src/main/java/org/baobabcart/cli/fleet/AdminClient.java
+++ b/cli/src/main/java/org/baobabcart/cli/fleet/AdminClient.java
@@ -13,6 +13,6 @@
     /** Reads JSON from an address. */
     Uni<JsonNode> get(String address);
 
-    /** Sends an empty POST and reads JSON from the answer; an empty answer is an empty object. */
-    Uni<JsonNode> post(String address);
+    /** Sends an empty POST; only the status of the answer counts. */
+    Uni<Void> post(String address);
 }
--- a/cli/src/main/java/org/baobabcart/cli/fleet/HttpAdminClient.java
+++ b/cli/src/main/java/org/baobabcart/cli/fleet/HttpAdminClient.java
@@ -39,36 +39,37 @@
 
     @Override
     public Uni<JsonNode> get(String address) {
-        return send(HttpMethod.GET, address);
+        return send(HttpMethod.GET, address).map(response -> json(address, response));
     }
 
     @Override
-    public Uni<JsonNode> post(String address) {
-        return send(HttpMethod.POST, address);
+    public Uni<Void> post(String address) {
+        return send(HttpMethod.POST, address).replaceWithVoid();
     }
 
-    private Uni<JsonNode> send(HttpMethod method, String address) {
+    private Uni<HttpResponse<Buffer>> send(HttpMethod method, String address) {
         return Futures.toUni(() -> request(method, address).send())
                 .onFailure()
                 .transform(failure -> unreachable(address, failure))
-                .map(response -> content(address, response));
+                .map(response -> succeeded(address, response));
     }
 
     private HttpRequest<Buffer> request(HttpMethod method, String address) {
         return client.requestAbs(method, address).timeout(TIMEOUT.toMillis());
     }
 
-    private static JsonNode content(String address, HttpResponse<Buffer> response) {
+    private static HttpResponse<Buffer> succeeded(String address, HttpResponse<Buffer> response) {
         if (response.statusCode() >= FIRST_FAILURE_STATUS) {
             throw BaobabcartException.of(ResultCode.UPSTREAM_FAILED, "HTTP status " + response.statusCode())
                     .withLocation(address);
         }
+        return response;
+    }
+
+    private static JsonNode json(String address, HttpResponse<Buffer> response) {
         String body = response.bodyAsString();
-        if (body == null || body.isBlank()) {
-            return MAPPER.createObjectNode();
-        }
         try {
-            return MAPPER.readTree(body);
+            return MAPPER.readTree(body == null ? "" : body);
         } catch (JsonProcessingException exception) {
             throw BaobabcartException.of(ResultCode.UPSTREAM_FAILED, "the answer is not JSON")
                     .withLocation(address)
--- a/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
@@ -154,6 +154,7 @@
             fleet --json=maybe             | 2 | error 1602
             fleet --routers unknown:1      | 3 | error 1302
             timeline --since yesterday     | 2 | error 1602 BAD_SETTING: --since
+            timeline --type NONSENSE       | 2 | error 1602 BAD_SETTING: --type: A setting has a value that cannot be used: 'NONSENSE'
             rollout withdraw layout-x v1   | 1 | error 1503
             """)
     void badInputGetsANumberAndNoStackTrace(String words, int status, String message) {
--- a/cli/src/test/java/org/baobabcart/cli/FakeFleet.java
+++ b/cli/src/test/java/org/baobabcart/cli/FakeFleet.java
@@ -84,9 +84,9 @@
     }
 
     @Override
-    public Uni<JsonNode> post(String address) {
+    public Uni<Void> post(String address) {
         posts.add(address);
-        return Uni.createFrom().item(MAPPER.createObjectNode());
+        return Uni.createFrom().voidItem();
     }
 
     private void listMembers(ObjectNode status) {
