A digest of the members closes what news has missed

Cause: after 450 routers had started at once, at least 39 still lacked some members after 120 s, since news is passed on a bounded number of times. Change: an additive field of Exchange carries a digest while its sender has no news; a router without news whose digest differs answers with its whole list, at most once in fifteen periods. Ruled out: a whole list every minute to a random peer, about 1.8 KB a node and second by estimate.

--- a/policy/src/main/java/org/baobabcart/policy/member/MemberStatement.java
+++ b/policy/src/main/java/org/baobabcart/policy/member/MemberStatement.java
@@ -43,6 +43,14 @@
         return new MemberStatement(nodeId, newIncarnation, liveness, dataCentre, peerAddress, adminAddress);
     }
 
+    /** A digest for sums over many statements; zero for a dead member. */
+    public long digest() {
+        if (liveness == Liveness.DEAD) {
+            return 0;
+        }
+        return RendezvousHash.weight(peerAddress, nodeId + "/" + incarnation + "/" + liveness);
+    }
+
     /** Whether a member that says this of itself has to refute the other statement. */
     public boolean mustRefute(MemberStatement other) {
         return other.nodeId().equals(nodeId) && other.supersedes(this);
--- a/policy/src/main/java/org/baobabcart/policy/member/MembershipTable.java
+++ b/policy/src/main/java/org/baobabcart/policy/member/MembershipTable.java
@@ -35,6 +35,15 @@
         return Optional.ofNullable(statements.get(nodeId));
     }
 
+    /**
+     * A digest of the members that are not dead, in which the order does not matter.
+     *
+     * <p>Dead members are left out, since nodes forget them at different times.
+     */
+    public long digest() {
+        return statements.values().stream().mapToLong(MemberStatement::digest).sum();
+    }
+
     /** The table with one more statement; the same instance where it tells nothing new. */
     public MembershipTable with(MemberStatement statement) {
         MemberStatement known = statements.get(statement.nodeId());
--- a/policy/src/main/java/org/baobabcart/policy/member/RendezvousHash.java
+++ b/policy/src/main/java/org/baobabcart/policy/member/RendezvousHash.java
@@ -25,7 +25,7 @@
                 .toList();
     }
 
-    private static long weight(String duty, String nodeId) {
+    static long weight(String duty, String nodeId) {
         return mix(hash(FNV_OFFSET, duty) ^ mix(hash(FNV_OFFSET, nodeId)));
     }
 
--- a/router/src/main/java/org/baobabcart/router/member/MembershipController.java
+++ b/router/src/main/java/org/baobabcart/router/member/MembershipController.java
@@ -60,6 +60,7 @@
     private MembershipTable publishedTable;
     private MemberStatement publishedSelf;
     private long periods;
+    private long lastDifferencePeriod;
     private boolean spreading;
 
     private MembershipController(MembershipParts parts, Member self, List<String> fixedSeeds) {
@@ -270,10 +271,26 @@
                 .filter(known -> known.liveness() != Liveness.DEAD)
                 .isEmpty();
         take(request, sender.peerAddress());
-        int limit = joining ? settings.updatesForJoiner() : settings.updatesPerMessage();
+        boolean wholeList = joining || mayDiffer(request);
+        int limit = wholeList ? settings.updatesForJoiner() : settings.updatesPerMessage();
         return outgoing(Optional.of(sender.nodeId()), limit);
     }
 
+    /** Whether both sides have no news and yet know different members; told at most once in a number of periods. */
+    private boolean mayDiffer(Exchange request) {
+        boolean quiet = request.isSetMembersDigest() && news.size() == 0;
+        boolean due = periods - lastDifferencePeriod >= settings.differencePeriods();
+        if (!quiet || !due || request.getMembersDigest() == digest()) {
+            return false;
+        }
+        lastDifferencePeriod = periods;
+        return true;
+    }
+
+    private long digest() {
+        return table.digest() + self.digest();
+    }
+
     private void take(Exchange incoming, String peerAddress) {
         timeline.receive(incoming.getClock());
         learn(MemberCodec.fromWire(incoming.getSender()));
@@ -327,6 +344,9 @@
                 new ArrayList<>(),
                 new ArrayList<>(),
                 timeline.send());
+        if (news.size() == 0) {
+            exchange.setMembersDigest(digest());
+        }
         participants.forEach(participant -> participant.contribute(exchange));
         return exchange;
     }
--- a/router/src/main/java/org/baobabcart/router/member/MembershipSettings.java
+++ b/router/src/main/java/org/baobabcart/router/member/MembershipSettings.java
@@ -14,6 +14,7 @@
  * @param updatesInBurst the greatest number of news items in one message while much news is waiting
  * @param updatesForJoiner the greatest number of members told to one that has just joined
  * @param seedPeriods every how many probe periods one seed that is not a live member is tried
+ * @param differencePeriods in how many probe periods one peer with a different list is told the whole one at most
  * @param fanOut how many members are told at once of something new
  */
 public record MembershipSettings(
@@ -26,11 +27,12 @@
         int updatesInBurst,
         int updatesForJoiner,
         int seedPeriods,
+        int differencePeriods,
         int fanOut) {
     /** Settings for a fleet of some hundred routers. */
     public static MembershipSettings defaults() {
         return new MembershipSettings(
-                Duration.ofSeconds(1), Duration.ofMillis(500), 2, 3, Duration.ofMinutes(10), 6, 64, 500, 4, 3);
+                Duration.ofSeconds(1), Duration.ofMillis(500), 2, 3, Duration.ofMinutes(10), 6, 64, 500, 4, 15, 3);
     }
 
     /** How long a suspect has to refute in a fleet of this size. */
--- a/wire/src/main/java/org/baobabcart/wire/Exchange.java
+++ b/wire/src/main/java/org/baobabcart/wire/Exchange.java
@@ -30,6 +30,8 @@
             new org.apache.thrift.protocol.TField("evidence", org.apache.thrift.protocol.TType.LIST, (short) 5);
     private static final org.apache.thrift.protocol.TField CLOCK_FIELD_DESC =
             new org.apache.thrift.protocol.TField("clock", org.apache.thrift.protocol.TType.I64, (short) 6);
+    private static final org.apache.thrift.protocol.TField MEMBERS_DIGEST_FIELD_DESC =
+            new org.apache.thrift.protocol.TField("membersDigest", org.apache.thrift.protocol.TType.I64, (short) 7);
 
     private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
             new ExchangeStandardSchemeFactory();
@@ -41,6 +43,7 @@
     private @org.apache.thrift.annotation.Nullable java.util.List<CrashReport> crashes; // required
     private @org.apache.thrift.annotation.Nullable java.util.List<EvidenceReport> evidence; // required
     private long clock; // required
+    private long membersDigest; // optional
 
     /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
     public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -49,7 +52,11 @@
         DOCUMENTS((short) 3, "documents"),
         CRASHES((short) 4, "crashes"),
         EVIDENCE((short) 5, "evidence"),
-        CLOCK((short) 6, "clock");
+        CLOCK((short) 6, "clock"),
+        /**
+         * Digest of the sender's members, set only while it has no news to pass on.
+         */
+        MEMBERS_DIGEST((short) 7, "membersDigest");
 
         private static final java.util.Map<java.lang.String, _Fields> byName =
                 new java.util.HashMap<java.lang.String, _Fields>();
@@ -78,6 +85,8 @@
                     return EVIDENCE;
                 case 6: // CLOCK
                     return CLOCK;
+                case 7: // MEMBERS_DIGEST
+                    return MEMBERS_DIGEST;
                 default:
                     return null;
             }
@@ -122,7 +131,9 @@
 
     // isset id assignments
     private static final int __CLOCK_ISSET_ID = 0;
+    private static final int __MEMBERSDIGEST_ISSET_ID = 1;
     private byte __isset_bitfield = 0;
+    private static final _Fields optionals[] = {_Fields.MEMBERS_DIGEST};
     public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
 
     static {
@@ -177,6 +188,12 @@
                         "clock",
                         org.apache.thrift.TFieldRequirementType.REQUIRED,
                         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        tmpMap.put(
+                _Fields.MEMBERS_DIGEST,
+                new org.apache.thrift.meta_data.FieldMetaData(
+                        "membersDigest",
+                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
+                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
         metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
         org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Exchange.class, metaDataMap);
     }
@@ -239,6 +256,7 @@
             this.evidence = __this__evidence;
         }
         this.clock = other.clock;
+        this.membersDigest = other.membersDigest;
     }
 
     @Override
@@ -255,6 +273,8 @@
         this.evidence = null;
         setClockIsSet(false);
         this.clock = 0;
+        setMembersDigestIsSet(false);
+        this.membersDigest = 0;
     }
 
     @org.apache.thrift.annotation.Nullable
@@ -469,6 +489,35 @@
         __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CLOCK_ISSET_ID, value);
     }
 
+    /**
+     * Digest of the sender's members, set only while it has no news to pass on.
+     */
+    public long getMembersDigest() {
+        return this.membersDigest;
+    }
+
+    /**
+     * Digest of the sender's members, set only while it has no news to pass on.
+     */
+    public Exchange setMembersDigest(long membersDigest) {
+        this.membersDigest = membersDigest;
+        setMembersDigestIsSet(true);
+        return this;
+    }
+
+    public void unsetMembersDigest() {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MEMBERSDIGEST_ISSET_ID);
+    }
+
+    /** Returns true if field membersDigest is set (has been assigned a value) and false otherwise */
+    public boolean isSetMembersDigest() {
+        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MEMBERSDIGEST_ISSET_ID);
+    }
+
+    public void setMembersDigestIsSet(boolean value) {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMBERSDIGEST_ISSET_ID, value);
+    }
+
     @Override
     public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
         switch (field) {
@@ -519,6 +568,14 @@
                     setClock((java.lang.Long) value);
                 }
                 break;
+
+            case MEMBERS_DIGEST:
+                if (value == null) {
+                    unsetMembersDigest();
+                } else {
+                    setMembersDigest((java.lang.Long) value);
+                }
+                break;
         }
     }
 
@@ -543,6 +600,9 @@
 
             case CLOCK:
                 return getClock();
+
+            case MEMBERS_DIGEST:
+                return getMembersDigest();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -567,6 +627,8 @@
                 return isSetEvidence();
             case CLOCK:
                 return isSetClock();
+            case MEMBERS_DIGEST:
+                return isSetMembersDigest();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -623,6 +685,13 @@
             if (this.clock != that.clock) return false;
         }
 
+        boolean this_present_membersDigest = true && this.isSetMembersDigest();
+        boolean that_present_membersDigest = true && that.isSetMembersDigest();
+        if (this_present_membersDigest || that_present_membersDigest) {
+            if (!(this_present_membersDigest && that_present_membersDigest)) return false;
+            if (this.membersDigest != that.membersDigest) return false;
+        }
+
         return true;
     }
 
@@ -647,6 +716,9 @@
 
         hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(clock);
 
+        hashCode = hashCode * 8191 + ((isSetMembersDigest()) ? 131071 : 524287);
+        if (isSetMembersDigest()) hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(membersDigest);
+
         return hashCode;
     }
 
@@ -718,6 +790,16 @@
                 return lastComparison;
             }
         }
+        lastComparison = java.lang.Boolean.compare(isSetMembersDigest(), other.isSetMembersDigest());
+        if (lastComparison != 0) {
+            return lastComparison;
+        }
+        if (isSetMembersDigest()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.membersDigest, other.membersDigest);
+            if (lastComparison != 0) {
+                return lastComparison;
+            }
+        }
         return 0;
     }
 
@@ -785,6 +867,12 @@
         sb.append("clock:");
         sb.append(this.clock);
         first = false;
+        if (isSetMembersDigest()) {
+            if (!first) sb.append(", ");
+            sb.append("membersDigest:");
+            sb.append(this.membersDigest);
+            first = false;
+        }
         sb.append(")");
         return sb.toString();
     }
@@ -948,6 +1036,14 @@
                             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                         }
                         break;
+                    case 7: // MEMBERS_DIGEST
+                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+                            struct.membersDigest = iprot.readI64();
+                            struct.setMembersDigestIsSet(true);
+                        } else {
+                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+                        }
+                        break;
                     default:
                         org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                 }
@@ -1025,6 +1121,11 @@
             oprot.writeFieldBegin(CLOCK_FIELD_DESC);
             oprot.writeI64(struct.clock);
             oprot.writeFieldEnd();
+            if (struct.isSetMembersDigest()) {
+                oprot.writeFieldBegin(MEMBERS_DIGEST_FIELD_DESC);
+                oprot.writeI64(struct.membersDigest);
+                oprot.writeFieldEnd();
+            }
             oprot.writeFieldStop();
             oprot.writeStructEnd();
         }
@@ -1069,6 +1170,14 @@
                 }
             }
             oprot.writeI64(struct.clock);
+            java.util.BitSet optionals = new java.util.BitSet();
+            if (struct.isSetMembersDigest()) {
+                optionals.set(0);
+            }
+            oprot.writeBitSet(optionals, 1);
+            if (struct.isSetMembersDigest()) {
+                oprot.writeI64(struct.membersDigest);
+            }
         }
 
         @Override
@@ -1124,6 +1233,11 @@
             struct.setEvidenceIsSet(true);
             struct.clock = iprot.readI64();
             struct.setClockIsSet(true);
+            java.util.BitSet incoming = iprot.readBitSet(1);
+            if (incoming.get(0)) {
+                struct.membersDigest = iprot.readI64();
+                struct.setMembersDigestIsSet(true);
+            }
         }
     }
 
--- a/wire/src/main/thrift/peer.thrift
+++ b/wire/src/main/thrift/peer.thrift
@@ -55,7 +55,9 @@
   3: required list<DocumentVersion> documents,
   4: required list<CrashReport> crashes,
   5: required list<EvidenceReport> evidence,
-  6: required i64 clock
+  6: required i64 clock,
+  /** Digest of the sender's members, set only while it has no news to pass on. */
+  7: optional i64 membersDigest
 }
 
 /** Asks a peer to probe a third member. */
