Process tests of serving under failure; engines that refuse echo the attempt

Ruled out: the list of VMs (the engine was still listed, as the test wants), the retry limit (a refusal that says "not run" costs no budget). The time line showed the dispatch to the leaving engine and the failure 6 ms later; the refusal lacked the attempt's id, so that the router took it for the answer of another attempt, spent its retry budget on it and did not rest the engine.

Change: the engine stand-in echoes both ids on refusals, as its protocol says. The router goes on distrusting an answer without the id, since a refusal taken from another attempt would make a false "not run".

--- /dev/null
+++ b/integration/src/test/java/org/baobabcart/integration/serving/RollingRestartTest.java
@@ -0,0 +1,55 @@
+package org.baobabcart.integration.serving;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+
+import java.time.Duration;
+import java.util.List;
+import org.baobabcart.integration.support.Await;
+import org.baobabcart.integration.support.Balancer;
+import org.baobabcart.integration.support.Caller;
+import org.baobabcart.integration.support.Load;
+import org.baobabcart.integration.support.Reply;
+import org.baobabcart.integration.support.ServingFleet;
+import org.baobabcart.launcher.FleetNode;
+import org.junit.jupiter.api.Test;
+
+/** Every router is restarted in turn while callers go on; no request may fail or be cut off. */
+class RollingRestartTest {
+    private static final int CALLERS = 12;
+    private static final int TOKENS = 60;
+    private static final Duration EXIT_BOUND = Duration.ofSeconds(60);
+
+    @Test
+    void plannedStopsOfAllRoutersCutOffNoRequest() {
+        try (ServingFleet fleet = ServingFleet.start("rolling-restart");
+                Balancer balancer = Balancer.start(fleet)) {
+            Caller caller = fleet.caller();
+            Load load = Load.start(CALLERS, number -> request(caller, balancer.next(), number));
+            load.awaitMore(CALLERS);
+            for (FleetNode router : fleet.routers()) {
+                assertThat(router.name(), router.process().terminate(EXIT_BOUND), equalTo(0));
+                load.awaitMore(CALLERS);
+                router.process().restart();
+                Await.until(router.name() + " is ready again", () -> fleet.isReady(router));
+                load.awaitMore(CALLERS);
+            }
+            List<Reply> failed =
+                    load.end().stream().filter(reply -> !isWhole(reply)).toList();
+            assertThat(failed, empty());
+        }
+    }
+
+    private static Reply request(Caller caller, FleetNode router, int number) {
+        return number % 2 == 0
+                ? caller.stream(router, ServingFleet.MODEL, "pane " + number, TOKENS)
+                        .join()
+                : caller.chat(router, ServingFleet.MODEL, "pane " + number, TOKENS)
+                        .join();
+    }
+
+    private static boolean isWhole(Reply reply) {
+        return reply.wholeStream() || reply.succeeded() && reply.json().has("choices");
+    }
+}
--- /dev/null
+++ b/integration/src/test/java/org/baobabcart/integration/support/Caller.java
@@ -0,0 +1,58 @@
+package org.baobabcart.integration.support;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.baobabcart.launcher.FleetNode;
+import org.baobabcart.launcher.LocalFleet;
+
+/** A caller of one workspace. Thread-safe. */
+public final class Caller {
+    private static final Duration TIMEOUT = Duration.ofSeconds(90);
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final String key;
+
+    private Caller(String key) {
+        this.key = key;
+    }
+
+    public static Caller of(LocalFleet fleet) {
+        return new Caller(fleet.defaultSheet().workspaces().get(0).key());
+    }
+
+    public CompletableFuture<Reply> chat(FleetNode router, String model, String prompt, int tokens) {
+        return chat(router, model, prompt, tokens, Map.of());
+    }
+
+    public CompletableFuture<Reply> chat(
+            FleetNode router, String model, String prompt, int tokens, Map<String, String> headers) {
+        return send(router, body(model, prompt, tokens, false), headers);
+    }
+
+    public CompletableFuture<Reply> stream(FleetNode router, String model, String prompt, int tokens) {
+        return send(router, body(model, prompt, tokens, true), Map.of());
+    }
+
+    private CompletableFuture<Reply> send(FleetNode router, String body, Map<String, String> headers) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(router.caller() + "/v1/chat/completions"))
+                .timeout(TIMEOUT)
+                .header("Authorization", "Bearer " + key)
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+        headers.forEach(request::header);
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
+                .thenApply(Reply::of)
+                .exceptionally(Reply::broken);
+    }
+
+    private static String body(String model, String prompt, int tokens, boolean stream) {
+        return "{\"model\":\"%s\",\"stream\":%b,\"max_tokens\":%d,\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}"
+                .formatted(model, stream, tokens, prompt);
+    }
+}
--- /dev/null
+++ b/integration/src/test/java/org/baobabcart/integration/support/Reply.java
@@ -0,0 +1,56 @@
+package org.baobabcart.integration.support;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.net.http.HttpHeaders;
+import java.net.http.HttpResponse;
+import java.util.Map;
+import org.baobabcart.model.request.Headers;
+
+/** What a caller got; status zero means that the connection broke. Immutable. */
+public record Reply(int status, HttpHeaders headers, String body) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String END_OF_STREAM = "data: [DONE]";
+
+    static Reply of(HttpResponse<String> response) {
+        return new Reply(response.statusCode(), response.headers(), response.body());
+    }
+
+    static Reply broken(Throwable failure) {
+        return new Reply(0, HttpHeaders.of(Map.of(), (name, value) -> true), String.valueOf(failure));
+    }
+
+    public boolean succeeded() {
+        return status / 100 == 2;
+    }
+
+    public boolean wholeStream() {
+        return succeeded() && body.trim().endsWith(END_OF_STREAM);
+    }
+
+    public String header(String name) {
+        return headers.firstValue(name).orElse("");
+    }
+
+    public String version() {
+        return header(Headers.VERSION);
+    }
+
+    public String session() {
+        return header(Headers.SESSION);
+    }
+
+    public JsonNode json() {
+        try {
+            return MAPPER.readTree(body);
+        } catch (JsonProcessingException exception) {
+            return MissingNode.getInstance();
+        }
+    }
+
+    public int code() {
+        return json().path("error").path("code").asInt();
+    }
+}
--- a/standins/src/main/java/org/baobabcart/standins/base/UpstreamServer.java
+++ b/standins/src/main/java/org/baobabcart/standins/base/UpstreamServer.java
@@ -5,6 +5,7 @@
 import io.vertx.ext.web.RoutingContext;
 import java.util.ArrayList;
 import java.util.List;
+import org.baobabcart.model.request.Headers;
 
 /** What stand-ins for engines and plain services share: their faults. Confined to the event loop. */
 public abstract class UpstreamServer extends StandInServer {
@@ -47,12 +48,19 @@
     /** Refuses the work if this upstream is leaving; true where it did. */
     protected final boolean refusedAsLeaving(RoutingContext context) {
         if (leaving) {
-            context.response().putHeader(NOT_RUN, "true");
-            answer(context, 503, new JsonObject().put("error", "leaving"));
+            refuseNotRun(context, 503, "leaving");
         }
         return leaving;
     }
 
+    /** Refuses work that was not begun, with the ids of the attempt so that the refusal cannot be taken for another's. */
+    protected final void refuseNotRun(RoutingContext context, int status, String error) {
+        echo(context, Headers.REQUEST_ID);
+        echo(context, Headers.ATTEMPT_ID);
+        context.response().putHeader(NOT_RUN, "true");
+        answer(context, status, new JsonObject().put("error", error));
+    }
+
     /** Answers whether new work is taken. */
     protected final void health(RoutingContext context) {
         JsonObject state = new JsonObject().put("status", leaving ? "leaving" : "ok");
--- a/standins/src/main/java/org/baobabcart/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/baobabcart/standins/engine/EngineStandIn.java
@@ -86,8 +86,7 @@
         String asked = context.request().getHeader(Headers.VERSION);
         boolean other = asked != null && !asked.equals(version);
         if (other) {
-            context.response().putHeader(NOT_RUN, "true");
-            answer(context, 409, new JsonObject().put("error", "this engine serves version " + version));
+            refuseNotRun(context, 409, "this engine serves version " + version);
         }
         return other;
     }
