Start cascades where it pays

Every cascade started at its first step, whatever its ratings had shown. The caller API now asks the cascade chooser where to start and what follows a rating; without ratings only a step declared good enough answers.

--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.baobabcart.policy.admission.AdmissionQueue;
+import org.baobabcart.policy.cascade.CascadeSettings;
+import org.baobabcart.router.cascade.CascadeChooser;
 import org.baobabcart.router.control.Futures;
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.DispatcherSettings;
@@ -51,7 +53,9 @@
                 CrashGuard.create(vertx),
                 new Drain(),
                 Evidence.create(parts));
-        TrafficRuntime runtime = new TrafficRuntime(vertx, parts, settings, dispatcher, upstreams, health, guards);
+        CascadeChooser cascades = CascadeChooser.create(CascadeSettings.defaults(), System::nanoTime);
+        TrafficRuntime runtime =
+                new TrafficRuntime(vertx, parts, settings, dispatcher, upstreams, health, guards, cascades);
         parts.metrics().gauge("caller.running", () -> () -> guards.drain().running());
         parts.metrics().gauge("dispatcher.waiting", () -> dispatcher::waiting);
         return new CallerApi(vertx, runtime);
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -14,7 +14,10 @@
 import org.baobabcart.model.request.RequestIds;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.cascade.CascadeDecision;
+import org.baobabcart.policy.cascade.CascadePlan;
 import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.router.cascade.WorkKind;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.UpstreamAnswer;
@@ -37,6 +40,8 @@
     private final CallerContext context;
     private final ModelRequest request;
     private final StepPlan steps;
+    private final Optional<CascadePlan> cascade;
+    private final String workKind;
     private final VersionSelector versions;
     private SelectedVersion current;
     private long passedOnUnits;
@@ -47,6 +52,11 @@
         this.context = context;
         this.request = request;
         this.steps = StepPlan.of(context.sheet(), context.workspace(), request.model());
+        this.cascade = steps.cascade(context.sheet());
+        this.workKind = WorkKind.of(
+                context.workspace().name(),
+                request.kind().text(),
+                request.prompt().length());
         this.versions = VersionSelector.create(runtime.parts().signer().get(), context.workspace(), context.session());
     }
 
@@ -58,7 +68,9 @@
 
     /** Completes when the answer is on its way to the caller; fails where the caller has to be refused. */
     Future<Void> run() {
-        return step(0, Optional.empty());
+        int first = cascade.map(plan -> runtime.cascades().firstStep(plan, workKind))
+                .orElse(0);
+        return step(first, Optional.empty());
     }
 
     private Future<Void> step(int index, Optional<ModelAnswer> lesser) {
@@ -71,7 +83,7 @@
             answer = Future.failedFuture(refusal);
         }
         return answer.onFailure(ignored -> billCancelled())
-                .compose(whole -> last ? deliverLast(whole) : rate(index, whole))
+                .compose(whole -> last ? deliverLast(whole) : rate(index, lesser.isPresent(), whole))
                 .recover(failure -> lesser.isPresent() && !exchange.started() && !exchange.isGone()
                         ? deliver(lesser.get())
                         : Future.failedFuture(failure));
@@ -89,19 +101,20 @@
         return ask(current, last && request.stream());
     }
 
-    private Future<Void> rate(int index, ModelAnswer answer) {
+    private Future<Void> rate(int index, boolean escalated, ModelAnswer answer) {
         return Future.fromCompletionStage(
                         runtime.parts().ratings().rate(ratingRequest(answer)).subscribeAsCompletionStage(),
                         runtime.vertx().getOrCreateContext())
                 .compose(rated -> {
-                    double quality = rated.orElse(answer.version().quality());
                     runtime.guards().evidence().rated(answer.version(), rated);
-                    if (quality >= steps.qualityTarget()) {
+                    CascadeDecision decision =
+                            runtime.cascades().afterAnswer(cascade.orElseThrow(), workKind, index, escalated, rated);
+                    if (decision.accepted()) {
                         return deliver(answer);
                     }
                     exchange.record(
                             EventType.REQUEST_ESCALATED, answer.version().model());
-                    return step(index + 1, Optional.of(answer));
+                    return step(decision.nextStep().orElseThrow(), Optional.of(answer));
                 });
     }
 
--- a/router/src/main/java/org/baobabcart/router/traffic/StepPlan.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/StepPlan.java
@@ -1,13 +1,18 @@
 package org.baobabcart.router.traffic;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.model.sheet.Cascade;
+import org.baobabcart.model.sheet.Model;
 import org.baobabcart.model.sheet.Sheet;
+import org.baobabcart.model.sheet.Version;
 import org.baobabcart.model.sheet.Workspace;
+import org.baobabcart.policy.cascade.CascadePlan;
+import org.baobabcart.policy.cascade.CascadeStep;
 import org.baobabcart.policy.version.ModelReference;
 
 /**
@@ -36,6 +41,16 @@
         return new StepPlan(steps, cascade.get().qualityTarget(), withSteps(workspace, steps));
     }
 
+    /** The steps with the costs and qualities that the sheet declares, where there is more than one. */
+    Optional<CascadePlan> cascade(Sheet sheet) {
+        if (steps.size() < 2) {
+            return Optional.empty();
+        }
+        List<CascadeStep> costs =
+                steps.stream().map(reference -> costOf(sheet, reference)).toList();
+        return Optional.of(new CascadePlan(qualityTarget, costs));
+    }
+
     ModelReference step(int index) {
         return steps.get(index);
     }
@@ -44,6 +59,18 @@
         return steps.size();
     }
 
+    /** The cost of the version that a reference names or, where it names none, of the one with the greatest share. */
+    private static CascadeStep costOf(Sheet sheet, ModelReference reference) {
+        Model model = sheet.model(reference.model()).orElseThrow();
+        Version version = reference
+                .version()
+                .flatMap(model::version)
+                .orElseGet(() -> model.versions().stream()
+                        .max(Comparator.comparingDouble(Version::share))
+                        .orElseThrow());
+        return new CascadeStep(reference.toString(), version.costPerThousandTokens(), version.quality());
+    }
+
     private static Workspace withSteps(Workspace workspace, List<ModelReference> steps) {
         Stream<String> added = steps.stream().map(ModelReference::model).filter(model -> !namesModel(workspace, model));
         List<String> models =
--- a/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
@@ -1,6 +1,7 @@
 package org.baobabcart.router.traffic;
 
 import io.vertx.core.Vertx;
+import org.baobabcart.router.cascade.CascadeChooser;
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.UpstreamClient;
 import org.baobabcart.router.upstream.UpstreamHealth;
@@ -13,7 +14,8 @@
         Dispatcher dispatcher,
         UpstreamClient upstreams,
         UpstreamHealth health,
-        Guards guards) {
+        Guards guards,
+        CascadeChooser cascades) {
     /** What limits retries, crashes and the stop of the process. */
     record Guards(RetryGuard retries, CrashGuard crashes, Drain drain, Evidence evidence) {}
 
