Process tests share one caller, one balancer and one wait

Cause: five test classes had each their own HTTP caller, readiness wait or balancer.

Ruled out: moving them into the launcher, which the demo uses: a test's wait is not part of starting a fleet.

No assertion, bound or fault of a test is changed.

Conclusion: one place for each.

--- a/integration/src/test/java/org/baobabcart/integration/CascadeProcessTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/CascadeProcessTest.java
@@ -6,12 +6,10 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.List;
+import org.baobabcart.integration.support.Await;
+import org.baobabcart.integration.support.Caller;
+import org.baobabcart.integration.support.Reply;
 import org.baobabcart.launcher.EngineSettings;
 import org.baobabcart.launcher.FleetNode;
 import org.baobabcart.launcher.FleetSettings;
@@ -22,13 +20,9 @@
 class CascadeProcessTest {
     private static final int REQUESTS = 100;
     private static final int GREATEST_LATE_TRIES = 15;
-    private static final Duration BOUND = Duration.ofSeconds(60);
-
-    private final HttpClient client =
-            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     @Test
-    void aCheapModelThatNeverSufficesIsGivenUp() throws Exception {
+    void aCheapModelThatNeverSufficesIsGivenUp() {
         List<EngineSettings> engines = List.of(
                 EngineSettings.large("v1").withCapacity(8, 1),
                 EngineSettings.small("v1").withCapacity(8, 1));
@@ -37,11 +31,13 @@
                 .withDataCentres("a")
                 .withEngines(2, engines))) {
             fleet.publish(fleet.defaultSheet().toJson());
-            awaitServing(fleet);
+            Caller caller = Caller.of(fleet);
+            FleetNode router = fleet.routers().get(0);
+            Await.until("the router serves", () -> ask(caller, router).succeeded());
             int before = smallRuns(fleet);
-            askAll(fleet);
+            askAll(caller, router);
             int early = smallRuns(fleet) - before;
-            askAll(fleet);
+            askAll(caller, router);
             int late = smallRuns(fleet) - before - early;
             System.out.printf(
                     "cascade of processes: cheap tries %d then %d of %d requests each%n", early, late, REQUESTS);
@@ -50,34 +46,16 @@
         }
     }
 
-    private void askAll(LocalFleet fleet) throws Exception {
+    private static void askAll(Caller caller, FleetNode router) {
         for (int request = 0; request < REQUESTS; request++) {
-            HttpResponse<String> response = ask(fleet);
-            assertThat(response.body(), response.statusCode(), equalTo(200));
-            assertThat(response.body(), containsString("quality=0.95"));
-        }
-    }
-
-    private void awaitServing(LocalFleet fleet) throws Exception {
-        long bound = System.nanoTime() + BOUND.toNanos();
-        while (ask(fleet).statusCode() != 200) {
-            if (System.nanoTime() > bound) {
-                throw new AssertionError("the router does not serve");
-            }
+            Reply reply = ask(caller, router);
+            assertThat(reply.body(), reply.status(), equalTo(200));
+            assertThat(reply.body(), containsString("quality=0.95"));
         }
     }
 
-    private HttpResponse<String> ask(LocalFleet fleet) throws Exception {
-        String body = "{\"model\":\"layout\",\"max_tokens\":2,\"messages\":[{\"role\":\"user\",\"content\":\"pane\"}]}";
-        FleetNode router = fleet.routers().get(0);
-        HttpRequest request = HttpRequest.newBuilder(URI.create(router.caller() + "/v1/chat/completions"))
-                .header(
-                        "Authorization",
-                        "Bearer " + fleet.defaultSheet().workspaces().get(0).key())
-                .timeout(BOUND)
-                .POST(HttpRequest.BodyPublishers.ofString(body))
-                .build();
-        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    private static Reply ask(Caller caller, FleetNode router) {
+        return caller.chat(router, "layout", "pane", 2).join();
     }
 
     private static int smallRuns(LocalFleet fleet) {
--- a/integration/src/test/java/org/baobabcart/integration/OpenAiClientTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/OpenAiClientTest.java
@@ -22,6 +22,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.stream.Collectors;
+import org.baobabcart.integration.support.Await;
 import org.baobabcart.launcher.FleetNode;
 import org.baobabcart.launcher.FleetSettings;
 import org.baobabcart.launcher.LocalFleet;
@@ -36,13 +37,16 @@
     private static OpenAIClient client;
 
     @BeforeAll
-    static void startFleet() throws InterruptedException {
+    static void startFleet() {
         fleet = LocalFleet.start(FleetSettings.defaults()
                 .withName("openai-client")
                 .withDataCentres("one")
                 .withRoutersPerDataCentre(1));
         fleet.publish(fleet.defaultSheet().toJson());
-        awaitReady(fleet.routers().get(0));
+        FleetNode router = fleet.routers().get(0);
+        Await.until(
+                "the router is ready",
+                () -> fleet.calls().get(router.admin() + "/readyz").status() == 200);
         client = clientWith(fleet.defaultSheet().workspaces().get(0).key());
     }
 
@@ -121,14 +125,4 @@
                 .timeout(BOUND)
                 .build();
     }
-
-    private static void awaitReady(FleetNode router) throws InterruptedException {
-        long deadline = System.nanoTime() + BOUND.toNanos();
-        while (fleet.calls().get(router.admin() + "/readyz").status() != 200) {
-            if (System.nanoTime() - deadline > 0) {
-                throw new AssertionError("the router did not become ready in time");
-            }
-            Thread.sleep(20);
-        }
-    }
 }
--- a/integration/src/test/java/org/baobabcart/integration/RollOutProcessTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/RollOutProcessTest.java
@@ -7,13 +7,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.List;
-import java.util.function.BooleanSupplier;
+import org.baobabcart.integration.support.Await;
+import org.baobabcart.integration.support.Caller;
+import org.baobabcart.integration.support.Reply;
 import org.baobabcart.launcher.EngineSettings;
 import org.baobabcart.launcher.FleetNode;
 import org.baobabcart.launcher.FleetSettings;
@@ -24,14 +21,10 @@
 class RollOutProcessTest {
     private static final int GREATEST_EXPOSURE = 200;
     private static final int MAXIMUM_REQUESTS = 5_000;
-    private static final Duration BOUND = Duration.ofSeconds(60);
     private static final String ROLL_OUTS = "/apis/baobabcart/v1/rollouts/current";
 
-    private final HttpClient client =
-            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-
     @Test
-    void aBadVersionIsStoppedAndGetsNoMoreWork() throws Exception {
+    void aBadVersionIsStoppedAndGetsNoMoreWork() {
         List<EngineSettings> engines = List.of(
                 EngineSettings.large("v1").withCapacity(8, 1),
                 EngineSettings.large("v2").withCapacity(8, 1).withQuality(0.2));
@@ -41,39 +34,32 @@
                 .withRoutersPerDataCentre(2)
                 .withEngines(2, engines))) {
             fleet.publish(sheetWithRollOut(fleet));
-            awaitTrue(() -> status(fleet).equals("RUNNING"));
+            Await.until("the roll-out runs", () -> status(fleet).equals("RUNNING"));
+            Caller caller = Caller.of(fleet);
             int sent = 0;
             while (!status(fleet).equals("STOPPED") && sent < MAXIMUM_REQUESTS) {
-                ask(fleet, sent);
+                ask(fleet, caller, sent);
                 sent++;
             }
             assertThat(status(fleet), equalTo("STOPPED"));
             FleetNode bad = fleet.engines().get(1);
-            fleet.routers().forEach(router -> awaitTrue(() -> generation(fleet, router) == storedGeneration(fleet)));
+            fleet.routers()
+                    .forEach(router -> Await.until(
+                            "the stop has arrived", () -> generation(fleet, router) == storedGeneration(fleet)));
             int exposures = fleet.runs(bad).size();
             System.out.printf("roll-out of processes: %d requests, %d exposures%n", sent, exposures);
             for (int request = 0; request < 200; request++) {
-                ask(fleet, request);
+                ask(fleet, caller, request);
             }
             assertThat(fleet.runs(bad).size(), equalTo(exposures));
             assertThat(exposures, lessThanOrEqualTo(GREATEST_EXPOSURE));
         }
     }
 
-    private void ask(LocalFleet fleet, int number) throws Exception {
+    private static void ask(LocalFleet fleet, Caller caller, int number) {
         FleetNode router = fleet.routers().get(number % fleet.routers().size());
-        String body =
-                "{\"model\":\"layout-large\",\"max_tokens\":2,\"messages\":[{\"role\":\"user\",\"content\":\"pane "
-                        + number + "\"}]}";
-        HttpRequest request = HttpRequest.newBuilder(URI.create(router.caller() + "/v1/chat/completions"))
-                .header(
-                        "Authorization",
-                        "Bearer " + fleet.defaultSheet().workspaces().get(0).key())
-                .timeout(BOUND)
-                .POST(HttpRequest.BodyPublishers.ofString(body))
-                .build();
-        HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
-        assertThat(response.body(), response.statusCode(), equalTo(200));
+        Reply reply = caller.chat(router, "layout-large", "pane " + number, 2).join();
+        assertThat(reply.body(), reply.status(), equalTo(200));
     }
 
     private static String status(LocalFleet fleet) {
@@ -112,14 +98,4 @@
                 .put("minimumSamples", 50);
         return sheet;
     }
-
-    private static void awaitTrue(BooleanSupplier condition) {
-        long bound = System.nanoTime() + BOUND.toNanos();
-        while (!condition.getAsBoolean()) {
-            if (System.nanoTime() > bound) {
-                throw new AssertionError("the condition did not come true");
-            }
-            Thread.onSpinWait();
-        }
-    }
 }
--- a/integration/src/test/java/org/baobabcart/integration/claims/BillProcessTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/claims/BillProcessTest.java
@@ -9,6 +9,9 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
+import org.baobabcart.integration.support.Await;
+import org.baobabcart.integration.support.Caller;
+import org.baobabcart.integration.support.Reply;
 import org.baobabcart.launcher.FleetNode;
 import org.baobabcart.policy.bill.BillLedger;
 import org.junit.jupiter.api.AfterAll;
@@ -22,7 +25,10 @@
     private static final Duration OUTAGE = Duration.ofSeconds(60);
     private static ClaimFleet fleet;
 
-    private final CallerClient caller = fleet.caller();
+    private static final String MODEL = "layout-small";
+    private static final int TOKENS = 4;
+
+    private final Caller caller = fleet.caller();
     private final List<String> finished = new ArrayList<>();
 
     @BeforeAll
@@ -38,7 +44,7 @@
     @AfterEach
     void eachFinishedRequestHasOneBill() {
         assertThat(finished, not(List.of()));
-        Eventually.holds("every finished request is billed", this::allBilled);
+        Await.until("every finished request is billed", this::allBilled);
     }
 
     @Test
@@ -46,7 +52,7 @@
         for (FleetNode victim : List.of(fleet.routers().get(0), fleet.routers().get(3))) {
             serve(victim, "killed-" + victim.name());
             victim.process().kill();
-            Eventually.holds("the bills of " + victim.name(), this::allBilled);
+            Await.until("the bills of " + victim.name(), this::allBilled);
             victim.process().restart();
             fleet.awaitWhole();
         }
@@ -59,7 +65,7 @@
         FleetNode victim = fleet.routers().get(1);
         victim.process().kill();
         fleet.platformFault("{\"outage\":false}");
-        Eventually.holds("bills survive one router", this::allBilled);
+        Await.until("bills survive one router", this::allBilled);
         victim.process().restart();
         fleet.awaitWhole();
     }
@@ -70,7 +76,7 @@
         long begin = System.nanoTime();
         while (System.nanoTime() - begin < OUTAGE.toNanos()) {
             fleet.routers().forEach(router -> chat(router, "during the outage"));
-            Eventually.lasts(Duration.ofSeconds(2));
+            Await.lasting(Duration.ofSeconds(2));
         }
         fleet.platformFault("{\"outage\":false}");
     }
@@ -79,7 +85,7 @@
     void lostAnswersOfThePlatform() {
         fleet.platformFault("{\"lose-answers-after-write\":true}");
         fleet.routers().forEach(router -> chat(router, "lost answers"));
-        Eventually.lasts(Duration.ofSeconds(3));
+        Await.lasting(Duration.ofSeconds(3));
         fleet.platformFault("{\"lose-answers-after-write\":false}");
     }
 
@@ -88,26 +94,26 @@
         FleetNode leaving = fleet.routers().get(2);
         serve(leaving, "planned-stop");
         assertThat(leaving.process().terminate(Duration.ofSeconds(60)), is(0));
-        Eventually.holds("the bills of a planned stop", this::allBilled);
+        Await.until("the bills of a planned stop", this::allBilled);
         leaving.process().restart();
         fleet.awaitWhole();
     }
 
     private void serve(FleetNode router, String name) {
-        List<CompletableFuture<Ending>> calls = new ArrayList<>();
+        List<CompletableFuture<Reply>> calls = new ArrayList<>();
         IntStream.range(0, REQUESTS).forEach(index -> {
-            calls.add(caller.chat(router, name + " " + index));
+            calls.add(caller.chat(router, MODEL, name + " " + index, TOKENS));
             calls.add(caller.book(router, name + "-" + index));
         });
         calls.forEach(this::finish);
     }
 
     private void chat(FleetNode router, String prompt) {
-        finish(caller.chat(router, prompt));
+        finish(caller.chat(router, MODEL, prompt, TOKENS));
     }
 
-    private void finish(CompletableFuture<Ending> call) {
-        Ending ending = call.join();
+    private void finish(CompletableFuture<Reply> call) {
+        Reply ending = call.join();
         assertThat(ending.toString(), ending.status() / 100, is(2));
         finished.add(ending.requestId());
     }
--- a/integration/src/test/java/org/baobabcart/integration/claims/BookingProcessTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/claims/BookingProcessTest.java
@@ -13,6 +13,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
+import org.baobabcart.integration.support.Await;
+import org.baobabcart.integration.support.Caller;
+import org.baobabcart.integration.support.Reply;
 import org.baobabcart.launcher.FleetNode;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.claim.Attempt;
@@ -28,8 +31,8 @@
             Duration.ofNanos(Attempt.GRANT_BOUND_NANOS).plusSeconds(2);
     private static ClaimFleet fleet;
 
-    private final CallerClient caller = fleet.caller();
-    private final List<Ending> endings = new ArrayList<>();
+    private final Caller caller = fleet.caller();
+    private final List<Reply> endings = new ArrayList<>();
 
     @BeforeAll
     static void start() {
@@ -51,12 +54,10 @@
                         .toList(),
                 empty());
         Set<String> run = fleet.requestsRun();
-        List<String> notRun = endings.stream()
-                .filter(Ending::saysNotRun)
-                .map(Ending::requestId)
-                .toList();
+        List<String> notRun =
+                endings.stream().filter(Reply::saysNotRun).map(Reply::requestId).toList();
         assertThat(notRun.stream().filter(run::contains).toList(), empty());
-        List<Ending> dishonest = endings.stream()
+        List<Reply> dishonest = endings.stream()
                 .filter(ending -> !ending.booked() && !ending.saysNotRun() && !ending.saysUnknown())
                 .toList();
         assertThat(dishonest, empty());
@@ -68,11 +69,11 @@
         keys.forEach(key -> all(
                 fleet.routers().stream().map(router -> caller.book(router, key)).toList()));
         for (String key : keys) {
-            List<Ending> again = all(fleet.routers().stream()
+            List<Reply> again = all(fleet.routers().stream()
                     .map(router -> caller.book(router, key))
                     .toList());
-            assertThat(again.stream().map(Ending::booked).toList(), everyItem(is(true)));
-            assertThat(again.stream().map(Ending::booking).distinct().count(), equalTo(1L));
+            assertThat(again.stream().map(Reply::booked).toList(), everyItem(is(true)));
+            assertThat(again.stream().map(Reply::booking).distinct().count(), equalTo(1L));
             assertThat(fleet.runsByKey().get(key), equalTo(1));
         }
     }
@@ -82,9 +83,9 @@
         FleetNode victim = fleet.routers().get(0);
         List<String> keys = keys("killed");
         fleet.serviceFault("{\"slow\":400}");
-        List<CompletableFuture<Ending>> cut =
+        List<CompletableFuture<Reply>> cut =
                 keys.stream().map(key -> caller.book(victim, key)).toList();
-        Eventually.holds("every booking runs", () -> fleet.runsByKey().keySet().containsAll(keys));
+        Await.until("every booking runs", () -> fleet.runsByKey().keySet().containsAll(keys));
         victim.process().kill();
         all(cut);
         for (String key : keys) {
@@ -104,14 +105,14 @@
         FleetNode paused = fleet.routers().get(1);
         List<String> keys = keys("paused");
         fleet.platformFault("{\"slow\":300}");
-        List<CompletableFuture<Ending>> begun =
+        List<CompletableFuture<Reply>> begun =
                 keys.stream().map(key -> caller.book(paused, key)).toList();
-        Eventually.lasts(Duration.ofMillis(400));
+        Await.lasting(Duration.ofMillis(400));
         paused.process().pause();
         fleet.platformFault("{\"slow\":0}");
         FleetNode other = fleet.routers().get(2);
         all(keys.stream().map(key -> caller.book(other, key)).toList());
-        Eventually.lasts(PAST_EVERY_TIMEOUT);
+        Await.lasting(PAST_EVERY_TIMEOUT);
         all(keys.stream().map(key -> caller.book(other, key)).toList());
         paused.process().resume();
         all(begun);
@@ -126,14 +127,14 @@
         assertThat(one(caller.book(fleet.routers().get(0), finished)).booked(), is(true));
         fleet.platformFault("{\"outage\":true}");
         for (String key : keys) {
-            Ending refused = one(caller.book(fleet.routers().get(3), key));
+            Reply refused = one(caller.book(fleet.routers().get(3), key));
             assertThat(refused.code(), equalTo(ResultCode.CLAIM_UNAVAILABLE.number()));
         }
-        Ending replayed = one(caller.book(fleet.routers().get(0), finished));
+        Reply replayed = one(caller.book(fleet.routers().get(0), finished));
         assertThat(replayed.toString(), replayed.booked(), is(true));
         fleet.platformFault("{\"outage\":false}");
         for (String key : keys) {
-            Eventually.holds(
+            Await.until(
                     key + " is booked",
                     () -> one(caller.book(fleet.routers().get(0), key)).booked());
         }
@@ -148,20 +149,20 @@
         }
         fleet.platformFault("{\"lose-answers-after-write\":false}");
         for (String key : keys) {
-            Eventually.holds(key + " has an outcome", () -> {
-                Ending ending = one(caller.book(fleet.routers().get(2), key));
+            Await.until(key + " has an outcome", () -> {
+                Reply ending = one(caller.book(fleet.routers().get(2), key));
                 return ending.booked() || ending.code() == ResultCode.OUTCOME_UNKNOWN.number();
             });
         }
         assertThat(fleet.runsByKey().keySet().stream().filter(keys::contains).toList(), not(empty()));
     }
 
-    private List<Ending> all(List<CompletableFuture<Ending>> calls) {
+    private List<Reply> all(List<CompletableFuture<Reply>> calls) {
         return calls.stream().map(this::one).toList();
     }
 
-    private Ending one(CompletableFuture<Ending> call) {
-        Ending ending = call.join();
+    private Reply one(CompletableFuture<Reply> call) {
+        Reply ending = call.join();
         endings.add(ending);
         return ending;
     }
--- a/integration/src/test/java/org/baobabcart/integration/claims/ClaimFleet.java
+++ b/integration/src/test/java/org/baobabcart/integration/claims/ClaimFleet.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.baobabcart.integration.support.Await;
+import org.baobabcart.integration.support.Caller;
 import org.baobabcart.launcher.EngineSettings;
 import org.baobabcart.launcher.FleetNode;
 import org.baobabcart.launcher.FleetSettings;
@@ -45,15 +47,15 @@
         return fleet.routers();
     }
 
-    CallerClient caller() {
-        return new CallerClient(fleet.defaultSheet().workspaces().get(0).key());
+    Caller caller() {
+        return Caller.of(fleet);
     }
 
     /** Waits until every router is ready and knows the others as alive. */
     void awaitWhole() {
         for (FleetNode router : routers()) {
-            Eventually.holds(router.name() + " is ready", () -> ready(router));
-            Eventually.holds(
+            Await.until(router.name() + " is ready", () -> ready(router));
+            Await.until(
                     router.name() + " knows the others",
                     () -> aliveAt(router) == routers().size() - 1);
         }
--- a/integration/src/test/java/org/baobabcart/integration/control/ControlFleetTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/control/ControlFleetTest.java
@@ -15,8 +15,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
+import org.baobabcart.integration.support.Await;
+import org.baobabcart.integration.support.Balancer;
 import org.baobabcart.launcher.FleetNode;
 import org.baobabcart.launcher.FleetSettings;
 import org.baobabcart.launcher.LocalFleet;
@@ -74,8 +75,10 @@
     @Order(1)
     void aPublishedSheetIsInForceOnEveryRouter() {
         long generation = fleet.publish(fleet.defaultSheet().toJson());
-        await(() -> generations().allMatch(held -> held == generation));
-        await(() -> statuses().allMatch(status -> status.path("ready").asBoolean()));
+        Await.until("it comes about", () -> generations().allMatch(held -> held == generation));
+        Await.until(
+                "it comes about",
+                () -> statuses().allMatch(status -> status.path("ready").asBoolean()));
     }
 
     @Test
@@ -100,7 +103,7 @@
         assertThat(accepted.stream().map(PublishedSheet::generation).distinct().count(), is((long) accepted.size()));
         PublishedSheet winner = publisher.current().await().atMost(BOUND).orElseThrow();
         assertThat(accepted.stream().anyMatch(sheet -> sheet.publishId().equals(winner.publishId())), is(true));
-        await(() -> publishIds().allMatch(winner.publishId()::equals));
+        Await.until("it comes about", () -> publishIds().allMatch(winner.publishId()::equals));
         fleet.routers().forEach(this::assertGenerationsOnlyGrow);
     }
 
@@ -110,27 +113,29 @@
         long generation = generations().findFirst().orElseThrow();
         fleet.fault(fleet.platform(), "{\"outage\":true}");
         FleetNode started = fleet.startRouter("router-a-late", "a");
-        await(() -> status(started).path("ready").asBoolean());
+        Await.until("it comes about", () -> status(started).path("ready").asBoolean());
         JsonNode sheet = status(started).path("sheet");
         assertThat(sheet.path("generation").asLong(), is(generation));
         assertThat(sheet.path("source").asText(), is("PEER"));
         assertThat(sheet.path("ageMillis").asLong() >= 0, is(true));
         fleet.fault(fleet.platform(), "{\"outage\":false}");
-        await(() -> status(started).path("platformReachable").asBoolean());
+        Await.until(
+                "it comes about",
+                () -> status(started).path("platformReachable").asBoolean());
     }
 
     @Test
     @Order(4)
     void aPlannedStopCutsOffNoStream() {
         FleetNode stopping = fleet.routers().get(0);
-        await(() -> status(stopping).path("ready").asBoolean());
+        Await.until("it comes about", () -> status(stopping).path("ready").asBoolean());
         List<CompletableFuture<HttpResponse<String>>> streams = new ArrayList<>();
         for (int stream = 0; stream < STREAMS; stream++) {
             streams.add(http.sendAsync(streamRequest(stopping), HttpResponse.BodyHandlers.ofString()));
         }
-        await(() -> running() > 0);
+        Await.until("it comes about", () -> running() > 0);
         stopping.process().requestStop();
-        await(() -> readiness(stopping) == 503);
+        Await.until("it comes about", () -> readiness(stopping) == 503);
         streams.add(http.sendAsync(streamRequest(stopping), HttpResponse.BodyHandlers.ofString()));
         List<HttpResponse<String>> answers =
                 streams.stream().map(CompletableFuture::join).toList();
@@ -138,19 +143,21 @@
         assertThat(answers.stream().map(HttpResponse::body).toList(), everyItem(containsString("data: [DONE]")));
         assertThat(stopping.process().awaitExit(BOUND), is(0));
         FleetNode other = fleet.routers().get(1);
-        await(() -> Stream.of("LEAVING", "DEAD").anyMatch(memberState(other, stopping.name())::equals));
+        Await.until(
+                "it comes about",
+                () -> Stream.of("LEAVING", "DEAD").anyMatch(memberState(other, stopping.name())::equals));
     }
 
     @Test
     @Order(5)
     void aPlannedStopBehindABalancerFailsNoRequest() {
         List<FleetNode> routers = fleet.routers().subList(2, 4);
-        ReadinessBalancer balancer = ReadinessBalancer.before(routers, this::readiness);
+        Balancer balancer = Balancer.before(fleet, routers);
         List<CompletableFuture<List<Integer>>> callers = new ArrayList<>();
         for (int caller = 0; caller < CALLERS; caller++) {
             callers.add(CompletableFuture.supplyAsync(() -> callAgainAndAgain(balancer)));
         }
-        await(() -> balancer.chosen() > CALLERS);
+        Await.until("it comes about", () -> balancer.chosen() > CALLERS);
         routers.get(0).process().requestStop();
         assertThat(routers.get(0).process().awaitExit(BOUND), is(0));
         List<Integer> statuses =
@@ -160,7 +167,7 @@
         assertThat(statuses.size(), is(CALLERS * CALLS));
     }
 
-    private List<Integer> callAgainAndAgain(ReadinessBalancer balancer) {
+    private List<Integer> callAgainAndAgain(Balancer balancer) {
         List<Integer> statuses = new ArrayList<>();
         for (int call = 0; call < CALLS; call++) {
             HttpRequest request = request(balancer.choose(), false, 1);
@@ -258,23 +265,4 @@
     private JsonNode status(FleetNode router) {
         return fleet.calls().get(router.admin() + "/status").body();
     }
-
-    private static void await(BooleanSupplier condition) {
-        long deadline = System.nanoTime() + BOUND.toNanos();
-        while (!condition.getAsBoolean()) {
-            if (System.nanoTime() - deadline > 0) {
-                throw new AssertionError("the condition did not come about within " + BOUND);
-            }
-            pause();
-        }
-    }
-
-    private static void pause() {
-        try {
-            Thread.sleep(POLL.toMillis());
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-            throw new IllegalStateException(exception);
-        }
-    }
 }
--- a/integration/src/test/java/org/baobabcart/integration/serving/RollingRestartTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/serving/RollingRestartTest.java
@@ -24,9 +24,9 @@
     @Test
     void plannedStopsOfAllRoutersCutOffNoRequest() {
         try (ServingFleet fleet = ServingFleet.start("rolling-restart");
-                Balancer balancer = Balancer.start(fleet)) {
+                Balancer balancer = Balancer.before(fleet.processes(), fleet.routers())) {
             Caller caller = fleet.caller();
-            Load load = Load.start(CALLERS, number -> request(caller, balancer.next(), number));
+            Load load = Load.start(CALLERS, number -> request(caller, balancer.choose(), number));
             load.awaitMore(CALLERS);
             for (FleetNode router : fleet.routers()) {
                 assertThat(router.name(), router.process().terminate(EXIT_BOUND), equalTo(0));
--- a/integration/src/test/java/org/baobabcart/integration/support/Await.java
+++ b/integration/src/test/java/org/baobabcart/integration/support/Await.java
@@ -11,6 +11,12 @@
 
     private Await() {}
 
+    /** Lets a fault last for a time. */
+    public static void lasting(Duration fault) {
+        long end = System.nanoTime() + fault.toNanos();
+        until("the fault is over", () -> System.nanoTime() - end >= 0);
+    }
+
     public static void until(String what, BooleanSupplier condition) {
         long end = System.nanoTime() + BOUND.toNanos();
         while (!condition.getAsBoolean()) {
--- a/integration/src/test/java/org/baobabcart/integration/support/Balancer.java
+++ b/integration/src/test/java/org/baobabcart/integration/support/Balancer.java
@@ -1,53 +1,59 @@
 package org.baobabcart.integration.support;
 
 import java.util.List;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.locks.LockSupport;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.baobabcart.launcher.FleetNode;
+import org.baobabcart.launcher.LocalFleet;
 import org.baobabcart.model.result.BaobabcartException;
 
-/** Stands for the platform's balancer: it sends callers to routers that said that they are ready when last asked. */
+/** Sends callers in turn to the routers that were ready at the last check, as the platform's balancer does. */
 public final class Balancer implements AutoCloseable {
-    private static final long PERIOD_NANOS = 100_000_000;
+    private static final int READY = 200;
+    private static final long CHECK_MILLIS = 100;
 
-    private final ServingFleet fleet;
-    private final Thread thread = new Thread(this::poll, "balancer");
+    private final LocalFleet fleet;
+    private final List<FleetNode> routers;
+    private final ScheduledExecutorService checks = Executors.newSingleThreadScheduledExecutor();
+    private final AtomicInteger chosen = new AtomicInteger();
     private volatile List<FleetNode> ready;
-    private volatile boolean ending;
 
-    private Balancer(ServingFleet fleet) {
+    private Balancer(LocalFleet fleet, List<FleetNode> routers) {
         this.fleet = fleet;
-        this.ready = fleet.routers();
+        this.routers = routers;
+        this.ready = routers;
     }
 
-    public static Balancer start(ServingFleet fleet) {
-        Balancer balancer = new Balancer(fleet);
-        balancer.thread.start();
+    public static Balancer before(LocalFleet fleet, List<FleetNode> routers) {
+        Balancer balancer = new Balancer(fleet, routers);
+        balancer.checks.scheduleWithFixedDelay(balancer::check, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS);
         return balancer;
     }
 
-    public FleetNode next() {
-        List<FleetNode> choice = ready;
-        return choice.get(ThreadLocalRandom.current().nextInt(choice.size()));
+    public FleetNode choose() {
+        List<FleetNode> now = ready;
+        return now.get(Math.floorMod(chosen.getAndIncrement(), now.size()));
+    }
+
+    public int chosen() {
+        return chosen.get();
     }
 
     @Override
     public void close() {
-        ending = true;
+        checks.shutdownNow();
     }
 
-    private void poll() {
-        while (!ending) {
-            List<FleetNode> answering =
-                    fleet.routers().stream().filter(this::isReady).toList();
-            ready = answering.isEmpty() ? ready : answering;
-            LockSupport.parkNanos(PERIOD_NANOS);
-        }
+    private void check() {
+        List<FleetNode> answering = routers.stream().filter(this::isReady).toList();
+        ready = answering.isEmpty() ? ready : answering;
     }
 
     private boolean isReady(FleetNode router) {
         try {
-            return fleet.isReady(router);
+            return fleet.calls().get(router.admin() + "/readyz").status() == READY;
         } catch (BaobabcartException exception) {
             return false;
         }
--- a/integration/src/test/java/org/baobabcart/integration/support/Caller.java
+++ b/integration/src/test/java/org/baobabcart/integration/support/Caller.java
@@ -9,11 +9,15 @@
 import java.util.concurrent.CompletableFuture;
 import org.baobabcart.launcher.FleetNode;
 import org.baobabcart.launcher.LocalFleet;
+import org.baobabcart.model.request.Headers;
 
 /** A caller of one workspace. Thread-safe. */
 public final class Caller {
     private static final Duration TIMEOUT = Duration.ofSeconds(90);
 
+    private static final String CHAT = "/v1/chat/completions";
+    private static final String BOOKING_TIMEOUT_MILLIS = "20000";
+
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final String key;
@@ -32,15 +36,21 @@
 
     public CompletableFuture<Reply> chat(
             FleetNode router, String model, String prompt, int tokens, Map<String, String> headers) {
-        return send(router, body(model, prompt, tokens, false), headers);
+        return send(router, CHAT, body(model, prompt, tokens, false), headers);
     }
 
     public CompletableFuture<Reply> stream(FleetNode router, String model, String prompt, int tokens) {
-        return send(router, body(model, prompt, tokens, true), Map.of());
+        return send(router, CHAT, body(model, prompt, tokens, true), Map.of());
+    }
+
+    public CompletableFuture<Reply> book(FleetNode router, String idempotencyKey) {
+        Map<String, String> headers =
+                Map.of(Headers.IDEMPOTENCY_KEY, idempotencyKey, Headers.TIMEOUT_MILLIS, BOOKING_TIMEOUT_MILLIS);
+        return send(router, "/services/orders/bookings", "{\"panes\":1}", headers);
     }
 
-    private CompletableFuture<Reply> send(FleetNode router, String body, Map<String, String> headers) {
-        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(router.caller() + "/v1/chat/completions"))
+    private CompletableFuture<Reply> send(FleetNode router, String path, String body, Map<String, String> headers) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(router.caller() + path))
                 .timeout(TIMEOUT)
                 .header("Authorization", "Bearer " + key)
                 .header("Content-Type", "application/json")
--- a/integration/src/test/java/org/baobabcart/integration/support/Reply.java
+++ b/integration/src/test/java/org/baobabcart/integration/support/Reply.java
@@ -12,6 +12,7 @@
 /** What a caller got; status zero means that the connection broke. Immutable. */
 public record Reply(int status, HttpHeaders headers, String body) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int CREATED = 201;
     private static final String END_OF_STREAM = "data: [DONE]";
 
     static Reply of(HttpResponse<String> response) {
@@ -50,7 +51,31 @@
         }
     }
 
+    public String requestId() {
+        return header(Headers.REQUEST_ID);
+    }
+
+    public boolean booked() {
+        return status == CREATED;
+    }
+
+    public String booking() {
+        return json().path("booking").asText();
+    }
+
+    public boolean saysNotRun() {
+        return ran().equals("no");
+    }
+
+    public boolean saysUnknown() {
+        return status == 0 || ran().equals("unknown");
+    }
+
     public int code() {
         return json().path("error").path("code").asInt();
     }
+
+    private String ran() {
+        return json().path("error").path("ran").asText();
+    }
 }
