--- a/integration/src/test/java/org/baobabcart/integration/serving/RollingRestartTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/serving/RollingRestartTest.java
@@ -19,6 +19,8 @@
 class RollingRestartTest {
     private static final int CALLERS = 12;
     private static final int TOKENS = 60;
+    /** A stream of so many tokens lasts longer than the balancer's delay, so that it is under way when the drain begins. */
+    private static final int LONG_STREAM_TOKENS = 1_000;
     private static final Duration EXIT_BOUND = Duration.ofSeconds(60);
 
     @Test
@@ -43,7 +45,7 @@
 
     private static Reply request(Caller caller, FleetNode router, int number) {
         return number % 2 == 0
-                ? caller.stream(router, ServingFleet.MODEL, "pane " + number, TOKENS)
+                ? caller.stream(router, ServingFleet.MODEL, "pane " + number, LONG_STREAM_TOKENS)
                         .join()
                 : caller.chat(router, ServingFleet.MODEL, "pane " + number, TOKENS)
                         .join();
