The command bills reads by the bill reader

Cause: the command merged segments on its own beside BillReader and BillLedger, which do the same.

Ruled out: keeping both, since "the first bill of an id counts" would stand in two places.

Change: the command calls the reader.

Conclusion: one rule in one place.

--- a/cli/src/main/java/org/baobabcart/cli/command/BillsCommand.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/BillsCommand.java
@@ -1,9 +1,6 @@
 package org.baobabcart.cli.command;
 
-import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.baobabcart.cli.Command;
 import org.baobabcart.cli.CommandContext;
@@ -12,9 +9,8 @@
 import org.baobabcart.cli.settings.Arguments;
 import org.baobabcart.cli.settings.CommonFlags;
 import org.baobabcart.cli.settings.Flag;
-import org.baobabcart.model.platform.Kinds;
-import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.request.Bill;
+import org.baobabcart.router.bill.BillReader;
 import org.baobabcart.router.platform.ObjectStore;
 
 /** {@code bills}: the bills in the platform, one for each request. */
@@ -53,21 +49,8 @@
         return request.isPresent() && bills.isEmpty() ? ExitCode.FAILED : ExitCode.OK;
     }
 
-    /** All bills; of bills with the same id the first one counts. */
-    public static Collection<Bill> read(ObjectStore store) {
-        Map<String, Bill> bills = new LinkedHashMap<>();
-        for (StoredObject segment : PlatformObjects.await(store.list(Kinds.BILLS))) {
-            for (Bill bill :
-                    PlatformObjects.convert(segment.spec(), Segment.class).bills()) {
-                bills.putIfAbsent(bill.requestId(), bill);
-            }
-        }
-        return bills.values();
-    }
-
-    private record Segment(List<Bill> bills) {
-        private Segment {
-            bills = bills == null ? List.of() : List.copyOf(bills);
-        }
+    /** All bills that the platform holds, one for each request. */
+    public static List<Bill> read(ObjectStore store) {
+        return PlatformObjects.await(BillReader.create(store).ledger()).bills();
     }
 }
