--- a/policy/src/main/java/org/baobabcart/policy/upstream/ConcurrencyLimit.java
+++ b/policy/src/main/java/org/baobabcart/policy/upstream/ConcurrencyLimit.java
@@ -20,6 +20,7 @@
     private static final double SMALLEST = 1;
     private static final double LARGEST = 1024;
     private static final double INITIAL = 4;
+    private static final double INITIAL_WITHOUT_REPORTS = 16;
     private static final double FALL = 0.85;
     private static final double STEEPEST_FALL = 0.5;
     private static final double LOWEST_GRADIENT = 0.5;
@@ -28,11 +29,16 @@
     private static final double SMOOTHING = 0.2;
     private static final double LONG_TERM_WEIGHT = 0.01;
 
-    /** The limit before anything is known. */
+    /** The limit before anything is known of an upstream that reports its load. */
     public static ConcurrencyLimit initial() {
         return new ConcurrencyLimit(INITIAL, 0, 0, true);
     }
 
+    /** The limit before anything is known of an upstream that reports no load, where growth takes many answers. */
+    public static ConcurrencyLimit initialWithoutReports() {
+        return new ConcurrencyLimit(INITIAL_WITHOUT_REPORTS, 0, 0, false);
+    }
+
     /** The number of requests that may be there at once. */
     public int whole() {
         return (int) limit;
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -196,7 +196,7 @@
                 .toList();
         long now = System.nanoTime();
         return subset(untried.isEmpty() ? preferred : untried).stream()
-                .map(member -> state(member.name()).candidate(member, settings.dataCentre(), now))
+                .map(member -> state(member).candidate(member, settings.dataCentre(), now))
                 .toList();
     }
 
@@ -224,8 +224,8 @@
                 .orElse(List.of());
     }
 
-    private UpstreamState state(String upstream) {
-        return upstreams.computeIfAbsent(upstream, ignored -> new UpstreamState());
+    private UpstreamState state(VirtualMachine upstream) {
+        return upstreams.computeIfAbsent(upstream.name(), ignored -> UpstreamState.create(upstream.role()));
     }
 
     private void forgetUnlisted(TrafficView view) {
@@ -238,12 +238,12 @@
         return () -> rejection.entry().item().refuse(refusal);
     }
 
-    private synchronized void observed(String upstream, long latencyNanos, Optional<LoadReport> report) {
+    private synchronized void observed(VirtualMachine upstream, long latencyNanos, Optional<LoadReport> report) {
         state(upstream).observed(latencyNanos, report, System.nanoTime());
     }
 
     private List<Runnable> released(CountedSlot slot, Optional<FailureKind> failure) {
-        state(slot.upstream.name()).ended(failure);
+        state(slot.upstream).ended(failure);
         AdmissionQueue<Waiter> queue = queues.get(slot.pool);
         return queue == null ? List.of() : pump(views.current(), slot.pool, queue);
     }
@@ -295,7 +295,7 @@
 
         @Override
         public void observe(long latencyNanos, Optional<String> load) {
-            observed(upstream.name(), latencyNanos, load.flatMap(LoadReport::parse));
+            observed(upstream, latencyNanos, load.flatMap(LoadReport::parse));
         }
 
         @Override
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamState.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamState.java
@@ -10,11 +10,21 @@
 /** What one router knows of one upstream's load. Guarded by the dispatcher's lock. */
 final class UpstreamState {
     private int inFlight;
-    private ConcurrencyLimit limit = ConcurrencyLimit.initial();
+    private ConcurrencyLimit limit;
     private Optional<LoadReport> report = Optional.empty();
     private long reportedAt;
     private int inFlightAtReport;
 
+    private UpstreamState(ConcurrencyLimit limit) {
+        this.limit = limit;
+    }
+
+    /** The state of an upstream to which nothing was sent yet; only engines report their load. */
+    static UpstreamState create(VirtualMachine.Role role) {
+        boolean reports = role == VirtualMachine.Role.ENGINE;
+        return new UpstreamState(reports ? ConcurrencyLimit.initial() : ConcurrencyLimit.initialWithoutReports());
+    }
+
     Candidate candidate(VirtualMachine upstream, String dataCentre, long nowNanos) {
         return new Candidate(
                 upstream.name(),
