One rendezvous hash for members, partitions and upstreams

Cause: the hash stood three times, in policy.member, policy.upstream and policy.claim, each with its own mixing. Ruled out: keeping three mixings behind one name; nothing depends on their values. Change: policy.hash.RendezvousHash serves all; the tests keep their assertions. Which node gets a duty changes, the promise does not. Conclusion: one place.

--- a/policy/src/main/java/org/baobabcart/policy/member/RendezvousHash.java
+++ b/policy/src/main/java/org/baobabcart/policy/hash/RendezvousHash.java
@@ -1,8 +1,9 @@
-package org.baobabcart.policy.member;
+package org.baobabcart.policy.hash;
 
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Function;
 
 /**
  * Gives duties to nodes by highest random weight, so that the loss of a node moves only its own duties.
@@ -17,15 +18,22 @@
 
     /** The nodes of the greatest weights for a duty, at most as many as asked for, the greatest first. */
     public static List<String> top(String duty, Collection<String> nodeIds, int count) {
-        return nodeIds.stream()
-                .sorted(Comparator.comparingLong((String nodeId) -> weight(duty, nodeId))
-                        .reversed()
-                        .thenComparing(Comparator.naturalOrder()))
+        return ranked(duty, nodeIds, Function.<String>identity()).stream()
                 .limit(count)
                 .toList();
     }
 
-    static long weight(String duty, String nodeId) {
+    /** All members by their weights for a duty, the greatest first. */
+    public static <T> List<T> ranked(String duty, Collection<T> members, Function<T, String> name) {
+        return members.stream()
+                .sorted(Comparator.comparingLong((T member) -> weight(duty, name.apply(member)))
+                        .reversed()
+                        .thenComparing(name))
+                .toList();
+    }
+
+    /** The weight of a member for a duty, the same at every node; spread evenly over all numbers. */
+    public static long weight(String duty, String nodeId) {
         return mix(hash(FNV_OFFSET, duty) ^ mix(hash(FNV_OFFSET, nodeId)));
     }
 
--- a/policy/src/main/java/org/baobabcart/policy/member/MemberStatement.java
+++ b/policy/src/main/java/org/baobabcart/policy/member/MemberStatement.java
@@ -1,6 +1,7 @@
 package org.baobabcart.policy.member;
 
 import java.util.Comparator;
+import org.baobabcart.policy.hash.RendezvousHash;
 
 /**
  * One statement about a member. Immutable.
--- a/policy/src/main/java/org/baobabcart/policy/upstream/UpstreamPolicy.java
+++ b/policy/src/main/java/org/baobabcart/policy/upstream/UpstreamPolicy.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import org.baobabcart.policy.hash.RendezvousHash;
 
 /**
  * Chooses an upstream for a piece of work. Immutable and thread-safe.
@@ -37,7 +38,7 @@
         if (upstreams.size() <= subsetSize) {
             return List.copyOf(upstreams);
         }
-        return RendezvousHash.order(router, upstreams, name -> name).subList(0, subsetSize);
+        return RendezvousHash.top(router, upstreams, subsetSize);
     }
 
     /**
@@ -67,7 +68,7 @@
         }
         double total = candidates.stream().mapToDouble(Candidate::load).sum() + 1;
         double bound = Math.ceil(AFFINITY_LOAD_BOUND * total / candidates.size());
-        return RendezvousHash.order(affinity, free, Candidate::name).stream()
+        return RendezvousHash.ranked(affinity, free, Candidate::name).stream()
                 .filter(candidate -> candidate.load() + 1 <= bound)
                 .findFirst()
                 .or(() -> Optional.of(lessLoaded(free, uniform)));
--- a/policy/src/test/java/org/baobabcart/policy/member/RendezvousHashTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/hash/RendezvousHashTest.java
@@ -1,4 +1,4 @@
-package org.baobabcart.policy.member;
+package org.baobabcart.policy.hash;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.everyItem;
--- a/router/src/main/java/org/baobabcart/router/document/WatchKeeper.java
+++ b/router/src/main/java/org/baobabcart/router/document/WatchKeeper.java
@@ -10,7 +10,7 @@
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
-import org.baobabcart.policy.member.RendezvousHash;
+import org.baobabcart.policy.hash.RendezvousHash;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.member.Member;
--- a/router/src/main/java/org/baobabcart/router/rollout/RollOutController.java
+++ b/router/src/main/java/org/baobabcart/router/rollout/RollOutController.java
@@ -17,7 +17,7 @@
 import org.baobabcart.model.rollout.RollOutState;
 import org.baobabcart.model.sheet.PublishedSheet;
 import org.baobabcart.model.sheet.Sheet;
-import org.baobabcart.policy.member.RendezvousHash;
+import org.baobabcart.policy.hash.RendezvousHash;
 import org.baobabcart.policy.rollout.RollOutJudge;
 import org.baobabcart.policy.rollout.RollOutVerdict;
 import org.baobabcart.policy.rollout.StageEvidence;
