Send a claimed booking to another upstream when the first did not run it

Cause: a claim let its attempt pass the last check once at most. After an upstream had stated that it did not run the booking (a leaving one answers so), the next try was stopped by that check and the caller got 1405, though other upstreams were free. The fake claims of the caller tests let every attempt pass again and again, which hid it.

Ruled out: a new attempt id with a new claim for each try, which costs a platform write each.

The check is a DispatchGate with two ends, in place of a Runnable. AttemptRunner asks VersionPolicy for withdrawals instead of repeating its rule.

--- a/policy/src/main/java/org/baobabcart/policy/claim/Attempt.java
+++ b/policy/src/main/java/org/baobabcart/policy/claim/Attempt.java
@@ -3,7 +3,7 @@
 /**
  * An attempt as its claimant remembers it. Immutable.
  *
- * <p>The claimant's rule: an attempt is sent once at most, only while it holds a grant, and only within a bound since
+ * <p>The claimant's rule: an attempt is at one upstream at most at a time, and is sent only while it holds a grant, and only within a bound since
  * before the claim was asked for, measured on the claimant's own monotonic clock. An attempt that was once called
  * abandoned is never sent, so that another attempt may take over its claim.
  *
@@ -48,6 +48,11 @@
         return current.state == State.GRANTED ? new Attempt(State.DISPATCHED, askedNanos) : current;
     }
 
+    /** The attempt after the upstream it was sent to stated that it did not run it; it may be sent to another. */
+    public Attempt returned() {
+        return state == State.DISPATCHED ? new Attempt(State.GRANTED, askedNanos) : this;
+    }
+
     /** The attempt after it was given up; one that may have been sent stays as it is. */
     public Attempt abandoned() {
         return state == State.DISPATCHED ? this : new Attempt(State.ABANDONED, askedNanos);
--- a/policy/src/test/java/org/baobabcart/policy/claim/ClaimWorld.java
+++ b/policy/src/test/java/org/baobabcart/policy/claim/ClaimWorld.java
@@ -48,6 +48,7 @@
         CONFLICT,
         LOST_WRITE,
         LATE_WRITE,
+        RETURNED,
         STALE_GRANT,
         TRIM
     }
@@ -263,6 +264,12 @@
     private void runUpstream(Call call) {
         if (random.nextInt(10) == 0) {
             Node node = nodes.get(call.node);
+            if (random.nextBoolean()) {
+                count(Happening.RETURNED);
+                node.attempts.computeIfPresent(call.attemptId, (id, attempt) -> attempt.returned());
+                toClaimant(call, () -> dispatch(call));
+                return;
+            }
             node.attempts.computeIfPresent(call.attemptId, (id, attempt) -> attempt.notRun());
             call.end(End.NOT_RUN);
             settle(call, new ClaimOperation.Release(call.key, call.attemptId));
--- a/router/src/main/java/org/baobabcart/router/claim/Attempts.java
+++ b/router/src/main/java/org/baobabcart/router/claim/Attempts.java
@@ -25,7 +25,7 @@
                 .isPresent();
     }
 
-    /** Whether the attempt may be sent now; true once at most. */
+    /** Whether the attempt may be sent now; true only once until it is returned. */
     boolean dispatch(String attemptId, long nowNanos) {
         boolean[] sent = {false};
         change(attemptId, attempt -> {
@@ -36,6 +36,10 @@
         return sent[0];
     }
 
+    void returned(String attemptId) {
+        change(attemptId, Attempt::returned);
+    }
+
     /** Gives an attempt up; false where it may have been sent. */
     boolean abandon(String attemptId) {
         return change(attemptId, Attempt::abandoned)
--- a/router/src/main/java/org/baobabcart/router/claim/ClaimService.java
+++ b/router/src/main/java/org/baobabcart/router/claim/ClaimService.java
@@ -20,6 +20,9 @@
      */
     boolean dispatching(String attemptId);
 
+    /** States that the upstream did not run the attempt, which may then be sent to another one. Never blocks. */
+    void returned(String attemptId);
+
     /** Stores the outcome; completes when it is stored, or fails when that could not be done in time. */
     Uni<Void> settle(ClaimCall call, ClaimOutcome outcome);
 }
--- a/router/src/main/java/org/baobabcart/router/claim/PartitionClaimService.java
+++ b/router/src/main/java/org/baobabcart/router/claim/PartitionClaimService.java
@@ -117,6 +117,11 @@
         return attempts.dispatch(attemptId, timers.nanoTime());
     }
 
+    @Override
+    public void returned(String attemptId) {
+        attempts.returned(attemptId);
+    }
+
     @Override
     public Uni<Void> settle(ClaimCall call, ClaimOutcome outcome) {
         return Uni.createFrom().completionStage(() -> startSettle(call, outcome));
--- a/router/src/main/java/org/baobabcart/router/traffic/AttemptPlan.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptPlan.java
@@ -15,7 +15,7 @@
  * @param fingerprint a digest that is the same for each sending of the same prompt; empty for services
  * @param attemptIds gives the id of the next attempt
  * @param request makes the request of an attempt
- * @param gate the last check before the first byte; it throws where nothing may be sent
+ * @param gate the last check before the first byte
  */
 record AttemptPlan(
         Pool pool,
@@ -24,4 +24,4 @@
         Optional<String> fingerprint,
         Supplier<String> attemptIds,
         Function<String, UpstreamRequest> request,
-        Runnable gate) {}
+        DispatchGate gate) {}
--- a/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
@@ -13,6 +13,7 @@
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.crash.CrashCounts;
 import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.policy.version.VersionPolicy;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.Slot;
@@ -126,6 +127,7 @@
         countFailure(attemptFailure.kind());
         if (attemptFailure.kind().ran() == Ran.NO) {
             exchange.restoreSent(mayHaveRunBefore);
+            plan.gate().returned();
         }
         Future<Void> judged = report(slot.upstream(), attemptFailure.kind());
         slot.release(Optional.of(attemptFailure.kind()));
@@ -148,7 +150,7 @@
             throw BaobabcartException.of(ResultCode.REQUEST_QUARANTINED);
         }
         checkVersion(view);
-        plan.gate().run();
+        plan.gate().pass();
         exchange.markSent();
     }
 
@@ -161,10 +163,11 @@
     private void checkVersion(TrafficView view) {
         String model = plan.pool().model();
         String version = plan.pool().version();
-        boolean bySheet = view.sheet()
-                .filter(published -> published.sheet().isWithdrawn(model, version))
+        boolean withdrawn = view.sheet()
+                .filter(published ->
+                        VersionPolicy.of(published.sheet(), view.rollOuts()).isWithdrawn(model, version))
                 .isPresent();
-        if (bySheet || view.rollOuts().isWithdrawn(model, version)) {
+        if (withdrawn) {
             throw BaobabcartException.of(ResultCode.VERSION_WITHDRAWN);
         }
     }
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/ClaimGate.java
@@ -0,0 +1,32 @@
+package org.baobabcart.router.traffic;
+
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.claim.ClaimService;
+
+/** Lets an attempt pass only while its claim allows it. Immutable. */
+final class ClaimGate implements DispatchGate {
+    private final ClaimService claims;
+    private final String attemptId;
+
+    private ClaimGate(ClaimService claims, String attemptId) {
+        this.claims = claims;
+        this.attemptId = attemptId;
+    }
+
+    static ClaimGate of(ClaimService claims, String attemptId) {
+        return new ClaimGate(claims, attemptId);
+    }
+
+    @Override
+    public void pass() {
+        if (!claims.dispatching(attemptId)) {
+            throw BaobabcartException.of(ResultCode.CLAIM_UNAVAILABLE);
+        }
+    }
+
+    @Override
+    public void returned() {
+        claims.returned(attemptId);
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -136,7 +136,7 @@
                 Optional.of(request.fingerprint()),
                 RequestIds::next,
                 attemptId -> upstreamRequest(version, attemptId),
-                () -> {});
+                DispatchGate.open());
         return AttemptRunner.create(runtime, exchange, context, plan, answer -> consume(version, direct, answer))
                 .run();
     }
--- a/router/src/main/java/org/baobabcart/router/traffic/ServiceRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ServiceRun.java
@@ -88,7 +88,7 @@
     /** Completes when the answer is on its way to the caller; fails where the caller has to be refused. */
     Future<Void> run() {
         if (repeatable) {
-            return send(RequestIds::next, () -> {}).compose(this::deliver);
+            return send(RequestIds::next, DispatchGate.open()).compose(this::deliver);
         }
         if (context.idempotencyKey().isPresent()) {
             return claim(context.idempotencyKey().get());
@@ -96,7 +96,7 @@
         if (keyRequired) {
             return Future.failedFuture(BaobabcartException.of(ResultCode.KEY_REQUIRED));
         }
-        return send(RequestIds::next, () -> {}).compose(this::deliver);
+        return send(RequestIds::next, DispatchGate.open()).compose(this::deliver);
     }
 
     private Future<Void> claim(String key) {
@@ -125,19 +125,15 @@
     }
 
     private Future<Void> sendClaimed(ClaimCall call) {
-        Runnable gate = () -> {
-            if (!runtime.parts().claims().dispatching(call.attemptId())) {
-                throw BaobabcartException.of(ResultCode.CLAIM_UNAVAILABLE);
-            }
-        };
-        return send(call::attemptId, gate).transform(sent -> {
-            if (sent.succeeded()) {
-                Future<Void> settled = settle(call, ClaimOutcome.finished(sent.result()));
-                return Future.join(settled, hold()).transform(ignored -> answer(sent.result()));
-            }
-            settle(call, exchange.mayHaveRun() ? ClaimOutcome.unknown() : ClaimOutcome.notRun());
-            return Future.failedFuture(sent.cause());
-        });
+        return send(call::attemptId, ClaimGate.of(runtime.parts().claims(), call.attemptId()))
+                .transform(sent -> {
+                    if (sent.succeeded()) {
+                        Future<Void> settled = settle(call, ClaimOutcome.finished(sent.result()));
+                        return Future.join(settled, hold()).transform(ignored -> answer(sent.result()));
+                    }
+                    settle(call, exchange.mayHaveRun() ? ClaimOutcome.unknown() : ClaimOutcome.notRun());
+                    return Future.failedFuture(sent.cause());
+                });
     }
 
     private Future<Void> settle(ClaimCall call, ClaimOutcome outcome) {
@@ -149,7 +145,7 @@
                 .otherwiseEmpty();
     }
 
-    private Future<StoredReply> send(Supplier<String> attemptIds, Runnable gate) {
+    private Future<StoredReply> send(Supplier<String> attemptIds, DispatchGate gate) {
         AttemptPlan plan = new AttemptPlan(
                 Pool.ofService(service.name()), repeatable, "", Optional.empty(), attemptIds, this::request, gate);
         return AttemptRunner.create(runtime, exchange, context, plan, this::collect)
--- a/router/src/test/java/org/baobabcart/router/claim/PartitionClaimServiceTest.java
+++ b/router/src/test/java/org/baobabcart/router/claim/PartitionClaimServiceTest.java
@@ -55,6 +55,8 @@
         assertThat(claim(first, call).kind(), equalTo(ClaimDecision.Kind.GRANTED));
         assertThat(first.dispatching(call.attemptId()), is(true));
         assertThat(first.dispatching(call.attemptId()), is(false));
+        first.returned(call.attemptId());
+        assertThat(first.dispatching(call.attemptId()), is(true));
         assertThat(refusal(second, call(key)), equalTo(ResultCode.KEY_IN_PROGRESS));
         settle(first, call, ClaimOutcome.finished(reply("cut")));
         for (PartitionClaimService service : List.of(first, second)) {
--- a/router/src/test/java/org/baobabcart/router/traffic/FakeParts.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/FakeParts.java
@@ -41,6 +41,7 @@
     volatile TrafficView view = TrafficView.empty();
     volatile Optional<ResultCode> claimRefusal = Optional.empty();
     volatile boolean dispatchable = true;
+    private final Set<String> dispatched = ConcurrentHashMap.newKeySet();
     volatile Uni<BillHolder> holding = Uni.createFrom().item(BillHolder.PEER);
     volatile OptionalDouble rating = OptionalDouble.empty();
 
@@ -69,7 +70,12 @@
 
     @Override
     public boolean dispatching(String attemptId) {
-        return dispatchable;
+        return dispatchable && dispatched.add(attemptId);
+    }
+
+    @Override
+    public void returned(String attemptId) {
+        dispatched.remove(attemptId);
     }
 
     @Override
