Log a planned stop to its end

Cause: nothing of a planned stop was in a router's log. The platform's log manager closes all handlers in a shutdown hook of its own, which runs beside the one that drains the router, so that a person on call could not see why a stop took long.

Ruled out: stopping outside a shutdown hook (a signal handler is not part of the public API of the virtual machine); a manager installed by a method of its own class (loading that class starts the log with the default manager: tried, the test stayed red).

Before: ControlFleetTest.aPlannedStopCutsOffNoStream, which now reads the log, failed at event=stop_begun. After: it finds stop_begun and stop_finished; all five tests of the class pass.

--- a/integration/src/test/java/org/baobabcart/integration/control/ControlFleetTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/control/ControlFleetTest.java
@@ -8,10 +8,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -143,6 +146,8 @@
         assertThat(answers.stream().map(ControlFleetTest::statusAndBody).toList(), everyItem(startsWith("200 ")));
         assertThat(answers.stream().map(HttpResponse::body).toList(), everyItem(containsString("data: [DONE]")));
         assertThat(stopping.process().awaitExit(BOUND), is(0));
+        assertThat(log(stopping), containsString("event=stop_begun"));
+        assertThat(log(stopping), containsString("event=stop_finished"));
         FleetNode other = fleet.routers().get(1);
         Await.until(
                 "it comes about",
@@ -168,6 +173,14 @@
         assertThat(statuses.size(), is(CALLERS * CALLS));
     }
 
+    private static String log(FleetNode router) {
+        try {
+            return Files.readString(router.process().logFile());
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
     private static String statusAndBody(HttpResponse<String> answer) {
         return answer.statusCode() + " " + answer.body();
     }
--- a/router/src/main/java/org/baobabcart/router/RouterMain.java
+++ b/router/src/main/java/org/baobabcart/router/RouterMain.java
@@ -17,6 +17,11 @@
     /** Exit code of a start that failed, such as by a port that is in use. */
     public static final int EXIT_START_FAILED = 3;
 
+    static {
+        // Set here, since calling a method of StopLogManager would start the log with the default manager.
+        System.setProperty("java.util.logging.manager", "org.baobabcart.router.StopLogManager");
+    }
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private RouterMain() {}
