Speak TLS on every port, and ask routers and operators for certificates

Ruled out, in docs/design/transport-security.md: names in certificates checked against the lagging list of VMs; a shared secret; one authority for routers and upstreams, by which an upstream could open the peer port.

Change: TransportSecurity sets the options of all servers and clients from PEM files that settings name. With certificate, key and fleet authorities all ports speak TLS, and the ports for peers and operators ask for a certificate of the fleet. Addresses of platform, list of VMs, upstreams and ratings may be https. All commands take the same flags. Some files without the others are refused at the start.

Not run: a platform or upstreams that speak https; new certificates without a restart.

--- a/bench/src/main/java/org/baobabcart/bench/slope/NodeHost.java
+++ b/bench/src/main/java/org/baobabcart/bench/slope/NodeHost.java
@@ -15,6 +15,7 @@
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.RouterPorts;
 import org.baobabcart.router.RouterProcess;
+import org.baobabcart.router.security.SecurityFiles;
 import org.baobabcart.router.settings.RouterSettings;
 
 /**
@@ -155,7 +156,8 @@
                         .map(opened -> "127.0.0.1:" + opened.peer())
                         .toList(),
                 Duration.ofMillis(1),
-                Duration.ofSeconds(2));
+                Duration.ofSeconds(2),
+                SecurityFiles.none());
     }
 
     private void register(String name, String dataCentre, RouterPorts opened) {
--- a/cli/src/main/java/org/baobabcart/cli/CommandLine.java
+++ b/cli/src/main/java/org/baobabcart/cli/CommandLine.java
@@ -2,12 +2,14 @@
 
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.Argument;
@@ -16,10 +18,13 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.baobabcart.cli.output.Output;
 import org.baobabcart.cli.settings.Arguments;
 import org.baobabcart.cli.settings.Flag;
+import org.baobabcart.cli.settings.SecurityFlags;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.security.TransportSecurity;
 
 /**
  * Parses the words of a command line, runs the command and turns every failure into one line and an exit code.
@@ -47,28 +52,43 @@
         return commands;
     }
 
-    /** Runs one command; no failure leaves this method as an exception. */
+    /** Runs one command with parts that need no transport security; no failure leaves this method as an exception. */
     public ExitCode run(String[] words, Map<String, String> environment, CommandContext context) {
+        return run(words, environment, context.output(), ignored -> context);
+    }
+
+    /**
+     * Runs one command; no failure leaves this method as an exception.
+     *
+     * @param contexts makes the parts that the command works with, by the transport security that its flags ask for
+     */
+    public ExitCode run(
+            String[] words,
+            Map<String, String> environment,
+            Output output,
+            Function<TransportSecurity, CommandContext> contexts) {
         try {
             Optional<Command> passedOn = commands.stream()
                     .filter(command -> command.parsesItsOwnFlags() && isCalled(command, words))
                     .findFirst();
             if (passedOn.isPresent()) {
-                return passedOn.get().run(remaining(passedOn.get(), words, environment), context);
+                return passedOn.get()
+                        .run(remaining(passedOn.get(), words, environment), contexts.apply(TransportSecurity.plain()));
             }
             Namespace namespace = parser.parseArgs(words);
             Command command = namespace.get(COMMAND);
-            return command.run(Arguments.of(given(namespace), environment), context);
+            Arguments arguments = Arguments.of(given(namespace), environment);
+            return command.run(arguments, contexts.apply(SecurityFlags.read(arguments)));
         } catch (HelpScreenException exception) {
             return ExitCode.OK;
         } catch (ArgumentParserException exception) {
-            usage(exception, context);
+            usage(exception, output);
             return ExitCode.USAGE;
         } catch (BaobabcartException exception) {
-            context.output().failure(exception);
+            output.failure(exception);
             return ExitCode.of(exception.code());
         } catch (RuntimeException exception) {
-            context.output().failure(unexpected(exception));
+            output.failure(unexpected(exception));
             return ExitCode.FAILED;
         }
     }
@@ -118,7 +138,9 @@
                 argument.nargs("...");
             }
         }
-        for (Flag flag : command.flags()) {
+        List<Flag> flags = new ArrayList<>(command.flags());
+        flags.addAll(SecurityFlags.all());
+        for (Flag flag : flags) {
             Argument argument =
                     subparser.addArgument(flag.name()).dest(flag.key()).help(help(flag));
             if (flag.toggle()) {
@@ -152,11 +174,11 @@
         return given;
     }
 
-    private static void usage(ArgumentParserException exception, CommandContext context) {
+    private static void usage(ArgumentParserException exception, Output output) {
         StringWriter usage = new StringWriter();
         exception.getParser().printUsage(new PrintWriter(usage, true));
-        context.output().note(usage.toString().strip());
-        context.output().failure(BaobabcartException.of(ResultCode.BAD_SETTING, exception.getMessage()));
+        output.note(usage.toString().strip());
+        output.failure(BaobabcartException.of(ResultCode.BAD_SETTING, exception.getMessage()));
     }
 
     private static BaobabcartException unexpected(RuntimeException exception) {
--- a/cli/src/main/java/org/baobabcart/cli/Main.java
+++ b/cli/src/main/java/org/baobabcart/cli/Main.java
@@ -5,6 +5,7 @@
 import org.baobabcart.cli.fleet.HttpAdminClient;
 import org.baobabcart.cli.fleet.Pauses;
 import org.baobabcart.cli.output.Output;
+import org.baobabcart.router.security.TransportSecurity;
 
 /** The entry point of the command line. */
 public final class Main {
@@ -14,13 +15,15 @@
     public static void main(String[] words) {
         System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %5$s%n");
         Vertx vertx = Vertx.vertx();
-        CommandContext context = new CommandContext(
-                Output.of(System.out, System.err),
-                HttpAdminClient.create(vertx),
-                StoreFactory.create(vertx),
-                Pauses.system());
-        ExitCode code = CommandLine.of(Commands.all()).run(words, System.getenv(), context);
+        Output output = Output.of(System.out, System.err);
+        ExitCode code = CommandLine.of(Commands.all())
+                .run(words, System.getenv(), output, security -> context(vertx, output, security));
         System.out.flush();
         System.exit(code.status());
     }
+
+    private static CommandContext context(Vertx vertx, Output output, TransportSecurity security) {
+        return new CommandContext(
+                output, HttpAdminClient.create(vertx, security), StoreFactory.create(vertx, security), Pauses.system());
+    }
 }
--- a/cli/src/main/java/org/baobabcart/cli/StoreFactory.java
+++ b/cli/src/main/java/org/baobabcart/cli/StoreFactory.java
@@ -6,12 +6,14 @@
 import org.baobabcart.router.platform.HttpObjectStore;
 import org.baobabcart.router.platform.ObjectStore;
 import org.baobabcart.router.platform.PlatformSettings;
+import org.baobabcart.router.security.TransportSecurity;
 
 /** Makes access to the platform's object API at an address. */
 final class StoreFactory {
     private StoreFactory() {}
 
-    static Function<String, ObjectStore> create(Vertx vertx) {
-        return address -> HttpObjectStore.create(vertx, URI.create(address), PlatformSettings.defaults());
+    static Function<String, ObjectStore> create(Vertx vertx, TransportSecurity security) {
+        PlatformSettings settings = PlatformSettings.defaults().withSecurity(security);
+        return address -> HttpObjectStore.create(vertx, URI.create(address), settings);
     }
 }
--- a/cli/src/main/java/org/baobabcart/cli/command/DrainCommand.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/DrainCommand.java
@@ -44,7 +44,7 @@
                 .filter(found -> !found.adminAddress().isEmpty())
                 .orElseThrow(() -> BaobabcartException.of(ResultCode.NOT_FOUND, "no live router has this name")
                         .withLocation(name));
-        PlatformObjects.await(context.admin().post("http://" + router.adminAddress() + "/drain"));
+        PlatformObjects.await(context.admin().post(router.adminAddress(), "/drain"));
         if (arguments.isSet(CommonFlags.JSON)) {
             context.output().json(new Report(name, router.adminAddress(), true));
         } else {
--- a/cli/src/main/java/org/baobabcart/cli/command/TimelineCommand.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/TimelineCommand.java
@@ -59,10 +59,10 @@
     }
 
     private static Optional<TimelineEvents> events(FleetRouter router, String query, CommandContext context) {
-        String address = "http://" + router.adminAddress() + "/timeline" + query;
         try {
             return Optional.of(PlatformObjects.convert(
-                    PlatformObjects.await(context.admin().get(address)), TimelineEvents.class));
+                    PlatformObjects.await(context.admin().get(router.adminAddress(), "/timeline" + query)),
+                    TimelineEvents.class));
         } catch (BaobabcartException exception) {
             context.output().note(router.name() + ": no events: " + exception.getMessage());
             return Optional.empty();
--- a/cli/src/main/java/org/baobabcart/cli/fleet/AdminClient.java
+++ b/cli/src/main/java/org/baobabcart/cli/fleet/AdminClient.java
@@ -10,9 +10,20 @@
  * answer came and {@code UPSTREAM_FAILED} where the answer was no success.
  */
 public interface AdminClient {
-    /** Reads JSON from an address. */
+    /** Reads JSON from an address outside the fleet. */
     Uni<JsonNode> get(String address);
 
-    /** Sends an empty POST; only the status of the answer counts. */
-    Uni<Void> post(String address);
+    /**
+     * Reads JSON from a router.
+     *
+     * @param router host and port of its admin port
+     */
+    Uni<JsonNode> get(String router, String path);
+
+    /**
+     * Sends an empty POST to a router; only the status of the answer counts.
+     *
+     * @param router host and port of its admin port
+     */
+    Uni<Void> post(String router, String path);
 }
--- a/cli/src/main/java/org/baobabcart/cli/fleet/FleetFinder.java
+++ b/cli/src/main/java/org/baobabcart/cli/fleet/FleetFinder.java
@@ -158,7 +158,7 @@
     }
 
     private Uni<FleetRouter> ask(String address, Map<String, String> names) {
-        return admin.get("http://" + address + "/status")
+        return admin.get(address, "/status")
                 .map(json -> FleetRouter.answered(address, convert(json, RouterStatus.class)))
                 .onFailure(BaobabcartException.class)
                 .recoverWithItem(failure ->
--- a/cli/src/main/java/org/baobabcart/cli/fleet/HttpAdminClient.java
+++ b/cli/src/main/java/org/baobabcart/cli/fleet/HttpAdminClient.java
@@ -8,7 +8,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.ext.web.client.HttpRequest;
 import io.vertx.ext.web.client.HttpResponse;
 import io.vertx.ext.web.client.WebClient;
 import io.vertx.ext.web.client.WebClientOptions;
@@ -16,6 +15,7 @@
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.control.Futures;
+import org.baobabcart.router.security.TransportSecurity;
 
 /** Admin calls over HTTP by Vert.x. */
 public final class HttpAdminClient implements AdminClient {
@@ -23,41 +23,59 @@
     private static final int FIRST_FAILURE_STATUS = 300;
     private static final ObjectMapper MAPPER = JsonMapper.builder().build();
 
-    private final WebClient client;
+    private final WebClient routers;
+    private final WebClient others;
+    private final String scheme;
 
-    private HttpAdminClient(WebClient client) {
-        this.client = client;
+    private HttpAdminClient(WebClient routers, WebClient others, String scheme) {
+        this.routers = routers;
+        this.others = others;
+        this.scheme = scheme;
     }
 
     /** A client on the event loops of a Vert.x instance. */
-    public static HttpAdminClient create(Vertx vertx) {
-        WebClientOptions options = new WebClientOptions()
-                .setConnectTimeout((int) TIMEOUT.toMillis())
-                .setFollowRedirects(false);
-        return new HttpAdminClient(WebClient.create(vertx, options));
+    public static HttpAdminClient create(Vertx vertx, TransportSecurity security) {
+        return new HttpAdminClient(
+                WebClient.create(vertx, security.toOperatorPorts(options())),
+                WebClient.create(vertx, security.toUpstreams(options())),
+                security.scheme());
     }
 
     @Override
     public Uni<JsonNode> get(String address) {
-        return send(HttpMethod.GET, address).map(response -> json(address, response));
+        return send(others, HttpMethod.GET, address).map(response -> json(address, response));
     }
 
     @Override
-    public Uni<Void> post(String address) {
-        return send(HttpMethod.POST, address).replaceWithVoid();
+    public Uni<JsonNode> get(String router, String path) {
+        String address = address(router, path);
+        return send(routers, HttpMethod.GET, address).map(response -> json(address, response));
     }
 
-    private Uni<HttpResponse<Buffer>> send(HttpMethod method, String address) {
-        return Futures.toUni(() -> request(method, address).send())
+    @Override
+    public Uni<Void> post(String router, String path) {
+        return send(routers, HttpMethod.POST, address(router, path)).replaceWithVoid();
+    }
+
+    private static WebClientOptions options() {
+        return new WebClientOptions()
+                .setConnectTimeout((int) TIMEOUT.toMillis())
+                .setFollowRedirects(false);
+    }
+
+    private String address(String router, String path) {
+        return scheme + "://" + router + path;
+    }
+
+    private static Uni<HttpResponse<Buffer>> send(WebClient client, HttpMethod method, String address) {
+        return Futures.toUni(() -> client.requestAbs(method, address)
+                        .timeout(TIMEOUT.toMillis())
+                        .send())
                 .onFailure()
                 .transform(failure -> unreachable(address, failure))
                 .map(response -> succeeded(address, response));
     }
 
-    private HttpRequest<Buffer> request(HttpMethod method, String address) {
-        return client.requestAbs(method, address).timeout(TIMEOUT.toMillis());
-    }
-
     private static HttpResponse<Buffer> succeeded(String address, HttpResponse<Buffer> response) {
         if (response.statusCode() >= FIRST_FAILURE_STATUS) {
             throw BaobabcartException.of(ResultCode.UPSTREAM_FAILED, "HTTP status " + response.statusCode())
--- a/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
@@ -140,7 +140,7 @@
         fleet.router("a", 1);
         fleet.router("b", 1);
         assertThat(run("drain", "b"), equalTo(ExitCode.OK));
-        assertThat(fleet.posts(), equalTo(List.of("http://b:1/drain")));
+        assertThat(fleet.posts(), equalTo(List.of("b:1/drain")));
         assertThat(run("drain", "z"), equalTo(ExitCode.FAILED));
     }
 
--- a/cli/src/test/java/org/baobabcart/cli/FakeFleet.java
+++ b/cli/src/test/java/org/baobabcart/cli/FakeFleet.java
@@ -73,19 +73,24 @@
             list.set("virtualMachines", machines);
             return Uni.createFrom().item(list);
         }
-        String host = address.substring("http://".length(), address.indexOf('/', "http://".length()));
-        JsonNode answer = address.contains("/timeline") ? timelines.get(host) : statuses.get(host);
-        if (answer == null) {
-            return Uni.createFrom()
-                    .failure(BaobabcartException.of(ResultCode.UPSTREAM_UNREACHABLE, "refused")
-                            .withLocation(address));
-        }
-        return Uni.createFrom().item(answer);
+        return refused(address);
+    }
+
+    @Override
+    public Uni<JsonNode> get(String router, String path) {
+        JsonNode answer = path.startsWith("/timeline") ? timelines.get(router) : statuses.get(router);
+        return answer == null ? refused(router) : Uni.createFrom().item(answer);
+    }
+
+    private static Uni<JsonNode> refused(String location) {
+        return Uni.createFrom()
+                .failure(BaobabcartException.of(ResultCode.UPSTREAM_UNREACHABLE, "refused")
+                        .withLocation(location));
     }
 
     @Override
-    public Uni<Void> post(String address) {
-        posts.add(address);
+    public Uni<Void> post(String router, String path) {
+        posts.add(router + path);
         return Uni.createFrom().voidItem();
     }
 
--- a/cli/src/test/java/org/baobabcart/cli/HttpAdminClientTest.java
+++ b/cli/src/test/java/org/baobabcart/cli/HttpAdminClientTest.java
@@ -10,6 +10,7 @@
 import org.baobabcart.cli.fleet.HttpAdminClient;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.security.TransportSecurity;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -18,7 +19,8 @@
     private static final Duration BOUND = Duration.ofSeconds(30);
 
     private final Vertx vertx = Vertx.vertx();
-    private final HttpAdminClient client = HttpAdminClient.create(vertx);
+    private final HttpAdminClient client = HttpAdminClient.create(vertx, TransportSecurity.plain());
+    private String router;
     private String address;
 
     @BeforeEach
@@ -31,7 +33,8 @@
                 .toCompletionStage()
                 .toCompletableFuture()
                 .join();
-        address = "http://127.0.0.1:" + server.actualPort();
+        router = "127.0.0.1:" + server.actualPort();
+        address = "http://" + router;
     }
 
     @AfterEach
@@ -41,7 +44,7 @@
 
     @Test
     void aPostNeedsNoJsonInTheAnswer() {
-        client.post(address + "/drain").await().atMost(BOUND);
+        client.post(router, "/drain").await().atMost(BOUND);
     }
 
     @Test
--- a/router/src/main/java/org/baobabcart/router/RouterCore.java
+++ b/router/src/main/java/org/baobabcart/router/RouterCore.java
@@ -13,6 +13,7 @@
 import org.baobabcart.router.platform.ObjectStore;
 import org.baobabcart.router.platform.PlatformHealth;
 import org.baobabcart.router.platform.PlatformSettings;
+import org.baobabcart.router.security.TransportSecurity;
 import org.baobabcart.router.settings.RouterSettings;
 import org.baobabcart.router.timeline.RingTimeline;
 import org.baobabcart.router.view.FeedbackQueue;
@@ -22,6 +23,7 @@
  * What every part of one router shares. Immutable; each component says what is thread-safe of it.
  *
  * @param settings the router's settings
+ * @param security how connections are secured
  * @param vertx event loops
  * @param loop the control thread
  * @param timers time
@@ -36,6 +38,7 @@
  */
 record RouterCore(
         RouterSettings settings,
+        TransportSecurity security,
         Vertx vertx,
         ControlLoop loop,
         TimerService timers,
@@ -48,15 +51,18 @@
         FeedbackQueue feedback,
         RandomGenerator random) {
     static RouterCore create(RouterSettings settings) {
+        TransportSecurity security = TransportSecurity.of(settings.security());
         Vertx vertx = Vertx.vertx();
         ControlLoop loop = ControlLoop.create("control");
         TimerService timers = SystemTimerService.on(loop);
         Blackboard blackboard = Blackboard.create();
         RingTimeline timeline = RingTimeline.create(settings.name(), timers, RingTimeline.DEFAULT_CAPACITY);
         MetricRegistry metrics = new MetricRegistry();
-        ObjectStore store = HttpObjectStore.create(vertx, settings.platform(), PlatformSettings.defaults());
+        ObjectStore store = HttpObjectStore.create(
+                vertx, settings.platform(), PlatformSettings.defaults().withSecurity(security));
         return new RouterCore(
                 settings,
+                security,
                 vertx,
                 loop,
                 timers,
@@ -64,7 +70,7 @@
                 timeline,
                 metrics,
                 PlatformHealth.observing(store, blackboard, loop, timeline),
-                ThriftPeerClient.create(vertx, PeerSettings.defaults()),
+                ThriftPeerClient.create(vertx, PeerSettings.defaults().withSecurity(security)),
                 ViewPublisher.create(blackboard),
                 FeedbackQueue.create(loop, metrics),
                 RandomGenerator.getDefault());
--- a/router/src/main/java/org/baobabcart/router/RouterProcess.java
+++ b/router/src/main/java/org/baobabcart/router/RouterProcess.java
@@ -44,7 +44,8 @@
     private RouterProcess(RouterSettings settings) {
         this.core = RouterCore.create(settings);
         this.traffic = TrafficEdge.create(core);
-        this.peerServer = PeerServer.create(core.vertx(), PeerSettings.defaults());
+        this.peerServer =
+                PeerServer.create(core.vertx(), PeerSettings.defaults().withSecurity(core.security()));
     }
 
     /** A router that does not listen yet. */
@@ -97,7 +98,8 @@
                 core.metrics(),
                 () -> StatusReport.create(core.blackboard(), core.timers(), plane.sheets())
                         .write(addresses),
-                this::stop));
+                this::stop,
+                core.security()));
         return admin;
     }
 
--- a/router/src/main/java/org/baobabcart/router/TrafficEdge.java
+++ b/router/src/main/java/org/baobabcart/router/TrafficEdge.java
@@ -48,7 +48,7 @@
                 core.timeline(),
                 core.metrics(),
                 BillSettings.defaults());
-        this.callers = CallerApi.create(core.vertx(), trafficParts(core), trafficSettings(core.settings()));
+        this.callers = CallerApi.create(core.vertx(), trafficParts(core), trafficSettings(core));
     }
 
     static TrafficEdge create(RouterCore core) {
@@ -93,15 +93,18 @@
                 signers);
     }
 
-    private static TrafficSettings trafficSettings(RouterSettings settings) {
-        return TrafficSettings.defaults().withNode(settings.name(), settings.dataCentre());
+    private static TrafficSettings trafficSettings(RouterCore core) {
+        RouterSettings settings = core.settings();
+        return TrafficSettings.defaults()
+                .withNode(settings.name(), settings.dataCentre())
+                .withSecurity(core.security());
     }
 
     private static RatingClient ratings(RouterCore parts) {
         return parts.settings()
                 .ratings()
                 .map(URI::toString)
-                .<RatingClient>map(url -> HttpRatingClient.create(parts.vertx(), url, RATING_TIMEOUT))
+                .<RatingClient>map(url -> HttpRatingClient.create(parts.vertx(), url, RATING_TIMEOUT, parts.security()))
                 .orElse(request -> Uni.createFrom().item(OptionalDouble.empty()));
     }
 }
--- a/router/src/main/java/org/baobabcart/router/admin/AdminApi.java
+++ b/router/src/main/java/org/baobabcart/router/admin/AdminApi.java
@@ -10,6 +10,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import java.util.Arrays;
@@ -19,6 +20,7 @@
 import java.util.function.Supplier;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Futures;
+import org.baobabcart.router.security.TransportSecurity;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.RingTimeline;
 import org.baobabcart.router.timeline.TimelineQuery;
@@ -44,6 +46,7 @@
     private final MetricRegistry metrics;
     private final Supplier<JsonNode> status;
     private final Runnable drain;
+    private final TransportSecurity security;
     private Optional<HttpServer> server = Optional.empty();
 
     private AdminApi(AdminParts parts) {
@@ -55,6 +58,7 @@
         this.metrics = parts.metrics();
         this.status = parts.status();
         this.drain = parts.drain();
+        this.security = parts.security();
     }
 
     /** An API that does not listen yet. */
@@ -64,8 +68,9 @@
 
     /** Starts to listen; answers with the port. */
     public Uni<Integer> listen(String host, int port) {
-        return Futures.toUni(
-                        () -> vertx.createHttpServer().requestHandler(routes()).listen(port, host))
+        return Futures.toUni(() -> vertx.createHttpServer(security.forMembers(new HttpServerOptions()))
+                        .requestHandler(routes())
+                        .listen(port, host))
                 .invoke(listening -> server = Optional.of(listening))
                 .map(HttpServer::actualPort);
     }
--- a/router/src/main/java/org/baobabcart/router/admin/AdminParts.java
+++ b/router/src/main/java/org/baobabcart/router/admin/AdminParts.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.security.TransportSecurity;
 import org.baobabcart.router.timeline.RingTimeline;
 
 /**
@@ -19,6 +20,7 @@
  * @param metrics metrics of the process
  * @param status makes the status report; called on the control thread
  * @param drain begins the planned stop; any thread may call it, more than once
+ * @param security how connections are secured
  */
 public record AdminParts(
         Vertx vertx,
@@ -28,4 +30,5 @@
         RingTimeline timeline,
         MetricRegistry metrics,
         Supplier<JsonNode> status,
-        Runnable drain) {}
+        Runnable drain,
+        TransportSecurity security) {}
--- a/router/src/main/java/org/baobabcart/router/peer/PeerServer.java
+++ b/router/src/main/java/org/baobabcart/router/peer/PeerServer.java
@@ -37,7 +37,7 @@
                 .setTcpNoDelay(true)
                 .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
                 .setIdleTimeout((int) settings.idleTimeout().multipliedBy(2).toMillis());
-        this.server = vertx.createNetServer(options);
+        this.server = vertx.createNetServer(settings.security().forMembers(options));
         this.settings = settings;
         this.codec = new PeerCodec(settings.largestFrameBytes());
     }
--- a/router/src/main/java/org/baobabcart/router/peer/PeerSettings.java
+++ b/router/src/main/java/org/baobabcart/router/peer/PeerSettings.java
@@ -1,6 +1,7 @@
 package org.baobabcart.router.peer;
 
 import java.time.Duration;
+import org.baobabcart.router.security.TransportSecurity;
 
 /**
  * Limits of the transport between routers. Immutable.
@@ -11,18 +12,31 @@
  * @param sweepPeriod how often overdue calls are looked for
  * @param largestFrameBytes the greatest size of one message
  * @param largestBacklogBytes how many bytes may wait to be written to one peer
+ * @param security how connections are secured
  */
 public record PeerSettings(
         Duration connectTimeout,
         Duration idleTimeout,
         Duration sweepPeriod,
         int largestFrameBytes,
-        int largestBacklogBytes) {
+        int largestBacklogBytes,
+        TransportSecurity security) {
     private static final int MEBIBYTE = 1024 * 1024;
 
     /** Settings for routers a few milliseconds apart. */
     public static PeerSettings defaults() {
         return new PeerSettings(
-                Duration.ofMillis(500), Duration.ofSeconds(30), Duration.ofMillis(20), 4 * MEBIBYTE, 16 * MEBIBYTE);
+                Duration.ofMillis(500),
+                Duration.ofSeconds(30),
+                Duration.ofMillis(20),
+                4 * MEBIBYTE,
+                16 * MEBIBYTE,
+                TransportSecurity.plain());
+    }
+
+    /** The same settings with other security. */
+    public PeerSettings withSecurity(TransportSecurity newSecurity) {
+        return new PeerSettings(
+                connectTimeout, idleTimeout, sweepPeriod, largestFrameBytes, largestBacklogBytes, newSecurity);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/peer/ThriftPeerClient.java
+++ b/router/src/main/java/org/baobabcart/router/peer/ThriftPeerClient.java
@@ -49,7 +49,7 @@
                 .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
                 .setIdleTimeout((int) settings.idleTimeout().toMillis());
         this.vertx = vertx;
-        this.client = vertx.createNetClient(options);
+        this.client = vertx.createNetClient(settings.security().toPeers(options));
         this.settings = settings;
         this.codec = new PeerCodec(settings.largestFrameBytes());
         this.sweepTimer = vertx.setPeriodic(settings.sweepPeriod().toMillis(), ignored -> sweep());
--- a/router/src/main/java/org/baobabcart/router/platform/HttpObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/HttpObjectStore.java
@@ -47,7 +47,10 @@
         WebClientOptions options = new WebClientOptions()
                 .setConnectTimeout((int) settings.connectTimeout().toMillis())
                 .setKeepAlive(true);
-        this.client = WebClient.create(vertx, options, new PoolOptions().setHttp1MaxSize(settings.connections()));
+        this.client = WebClient.create(
+                vertx,
+                settings.security().toUpstreams(options),
+                new PoolOptions().setHttp1MaxSize(settings.connections()));
         this.watches = WatchStream.create(vertx, settings);
     }
 
--- a/router/src/main/java/org/baobabcart/router/platform/HttpVirtualMachineList.java
+++ b/router/src/main/java/org/baobabcart/router/platform/HttpVirtualMachineList.java
@@ -33,7 +33,8 @@
         this.address = address.toString().replaceAll("/+$", "") + "/vms";
         this.settings = settings;
         int connectMillis = (int) settings.connectTimeout().toMillis();
-        this.client = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(connectMillis));
+        WebClientOptions options = new WebClientOptions().setConnectTimeout(connectMillis);
+        this.client = WebClient.create(vertx, settings.security().toUpstreams(options));
     }
 
     /** A client of the list at this address. */
--- a/router/src/main/java/org/baobabcart/router/platform/PlatformSettings.java
+++ b/router/src/main/java/org/baobabcart/router/platform/PlatformSettings.java
@@ -1,6 +1,7 @@
 package org.baobabcart.router.platform;
 
 import java.time.Duration;
+import org.baobabcart.router.security.TransportSecurity;
 
 /**
  * Time-outs and limits of calls to the platform. Immutable.
@@ -10,9 +11,15 @@
  * @param watchDuration how long the platform is asked to hold a watch
  * @param watchSilence how long after its end a silent watch is taken for broken
  * @param connections the greatest number of connections for calls
+ * @param security how connections are secured
  */
 public record PlatformSettings(
-        Duration connectTimeout, Duration callTimeout, Duration watchDuration, Duration watchSilence, int connections) {
+        Duration connectTimeout,
+        Duration callTimeout,
+        Duration watchDuration,
+        Duration watchSilence,
+        int connections,
+        TransportSecurity security) {
     private static final int DEFAULT_CONNECTIONS = 8;
 
     /** Settings for a platform that answers in milliseconds. */
@@ -22,6 +29,12 @@
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(30),
                 Duration.ofSeconds(5),
-                DEFAULT_CONNECTIONS);
+                DEFAULT_CONNECTIONS,
+                TransportSecurity.plain());
+    }
+
+    /** The same settings with other security. */
+    public PlatformSettings withSecurity(TransportSecurity newSecurity) {
+        return new PlatformSettings(connectTimeout, callTimeout, watchDuration, watchSilence, connections, newSecurity);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
+++ b/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
@@ -38,7 +38,8 @@
                 .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
                 .setIdleTimeout((int)
                         settings.watchDuration().plus(settings.watchSilence()).toMillis());
-        this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MOST_WATCHES));
+        this.client = vertx.createHttpClient(
+                settings.security().toUpstreams(options), new PoolOptions().setHttp1MaxSize(MOST_WATCHES));
     }
 
     static WatchStream create(Vertx vertx, PlatformSettings settings) {
--- a/router/src/main/java/org/baobabcart/router/settings/RouterSettings.java
+++ b/router/src/main/java/org/baobabcart/router/settings/RouterSettings.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.security.SecurityFiles;
 
 /**
  * The settings of one router. Immutable; made by {@link SettingsParser}, which checks every value.
@@ -21,6 +24,7 @@
  * @param peers peer ports to join besides those in the list of VMs
  * @param balancerDelay how long requests are still accepted after a planned stop has begun
  * @param drainTimeout how long running requests may take to finish at a planned stop
+ * @param security the files of transport security
  */
 public record RouterSettings(
         String name,
@@ -34,7 +38,8 @@
         Optional<URI> ratings,
         List<String> peers,
         Duration balancerDelay,
-        Duration drainTimeout) {
+        Duration drainTimeout,
+        SecurityFiles security) {
     /** Copies the list. */
     public RouterSettings {
         peers = List.copyOf(peers);
@@ -51,11 +56,28 @@
                 Integer.parseInt(values.get(Setting.PEER_PORT)),
                 URI.create(values.get(Setting.PLATFORM)),
                 URI.create(values.get(Setting.VIRTUAL_MACHINES)),
-                Optional.of(values.get(Setting.RATINGS))
-                        .filter(text -> !text.isEmpty())
-                        .map(URI::create),
+                optional(values, Setting.RATINGS).map(URI::create),
                 ValueForm.split(values.get(Setting.PEERS)),
                 Duration.ofMillis(Long.parseLong(values.get(Setting.BALANCER_DELAY_MILLIS))),
-                Duration.ofMillis(Long.parseLong(values.get(Setting.DRAIN_TIMEOUT_MILLIS))));
+                Duration.ofMillis(Long.parseLong(values.get(Setting.DRAIN_TIMEOUT_MILLIS))),
+                security(values));
+    }
+
+    private static SecurityFiles security(Map<Setting, String> values) {
+        SecurityFiles files = new SecurityFiles(
+                optional(values, Setting.TLS_CERTIFICATE),
+                optional(values, Setting.TLS_KEY),
+                optional(values, Setting.FLEET_AUTHORITIES),
+                optional(values, Setting.UPSTREAM_AUTHORITIES));
+        if (files.isPartial()) {
+            throw BaobabcartException.of(ResultCode.BAD_SETTING, "go together: give all three or none")
+                    .withLocation(Setting.TLS_CERTIFICATE.flag() + ", " + Setting.TLS_KEY.flag() + " and "
+                            + Setting.FLEET_AUTHORITIES.flag());
+        }
+        return files;
+    }
+
+    private static Optional<String> optional(Map<Setting, String> values, Setting setting) {
+        return Optional.of(values.get(setting)).filter(text -> !text.isEmpty());
     }
 }
--- a/router/src/main/java/org/baobabcart/router/settings/Setting.java
+++ b/router/src/main/java/org/baobabcart/router/settings/Setting.java
@@ -36,7 +36,27 @@
             "drain-timeout-millis",
             ValueForm.MILLISECONDS,
             "120000",
-            "how long running requests may take to finish at a planned stop");
+            "how long running requests may take to finish at a planned stop"),
+    /** The own certificate. */
+    TLS_CERTIFICATE(
+            "tls-certificate",
+            ValueForm.OPTIONAL_FILE,
+            "",
+            "the PEM file of the own certificate and its chain; with key and fleet authorities all ports speak TLS"),
+    /** The own private key. */
+    TLS_KEY("tls-key", ValueForm.OPTIONAL_FILE, "", "the PEM file of the private key of the certificate"),
+    /** The authorities of routers and operators. */
+    FLEET_AUTHORITIES(
+            "fleet-authorities",
+            ValueForm.OPTIONAL_FILE,
+            "",
+            "the PEM file of the authorities whose certificates make a client a router or an operator"),
+    /** The authorities of what the router calls. */
+    UPSTREAM_AUTHORITIES(
+            "upstream-authorities",
+            ValueForm.OPTIONAL_FILE,
+            "",
+            "the PEM file of the authorities of https addresses; empty for those of the Java platform");
 
     private static final String ENVIRONMENT_PREFIX = "BAOBABCART_";
 
--- a/router/src/main/java/org/baobabcart/router/settings/ValueForm.java
+++ b/router/src/main/java/org/baobabcart/router/settings/ValueForm.java
@@ -1,6 +1,8 @@
 package org.baobabcart.router.settings;
 
 import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 import java.util.function.Predicate;
@@ -15,11 +17,14 @@
     /** A TCP port to bind. */
     PORT("a whole number from 0 to 65535, 0 being any free port", text -> isNumber(text, 65_535)),
     /** The address of an HTTP service. */
-    URL("an absolute URL that begins with http:// and has a host", ValueForm::isUrl),
+    URL("an absolute URL that begins with http:// or https:// and has a host", ValueForm::isUrl),
     /** The address of an HTTP service that need not be there. */
-    OPTIONAL_URL("empty or an absolute URL that begins with http:// and has a host", ValueForm::isOptionalUrl),
+    OPTIONAL_URL(
+            "empty or an absolute URL that begins with http:// or https:// and has a host", ValueForm::isOptionalUrl),
     /** Addresses of peers. */
     ADDRESSES("empty or host:port, separated by commas", ValueForm::areAddresses),
+    /** A file that need not be there. */
+    OPTIONAL_FILE("empty or the path of a file that can be read", ValueForm::isOptionalFile),
     /** A duration. */
     MILLISECONDS("a whole number of milliseconds from 0 to 3600000", text -> isNumber(text, 3_600_000));
 
@@ -69,7 +74,8 @@
     private static boolean isUrl(String text) {
         try {
             URI uri = URI.create(text);
-            return "http".equals(uri.getScheme()) && uri.getHost() != null;
+            boolean web = "http".equals(uri.getScheme()) || "https".equals(uri.getScheme());
+            return web && uri.getHost() != null;
         } catch (IllegalArgumentException exception) {
             return false;
         }
@@ -79,6 +85,10 @@
         return text.isEmpty() || isUrl(text);
     }
 
+    private static boolean isOptionalFile(String text) {
+        return text.isEmpty() || Files.isReadable(Path.of(text));
+    }
+
     private static boolean areAddresses(String text) {
         return split(text).stream().allMatch(ValueForm::isAddress);
     }
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -52,7 +52,7 @@
                 .setHandle100ContinueAutomatically(true)
                 .setTcpNoDelay(true)
                 .setTcpKeepAlive(true);
-        server = vertx.createHttpServer(options)
+        server = vertx.createHttpServer(runtime.settings().security().forCallers(options))
                 .connectionHandler(guard::opened)
                 .invalidRequestHandler(this::refuseInvalid)
                 .requestHandler(routes());
--- a/router/src/main/java/org/baobabcart/router/traffic/HttpRatingClient.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/HttpRatingClient.java
@@ -9,9 +9,11 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpResponseExpectation;
 import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
 import java.time.Duration;
 import java.util.OptionalDouble;
 import org.baobabcart.router.control.Futures;
+import org.baobabcart.router.security.TransportSecurity;
 
 /** Asks the rating service over HTTP. Thread-safe. */
 public final class HttpRatingClient implements RatingClient {
@@ -32,9 +34,11 @@
      *
      * @param baseUrl the address, such as {@code http://127.0.0.1:9000}
      * @param timeout the time after which an answer goes without a rating
+     * @param security how connections are secured
      */
-    public static HttpRatingClient create(Vertx vertx, String baseUrl, Duration timeout) {
-        return new HttpRatingClient(WebClient.create(vertx), baseUrl, timeout);
+    public static HttpRatingClient create(Vertx vertx, String baseUrl, Duration timeout, TransportSecurity security) {
+        WebClientOptions options = security.toUpstreams(new WebClientOptions());
+        return new HttpRatingClient(WebClient.create(vertx, options), baseUrl, timeout);
     }
 
     @Override
--- a/router/src/main/java/org/baobabcart/router/traffic/TrafficSettings.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/TrafficSettings.java
@@ -1,6 +1,7 @@
 package org.baobabcart.router.traffic;
 
 import java.time.Duration;
+import org.baobabcart.router.security.TransportSecurity;
 
 /**
  * Settings of the caller API. Immutable.
@@ -8,8 +9,9 @@
  * @param node who this router is
  * @param limits limits on what callers send
  * @param timeouts how long things may take
+ * @param security how connections are secured
  */
-public record TrafficSettings(Node node, Limits limits, Timeouts timeouts) {
+public record TrafficSettings(Node node, Limits limits, Timeouts timeouts, TransportSecurity security) {
     private static final int MEBIBYTE = 1024 * 1024;
     private static final int KIBIBYTE = 1024;
 
@@ -70,21 +72,26 @@
                 Duration.ofSeconds(10),
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(20));
-        return new TrafficSettings(node, limits, timeouts);
+        return new TrafficSettings(node, limits, timeouts, TransportSecurity.plain());
     }
 
     /** The same settings for a named router in a data centre. */
     public TrafficSettings withNode(String name, String dataCentre) {
-        return new TrafficSettings(new Node(name, dataCentre, node.eventLoops()), limits, timeouts);
+        return new TrafficSettings(new Node(name, dataCentre, node.eventLoops()), limits, timeouts, security);
     }
 
     /** The same settings with other limits. */
     public TrafficSettings withLimits(Limits newLimits) {
-        return new TrafficSettings(node, newLimits, timeouts);
+        return new TrafficSettings(node, newLimits, timeouts, security);
     }
 
     /** The same settings with other times. */
     public TrafficSettings withTimeouts(Timeouts newTimeouts) {
-        return new TrafficSettings(node, limits, newTimeouts);
+        return new TrafficSettings(node, limits, newTimeouts, security);
+    }
+
+    /** The same settings with other security. */
+    public TrafficSettings withSecurity(TransportSecurity newSecurity) {
+        return new TrafficSettings(node, limits, timeouts, newSecurity);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -18,6 +18,7 @@
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.request.Headers;
 import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.router.security.TransportSecurity;
 
 /**
  * Sends attempts to upstreams over HTTP. Thread-safe; callbacks run on the caller's event loop.
@@ -35,18 +36,20 @@
 
     private final Vertx vertx;
     private final Duration connectTimeout;
+    private final TransportSecurity security;
     private final HttpClient freshConnections;
     private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
 
-    private UpstreamClient(Vertx vertx, Duration connectTimeout) {
+    private UpstreamClient(Vertx vertx, Duration connectTimeout, TransportSecurity security) {
         this.vertx = vertx;
         this.connectTimeout = connectTimeout;
+        this.security = security;
         this.freshConnections = newClient(false);
     }
 
     /** A client without connections. */
-    public static UpstreamClient create(Vertx vertx, Duration connectTimeout) {
-        return new UpstreamClient(vertx, connectTimeout);
+    public static UpstreamClient create(Vertx vertx, Duration connectTimeout, TransportSecurity security) {
+        return new UpstreamClient(vertx, connectTimeout, security);
     }
 
     /**
@@ -170,7 +173,8 @@
                 .setTcpKeepAlive(true)
                 .setTcpNoDelay(true)
                 .setConnectTimeout((int) connectTimeout.toMillis());
-        return vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_UPSTREAM));
+        return vertx.createHttpClient(
+                security.toUpstreams(options), new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_UPSTREAM));
     }
 
     /** An attempt between its first byte out and the head of its answer. Confined to one event loop. */
--- a/router/src/test/java/org/baobabcart/router/peer/PeerTransportTest.java
+++ b/router/src/test/java/org/baobabcart/router/peer/PeerTransportTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.security.TransportSecurity;
 import org.baobabcart.wire.DocumentReply;
 import org.baobabcart.wire.DocumentRequest;
 import org.junit.jupiter.api.AfterEach;
@@ -31,7 +32,12 @@
     private static final Duration GENEROUS = Duration.ofSeconds(30);
     private static final Duration SHORT = Duration.ofMillis(100);
     private static final PeerSettings SETTINGS = new PeerSettings(
-            Duration.ofSeconds(5), Duration.ofSeconds(30), Duration.ofMillis(10), 64 * 1024, 1024 * 1024);
+            Duration.ofSeconds(5),
+            Duration.ofSeconds(30),
+            Duration.ofMillis(10),
+            64 * 1024,
+            1024 * 1024,
+            TransportSecurity.plain());
 
     private final Vertx vertx = Vertx.vertx();
     private final ThriftPeerClient client = ThriftPeerClient.create(vertx, SETTINGS);
--- a/router/src/test/java/org/baobabcart/router/platform/HttpObjectStoreTest.java
+++ b/router/src/test/java/org/baobabcart/router/platform/HttpObjectStoreTest.java
@@ -19,6 +19,7 @@
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.security.TransportSecurity;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,7 +28,12 @@
 class HttpObjectStoreTest {
     private static final Duration BOUND = Duration.ofSeconds(30);
     private static final PlatformSettings SETTINGS = new PlatformSettings(
-            Duration.ofMillis(500), Duration.ofMillis(1_500), Duration.ofSeconds(1), Duration.ofMillis(500), 2);
+            Duration.ofMillis(500),
+            Duration.ofMillis(1_500),
+            Duration.ofSeconds(1),
+            Duration.ofMillis(500),
+            2,
+            TransportSecurity.plain());
     private static final StoredObject STORED =
             new StoredObject("sheets", "current", "3", JsonNodeFactory.instance.objectNode());
     private static final String OBJECT =
