Keep withdrawals when a sheet is published by command, and rotate session keys

Cause: sheets were published by two pieces of code. The routers' SheetPublisher keeps a withdrawal that the next sheet leaves out; the command's own copy did not, so that publishing the morning sheet put a withdrawn version back in service. Keys of session tokens had no command to rotate them, and a new key signed at once: a token by it was refused with 1107 by routers that learn of the key a second later.

Ruled out: keeping withdrawals in the command as well (a third copy); taking tokens by unknown keys unverified (it would weaken the check of 1107).

Change: commands change documents by the routers' publishers (DocumentChanges, in place of SheetPublishing and RollOutEditor). `keys rotate` makes a key and waits until it is known everywhere; /status tells the generation of the keys.

Before: with the newest key signing at once 3 of 4 tests of SessionSignersTest failed; with withdrawals not kept CommandLineTest.aWithdrawalOutlastsASheetThatLeavesItOut failed. After: both classes, HttpAdminClientTest and CallerApiTest pass.

Conclusion: a withdrawal lasts until somebody takes it back. Left: a cut-off data centre refuses tokens by keys that it has not got.

--- a/cli/src/main/java/org/baobabcart/cli/command/Commands.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/Commands.java
@@ -17,6 +17,7 @@
             RollOutChangeCommand.pause(),
             RollOutChangeCommand.resume(),
             RollOutChangeCommand.withdraw(),
+            new KeysRotateCommand(),
             new DrainCommand(),
             new TimelineCommand(),
             new BillsCommand(),
--- a/cli/src/main/java/org/baobabcart/cli/command/PlatformObjects.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/PlatformObjects.java
@@ -15,6 +15,7 @@
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.model.rollout.RollOutState;
 import org.baobabcart.model.sheet.PublishedSheet;
 import org.baobabcart.router.platform.ObjectStore;
 
@@ -41,6 +42,13 @@
         return read(store, Kinds.SHEETS, Kinds.CURRENT).map(object -> convert(object.spec(), PublishedSheet.class));
     }
 
+    /** The state of roll-outs in the platform. */
+    public static RollOutState rollOuts(ObjectStore store) {
+        return read(store, Kinds.ROLL_OUTS, Kinds.CURRENT)
+                .map(object -> convert(object.spec(), RollOutState.class))
+                .orElse(RollOutState.empty());
+    }
+
     /** An object, if it exists. */
     public static Optional<StoredObject> read(ObjectStore store, String kind, String name) {
         return await(store.read(kind, name)
--- a/cli/src/main/java/org/baobabcart/cli/command/RollOutChangeCommand.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/RollOutChangeCommand.java
@@ -66,8 +66,8 @@
                 .map(PublishedSheet::sheet)
                 .orElseThrow(() -> BaobabcartException.of(ResultCode.NOT_FOUND, "no sheet has been published"));
         checkDeclared(sheet, model, version);
-        RollOutState state = RollOutEditor.of(store)
-                .change((before, writeId) -> action.apply(before, sheet, model, version, writeId));
+        RollOutState state = DocumentChanges.in(store)
+                .changeRollOuts((before, writeId) -> action.apply(before, sheet, model, version, writeId));
         return ChangeReport.awaitAndPrint(
                 action.word() + " " + model + "@" + version,
                 state.generation(),
--- a/cli/src/main/java/org/baobabcart/cli/command/RollOutShowCommand.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/RollOutShowCommand.java
@@ -39,7 +39,7 @@
     public ExitCode run(Arguments arguments, CommandContext context) {
         ObjectStore store = PlatformObjects.store(arguments, context);
         Optional<Sheet> sheet = PlatformObjects.currentSheet(store).map(PublishedSheet::sheet);
-        List<Row> rows = rows(sheet, RollOutEditor.of(store).read());
+        List<Row> rows = rows(sheet, PlatformObjects.rollOuts(store));
         if (arguments.isSet(CommonFlags.JSON)) {
             context.output().json(rows);
         } else {
--- a/cli/src/main/java/org/baobabcart/cli/demo/DemoFleet.java
+++ b/cli/src/main/java/org/baobabcart/cli/demo/DemoFleet.java
@@ -10,8 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import org.baobabcart.cli.CommandContext;
+import org.baobabcart.cli.command.DocumentChanges;
 import org.baobabcart.cli.command.PlatformObjects;
-import org.baobabcart.cli.command.SheetPublishing;
 import org.baobabcart.cli.fleet.FleetFinder;
 import org.baobabcart.cli.fleet.FleetRouter;
 import org.baobabcart.cli.fleet.InForce;
@@ -142,7 +142,7 @@
 
     private void publish() {
         PublishedSheet published =
-                SheetPublishing.publish(store, fleet.defaultSheet().sheet(), "demo");
+                DocumentChanges.in(store).publish(fleet.defaultSheet().sheet(), "demo");
         FleetFinder finder = FleetFinder.create(context.admin(), store, Arguments.of(Map.of(), Map.of()));
         int upstreams = fleet.engines().size() + fleet.services().size();
         List<FleetRouter> lacking = InForce.create(finder, context.pauses())
--- a/cli/src/main/java/org/baobabcart/cli/fleet/RouterStatus.java
+++ b/cli/src/main/java/org/baobabcart/cli/fleet/RouterStatus.java
@@ -13,6 +13,7 @@
  * @param stopping whether its planned stop has begun
  * @param sheet the sheet in force there
  * @param rollOuts the roll-out state in force there
+ * @param sessionKeys the keys of session tokens known there
  * @param platformReachable whether it reaches the platform
  * @param members the routers that it knows
  * @param upstreams the upstreams that it knows
@@ -25,6 +26,7 @@
         boolean stopping,
         SheetStatus sheet,
         RollOutsStatus rollOuts,
+        SessionKeysStatus sessionKeys,
         boolean platformReachable,
         List<KnownMember> members,
         List<JsonNode> upstreams) {
@@ -32,6 +34,7 @@
     public RouterStatus {
         sheet = sheet == null ? new SheetStatus(0, "", 0) : sheet;
         rollOuts = rollOuts == null ? new RollOutsStatus(0) : rollOuts;
+        sessionKeys = sessionKeys == null ? new SessionKeysStatus(0) : sessionKeys;
         members = members == null ? List.of() : List.copyOf(members);
         upstreams = upstreams == null ? List.of() : List.copyOf(upstreams);
     }
@@ -54,6 +57,14 @@
     @JsonIgnoreProperties(ignoreUnknown = true)
     public record RollOutsStatus(long generation) {}
 
+    /**
+     * The keys of session tokens at a router. Immutable.
+     *
+     * @param generation their generation, zero before the first keys
+     */
+    @JsonIgnoreProperties(ignoreUnknown = true)
+    public record SessionKeysStatus(long generation) {}
+
     /**
      * A router that another one knows. Immutable.
      *
--- a/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
@@ -91,6 +91,29 @@
         assertThat(published().generation(), equalTo(2L));
     }
 
+    @Test
+    void aWithdrawalOutlastsASheetThatLeavesItOut() throws IOException {
+        fleet.router("a", 9);
+        Path withdrawing = Files.createTempFile("sheet", ".json");
+        String withdrawal = "\"withdrawals\": [{\"model\": \"layout-large\", \"version\": \"v2\"}]";
+        Files.writeString(withdrawing, Files.readString(Path.of(SHEET)).replace("\"withdrawals\": []", withdrawal));
+        run("sheet", "publish", withdrawing.toString());
+        assertThat(messages(), run("sheet", "publish", SHEET), equalTo(ExitCode.OK));
+        assertThat(published().sheet().withdrawals(), equalTo(List.of(new Withdrawal("layout-large", "v2"))));
+        assertThat(messages(), containsString("kept: layout-large@v2 is withdrawn"));
+        run("sheet", "publish", SHEET, "--reinstate", "layout-large@v2");
+        assertThat(published().sheet().withdrawals(), equalTo(List.of()));
+    }
+
+    @Test
+    void keysAreRotatedOnceAndAwaitedEverywhere() {
+        fleet.router("a", 0);
+        pauses.duringNext(() -> fleet.router("a", 1));
+        assertThat(messages(), run("keys", "rotate"), equalTo(ExitCode.OK));
+        assertThat(results(), containsString("generation 1 is in force on every live router"));
+        assertThat(results() + messages(), not(containsString("secret")));
+    }
+
     @Test
     void withdrawalKeepsWhatAnotherWriterChangedMeanwhile() {
         fleet.router("a", 9);
--- a/cli/src/test/java/org/baobabcart/cli/FakeFleet.java
+++ b/cli/src/test/java/org/baobabcart/cli/FakeFleet.java
@@ -31,6 +31,7 @@
                 .put("name", "s")
                 .put("ageMillis", 5);
         status.putObject("rollOuts").put("generation", sheetGeneration);
+        status.putObject("sessionKeys").put("generation", sheetGeneration);
         status.putArray("members");
         statuses.put(name + ":1", status);
         statuses.values().forEach(this::listMembers);
--- a/router/src/main/java/org/baobabcart/router/admin/StatusReport.java
+++ b/router/src/main/java/org/baobabcart/router/admin/StatusReport.java
@@ -51,6 +51,12 @@
                 "rollOuts",
                 MAPPER.createObjectNode()
                         .put("generation", blackboard.read(Sections.ROLL_OUTS).generation()));
+        report.set(
+                "sessionKeys",
+                MAPPER.createObjectNode()
+                        .put(
+                                "generation",
+                                blackboard.read(Sections.SESSION_SECRETS).generation()));
         report.put("platformReachable", blackboard.read(Sections.PLATFORM_REACHABLE));
         report.set("members", MAPPER.valueToTree(members.others()));
         report.set(
--- a/router/src/main/java/org/baobabcart/router/key/SessionSecrets.java
+++ b/router/src/main/java/org/baobabcart/router/key/SessionSecrets.java
@@ -27,6 +27,11 @@
         return EMPTY;
     }
 
+    /** The id of the key that was made last; empty without keys. */
+    public String newestId() {
+        return secrets.isEmpty() ? "" : secrets.get(0).id();
+    }
+
     /**
      * The keys after a rotation: a new one signs, the former ones still verify until they fall out.
      *
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/key/SessionSignersTest.java
@@ -0,0 +1,80 @@
+package org.baobabcart.router.key;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import java.util.Random;
+import org.baobabcart.policy.session.SessionToken;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.Sections;
+import org.baobabcart.router.testing.ManualTimerService;
+import org.junit.jupiter.api.Test;
+
+class SessionSignersTest {
+    private static final SessionToken TOKEN = SessionToken.fresh("fundi").withVersion("layout-large", "v1");
+
+    private final Random random = new Random(7203);
+    private final ManualTimerService timers = ManualTimerService.create();
+    private final SessionSecrets first = SessionSecrets.empty().rotated(random);
+    private final SessionSecrets second = first.rotated(random);
+
+    @Test
+    void aRouterThatHasTheNewKeySignsWhatTheOthersKnow() {
+        Node early = new Node(first);
+        Node late = new Node(first);
+        early.write(second);
+        assertThat(late.verifies(early.token()), is(true));
+        assertThat(early.verifies(late.token()), is(true));
+        late.write(second);
+        timers.advance(SessionSigners.SPREAD_TIME);
+        assertThat(new Node(first).verifies(early.token()), is(false));
+        assertThat(late.verifies(early.token()), is(true));
+    }
+
+    @Test
+    void aRouterThatStartsDuringTheSpreadSignsWhatTheOthersKnow() {
+        Node late = new Node(first);
+        assertThat(late.verifies(new Node(second).token()), is(true));
+    }
+
+    @Test
+    void aSecondRotationDuringTheSpreadKeepsTheKeyThatEverybodyKnows() {
+        Node early = new Node(first);
+        early.write(second);
+        early.write(second.rotated(random));
+        assertThat(new Node(first).verifies(early.token()), is(true));
+    }
+
+    @Test
+    void tokensOutliveARotation() {
+        Node node = new Node(first);
+        String before = node.token();
+        node.write(second);
+        timers.advance(SessionSigners.SPREAD_TIME);
+        assertThat(node.signers.get().verify(before), equalTo(Optional.of(TOKEN)));
+    }
+
+    private final class Node {
+        private final Blackboard blackboard = Blackboard.create();
+        private final SessionSigners signers = SessionSigners.create();
+
+        private Node(SessionSecrets secrets) {
+            write(secrets);
+            signers.follow(blackboard, timers);
+        }
+
+        private void write(SessionSecrets secrets) {
+            blackboard.write(Sections.SESSION_SECRETS, secrets);
+        }
+
+        private String token() {
+            return signers.get().sign(TOKEN).orElseThrow();
+        }
+
+        private boolean verifies(String token) {
+            return signers.get().verify(token).isPresent();
+        }
+    }
+}
