Cut data centres apart on loopback: advertised peer, outgoing address, a network before each node

Cause: local fleets could only cut the platform off. Nothing could cut data centres apart, so that bookings, sheets, bills and roll-outs had no proof under such a cut.

Ruled out: a map of addresses in each router, a list of VMs that answers by who asks, packet filters; docs/design/membership.md weighs them.

The stand-in "network" opens a port before each node, tells data centres apart by where connections come from, and holds or resets what travels between two places, in one direction or both. FleetSettings .withNetwork() puts routers, upstreams, platform and list of VMs behind it. The fault proxy can also reset in place of closing, hold one direction and pass pieces twice.

Conclusion: a test can cut a data centre off from another one or from the platform, and heal it.

--- a/bench/src/main/java/org/baobabcart/bench/slope/NodeHost.java
+++ b/bench/src/main/java/org/baobabcart/bench/slope/NodeHost.java
@@ -147,6 +147,8 @@
                 0,
                 0,
                 0,
+                "",
+                "",
                 URI.create(fleet.platform().url("http")),
                 URI.create(fleet.virtualMachines().url("http")),
                 Optional.empty(),
--- a/launcher/src/main/java/org/baobabcart/launcher/FleetSettings.java
+++ b/launcher/src/main/java/org/baobabcart/launcher/FleetSettings.java
@@ -11,7 +11,7 @@
  * @param enginesPerDataCentre engines in each data centre, taken from the list in turn
  * @param engines the kinds of engines
  * @param services the plain services, one upstream each in each data centre
- * @param platformProxies whether each data centre's routers reach the platform by a fault proxy of its own
+ * @param links how the processes reach each other
  * @param seed the seed of the workspaces' keys
  */
 public record FleetSettings(
@@ -21,7 +21,7 @@
         int enginesPerDataCentre,
         List<EngineSettings> engines,
         List<String> services,
-        boolean platformProxies,
+        FleetLinks links,
         long seed) {
     /** Copies the lists. */
     public FleetSettings {
@@ -34,20 +34,13 @@
     public static FleetSettings defaults() {
         List<EngineSettings> engines =
                 List.of(EngineSettings.large("v1"), EngineSettings.small("v1"), EngineSettings.large("v2"));
-        return new FleetSettings("fleet", List.of("a", "b"), 1, 3, engines, List.of("orders"), false, 1);
+        return new FleetSettings("fleet", List.of("a", "b"), 1, 3, engines, List.of("orders"), FleetLinks.DIRECT, 1);
     }
 
     /** The same fleet under another name. */
     public FleetSettings withName(String newName) {
         return new FleetSettings(
-                newName,
-                dataCentres,
-                routersPerDataCentre,
-                enginesPerDataCentre,
-                engines,
-                services,
-                platformProxies,
-                seed);
+                newName, dataCentres, routersPerDataCentre, enginesPerDataCentre, engines, services, links, seed);
     }
 
     /** The same fleet in other data centres. */
@@ -59,27 +52,19 @@
                 enginesPerDataCentre,
                 engines,
                 services,
-                platformProxies,
+                links,
                 seed);
     }
 
     /** The same fleet with other numbers of routers. */
     public FleetSettings withRoutersPerDataCentre(int newRouters) {
-        return new FleetSettings(
-                name, dataCentres, newRouters, enginesPerDataCentre, engines, services, platformProxies, seed);
+        return new FleetSettings(name, dataCentres, newRouters, enginesPerDataCentre, engines, services, links, seed);
     }
 
     /** The same fleet with other engines. */
     public FleetSettings withEngines(int newEnginesPerDataCentre, List<EngineSettings> newEngines) {
         return new FleetSettings(
-                name,
-                dataCentres,
-                routersPerDataCentre,
-                newEnginesPerDataCentre,
-                newEngines,
-                services,
-                platformProxies,
-                seed);
+                name, dataCentres, routersPerDataCentre, newEnginesPerDataCentre, newEngines, services, links, seed);
     }
 
     /** The same fleet with other services. */
@@ -91,26 +76,28 @@
                 enginesPerDataCentre,
                 engines,
                 List.of(newServices),
-                platformProxies,
+                links,
                 seed);
     }
 
     /** The same fleet with the platform behind fault proxies. */
     public FleetSettings withPlatformProxies() {
-        return new FleetSettings(
-                name, dataCentres, routersPerDataCentre, enginesPerDataCentre, engines, services, true, seed);
+        return withLinks(FleetLinks.PLATFORM_PROXIES);
+    }
+
+    /** The same fleet with a network between the data centres and the platform that can be cut. */
+    public FleetSettings withNetwork() {
+        return withLinks(FleetLinks.NETWORK);
     }
 
     /** The same fleet with another seed. */
     public FleetSettings withSeed(long newSeed) {
         return new FleetSettings(
-                name,
-                dataCentres,
-                routersPerDataCentre,
-                enginesPerDataCentre,
-                engines,
-                services,
-                platformProxies,
-                newSeed);
+                name, dataCentres, routersPerDataCentre, enginesPerDataCentre, engines, services, links, newSeed);
+    }
+
+    private FleetSettings withLinks(FleetLinks newLinks) {
+        return new FleetSettings(
+                name, dataCentres, routersPerDataCentre, enginesPerDataCentre, engines, services, newLinks, seed);
     }
 }
--- a/launcher/src/main/java/org/baobabcart/launcher/LocalFleet.java
+++ b/launcher/src/main/java/org/baobabcart/launcher/LocalFleet.java
@@ -28,9 +28,12 @@
     private final Map<String, FleetNode> engines = new LinkedHashMap<>();
     private final Map<String, FleetNode> services = new LinkedHashMap<>();
     private final Map<String, ManagedProcess> platformProxies = new LinkedHashMap<>();
+    private FleetNetwork network;
     private ManagedProcess platform;
     private ManagedProcess virtualMachines;
     private ManagedProcess ratings;
+    private String platformUrl;
+    private String virtualMachinesUrl;
 
     private LocalFleet(FleetSettings settings) {
         this.settings = settings;
@@ -70,6 +73,11 @@
         return platformProxies.get(dataCentre);
     }
 
+    /** The network between the data centres, where the settings ask for one. */
+    public FleetNetwork network() {
+        return network;
+    }
+
     /** The routers in the order of their start. */
     public List<FleetNode> routers() {
         return List.copyOf(routers.values());
@@ -165,9 +173,14 @@
         platform = outside.get(0);
         virtualMachines = outside.get(1);
         ratings = outside.get(2);
+        platformUrl = platform.url(HTTP);
+        virtualMachinesUrl = virtualMachines.url(HTTP);
+        if (settings.links() == FleetLinks.NETWORK) {
+            startNetwork();
+        }
         launchAll(
                 settings.dataCentres().stream().flatMap(this::plannedUpstreams).toList());
-        if (settings.platformProxies()) {
+        if (settings.links() == FleetLinks.PLATFORM_PROXIES) {
             settings.dataCentres().forEach(this::startPlatformProxy);
         }
         launchAll(settings.dataCentres().stream().flatMap(this::plannedRouters).toList());
@@ -194,12 +207,44 @@
         platformProxies.put(dataCentre, startProxy(name, platform.port(HTTP)));
     }
 
+    private void startNetwork() {
+        ManagedProcess process = launch(processes.standIn("network", "network"));
+        network = FleetNetwork.of(process, calls, settings.dataCentres());
+        platformUrl = "http://" + openNode(platform);
+        virtualMachinesUrl = "http://" + openNode(virtualMachines);
+    }
+
+    private String openNode(ManagedProcess process) {
+        String address = network.open(process.name(), FleetNetwork.PLATFORM);
+        network.target(process.name(), process.port(HTTP));
+        return address;
+    }
+
+    private String platformUrl(String dataCentre) {
+        return settings.links() == FleetLinks.PLATFORM_PROXIES
+                ? platformProxies.get(dataCentre).url(PROXY)
+                : platformUrl;
+    }
+
     private PlannedNode plannedRouter(String name, String dataCentre) {
-        String platformUrl =
-                settings.platformProxies() ? platformProxies.get(dataCentre).url(PROXY) : platform.url(HTTP);
         ProcessSettings process =
-                processes.router(name, dataCentre, platformUrl, virtualMachines.url(HTTP), ratings.url(HTTP));
-        return new PlannedNode(process, routers, "peer", "", machine(name, VirtualMachine.Role.ROUTER, dataCentre));
+                processes.router(name, dataCentre, platformUrl(dataCentre), virtualMachinesUrl, ratings.url(HTTP));
+        PlannedNode planned =
+                new PlannedNode(process, routers, "peer", "", machine(name, VirtualMachine.Role.ROUTER, dataCentre));
+        if (network == null) {
+            return planned;
+        }
+        PlannedNode reachable = throughNetwork(planned);
+        return reachable.withMoreArguments(List.of(
+                "--advertised-peer",
+                reachable.machine().address(),
+                "--outgoing-address",
+                network.outgoingAddress(dataCentre)));
+    }
+
+    private PlannedNode throughNetwork(PlannedNode planned) {
+        VirtualMachine machine = planned.machine();
+        return network == null ? planned : planned.reachedBy(network.open(machine.name(), machine.dataCentre()));
     }
 
     private PlannedNode plannedEngine(String name, String dataCentre, EngineSettings engine) {
@@ -212,14 +257,15 @@
                 engine.model(),
                 engine.version(),
                 "");
-        return new PlannedNode(processes.engine(name, dataCentre, engine), engines, HTTP, "http://", machine);
+        return throughNetwork(
+                new PlannedNode(processes.engine(name, dataCentre, engine), engines, HTTP, "http://", machine));
     }
 
     private PlannedNode plannedService(String name, String dataCentre, String service) {
         VirtualMachine machine = new VirtualMachine(
                 name, VirtualMachine.Role.SERVICE, dataCentre, VirtualMachine.State.LIVE, "", "", "", service);
         ProcessSettings process = processes.standIn("service", name, "--service", service);
-        return new PlannedNode(process, services, HTTP, "http://", machine);
+        return throughNetwork(new PlannedNode(process, services, HTTP, "http://", machine));
     }
 
     private static VirtualMachine machine(String name, VirtualMachine.Role role, String dataCentre) {
@@ -242,6 +288,9 @@
 
     private FleetNode register(PlannedNode planned, ManagedProcess process) {
         FleetNode node = planned.nodeOn(process);
+        if (network != null) {
+            network.target(node.name(), process.port(planned.addressPort()));
+        }
         planned.nodes().put(node.name(), node);
         putVirtualMachine(node.machine());
         return node;
--- a/model/src/main/java/org/baobabcart/model/platform/VirtualMachine.java
+++ b/model/src/main/java/org/baobabcart/model/platform/VirtualMachine.java
@@ -33,4 +33,9 @@
         LIVE,
         LEAVING
     }
+
+    /** The same entry with another address. */
+    public VirtualMachine withAddress(String newAddress) {
+        return new VirtualMachine(name, role, dataCentre, state, newAddress, model, version, service);
+    }
 }
--- a/router/src/main/java/org/baobabcart/router/ControlPlane.java
+++ b/router/src/main/java/org/baobabcart/router/ControlPlane.java
@@ -118,7 +118,9 @@
 
     private static VirtualMachineController machines(RouterCore core) {
         VirtualMachineList list = HttpVirtualMachineList.create(
-                core.vertx(), core.settings().virtualMachines(), PlatformSettings.defaults());
+                core.vertx(),
+                core.settings().virtualMachines(),
+                PlatformSettings.defaults().withOutgoingAddress(core.settings().outgoingAddress()));
         return VirtualMachineController.create(
                 list, core.blackboard(), core.loop(), core.timers(), core.timeline(), LIST_PERIOD);
     }
--- a/router/src/main/java/org/baobabcart/router/RouterCore.java
+++ b/router/src/main/java/org/baobabcart/router/RouterCore.java
@@ -54,7 +54,10 @@
         Blackboard blackboard = Blackboard.create();
         RingTimeline timeline = RingTimeline.create(settings.name(), timers, RingTimeline.DEFAULT_CAPACITY);
         MetricRegistry metrics = new MetricRegistry();
-        ObjectStore store = HttpObjectStore.create(vertx, settings.platform(), PlatformSettings.defaults());
+        ObjectStore store = HttpObjectStore.create(
+                vertx,
+                settings.platform(),
+                PlatformSettings.defaults().withOutgoingAddress(settings.outgoingAddress()));
         return new RouterCore(
                 settings,
                 vertx,
@@ -64,7 +67,7 @@
                 timeline,
                 metrics,
                 PlatformHealth.observing(store, blackboard, loop, timeline),
-                ThriftPeerClient.create(vertx, PeerSettings.defaults()),
+                ThriftPeerClient.create(vertx, PeerSettings.defaults().withOutgoingAddress(settings.outgoingAddress())),
                 ViewPublisher.create(blackboard),
                 FeedbackQueue.create(loop, metrics),
                 RandomGenerator.getDefault());
--- a/router/src/main/java/org/baobabcart/router/RouterProcess.java
+++ b/router/src/main/java/org/baobabcart/router/RouterProcess.java
@@ -125,7 +125,9 @@
 
     private Addresses addresses(RouterPorts ports) {
         String host = core.settings().listenAddress();
-        return new Addresses(host + ":" + ports.caller(), host + ":" + ports.admin(), host + ":" + ports.peer());
+        String advertised = core.settings().advertisedPeer();
+        String peer = advertised.isEmpty() ? host + ":" + ports.peer() : advertised;
+        return new Addresses(host + ":" + ports.caller(), host + ":" + ports.admin(), peer);
     }
 
     private void beginStop() {
--- a/router/src/main/java/org/baobabcart/router/TrafficEdge.java
+++ b/router/src/main/java/org/baobabcart/router/TrafficEdge.java
@@ -94,7 +94,7 @@
     }
 
     private static TrafficSettings trafficSettings(RouterSettings settings) {
-        return TrafficSettings.defaults().withNode(settings.name(), settings.dataCentre());
+        return TrafficSettings.defaults().withNode(settings.name(), settings.dataCentre(), settings.outgoingAddress());
     }
 
     private static RatingClient ratings(RouterCore parts) {
--- a/router/src/main/java/org/baobabcart/router/peer/PeerSettings.java
+++ b/router/src/main/java/org/baobabcart/router/peer/PeerSettings.java
@@ -11,18 +11,26 @@
  * @param sweepPeriod how often overdue calls are looked for
  * @param largestFrameBytes the greatest size of one message
  * @param largestBacklogBytes how many bytes may wait to be written to one peer
+ * @param outgoingAddress the address that connections come from, empty for any
  */
 public record PeerSettings(
         Duration connectTimeout,
         Duration idleTimeout,
         Duration sweepPeriod,
         int largestFrameBytes,
-        int largestBacklogBytes) {
+        int largestBacklogBytes,
+        String outgoingAddress) {
     private static final int MEBIBYTE = 1024 * 1024;
 
     /** Settings for routers a few milliseconds apart. */
     public static PeerSettings defaults() {
         return new PeerSettings(
-                Duration.ofMillis(500), Duration.ofSeconds(30), Duration.ofMillis(20), 4 * MEBIBYTE, 16 * MEBIBYTE);
+                Duration.ofMillis(500), Duration.ofSeconds(30), Duration.ofMillis(20), 4 * MEBIBYTE, 16 * MEBIBYTE, "");
+    }
+
+    /** The same settings with connections from another address. */
+    public PeerSettings withOutgoingAddress(String newOutgoingAddress) {
+        return new PeerSettings(
+                connectTimeout, idleTimeout, sweepPeriod, largestFrameBytes, largestBacklogBytes, newOutgoingAddress);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/peer/ThriftPeerClient.java
+++ b/router/src/main/java/org/baobabcart/router/peer/ThriftPeerClient.java
@@ -48,6 +48,9 @@
                 .setTcpNoDelay(true)
                 .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
                 .setIdleTimeout((int) settings.idleTimeout().toMillis());
+        if (!settings.outgoingAddress().isEmpty()) {
+            options.setLocalAddress(settings.outgoingAddress());
+        }
         this.vertx = vertx;
         this.client = vertx.createNetClient(options);
         this.settings = settings;
--- a/router/src/main/java/org/baobabcart/router/platform/HttpObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/HttpObjectStore.java
@@ -44,9 +44,7 @@
     private HttpObjectStore(Vertx vertx, URI platform, PlatformSettings settings) {
         this.base = platform.toString().replaceAll("/+$", "") + BASE_PATH;
         this.settings = settings;
-        WebClientOptions options = new WebClientOptions()
-                .setConnectTimeout((int) settings.connectTimeout().toMillis())
-                .setKeepAlive(true);
+        WebClientOptions options = settings.applyTo(new WebClientOptions().setKeepAlive(true));
         this.client = WebClient.create(vertx, options, new PoolOptions().setHttp1MaxSize(settings.connections()));
         this.watches = WatchStream.create(vertx, settings);
     }
--- a/router/src/main/java/org/baobabcart/router/platform/HttpVirtualMachineList.java
+++ b/router/src/main/java/org/baobabcart/router/platform/HttpVirtualMachineList.java
@@ -32,8 +32,7 @@
     private HttpVirtualMachineList(Vertx vertx, URI address, PlatformSettings settings) {
         this.address = address.toString().replaceAll("/+$", "") + "/vms";
         this.settings = settings;
-        int connectMillis = (int) settings.connectTimeout().toMillis();
-        this.client = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(connectMillis));
+        this.client = WebClient.create(vertx, settings.applyTo(new WebClientOptions()));
     }
 
     /** A client of the list at this address. */
--- a/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
+++ b/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
@@ -32,8 +32,7 @@
     private final HttpClient client;
 
     private WatchStream(Vertx vertx, PlatformSettings settings) {
-        HttpClientOptions options = new HttpClientOptions()
-                .setConnectTimeout((int) settings.connectTimeout().toMillis())
+        HttpClientOptions options = settings.applyTo(new HttpClientOptions())
                 .setKeepAlive(false)
                 .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
                 .setIdleTimeout((int)
--- a/router/src/main/java/org/baobabcart/router/settings/RouterSettings.java
+++ b/router/src/main/java/org/baobabcart/router/settings/RouterSettings.java
@@ -15,6 +15,8 @@
  * @param callerPort the port of the caller API, 0 for any
  * @param adminPort the port of the operators' API, 0 for any
  * @param peerPort the port that other routers call, 0 for any
+ * @param advertisedPeer the peer port as other routers reach it, empty for the one that is bound
+ * @param outgoingAddress the address that connections to routers, upstreams and the platform come from, empty for any
  * @param platform the platform's object API
  * @param virtualMachines the platform's list of VMs
  * @param ratings the service that rates answers, if there is one
@@ -29,6 +31,8 @@
         int callerPort,
         int adminPort,
         int peerPort,
+        String advertisedPeer,
+        String outgoingAddress,
         URI platform,
         URI virtualMachines,
         Optional<URI> ratings,
@@ -49,6 +53,8 @@
                 Integer.parseInt(values.get(Setting.CALLER_PORT)),
                 Integer.parseInt(values.get(Setting.ADMIN_PORT)),
                 Integer.parseInt(values.get(Setting.PEER_PORT)),
+                values.get(Setting.ADVERTISED_PEER),
+                values.get(Setting.OUTGOING_ADDRESS),
                 URI.create(values.get(Setting.PLATFORM)),
                 URI.create(values.get(Setting.VIRTUAL_MACHINES)),
                 Optional.of(values.get(Setting.RATINGS))
--- a/router/src/main/java/org/baobabcart/router/settings/Setting.java
+++ b/router/src/main/java/org/baobabcart/router/settings/Setting.java
@@ -17,6 +17,18 @@
     ADMIN_PORT("admin-port", ValueForm.PORT, "0", "the port of the operators' API"),
     /** The port of the other routers. */
     PEER_PORT("peer-port", ValueForm.PORT, "0", "the port that other routers call"),
+    /** The peer port as other routers reach it. */
+    ADVERTISED_PEER(
+            "advertised-peer",
+            ValueForm.OPTIONAL_ADDRESS,
+            "",
+            "the peer port as other routers reach it, behind address translation; empty for the bound one"),
+    /** The source of connections to others. */
+    OUTGOING_ADDRESS(
+            "outgoing-address",
+            ValueForm.OPTIONAL_HOST,
+            "",
+            "the address that connections to routers, upstreams and the platform come from; empty for any"),
     /** The platform's object API. */
     PLATFORM("platform", ValueForm.URL, null, "the platform's object API"),
     /** The platform's list of VMs. */
--- a/router/src/main/java/org/baobabcart/router/settings/ValueForm.java
+++ b/router/src/main/java/org/baobabcart/router/settings/ValueForm.java
@@ -12,6 +12,10 @@
     NAME("1 to 63 letters, digits, dots, dashes or underscores", ValueForm::isName),
     /** An address to bind. */
     HOST("an IP number or host name", ValueForm::isHost),
+    /** An address to bind, or none. */
+    OPTIONAL_HOST("empty, an IP number or a host name", text -> text.isEmpty() || isHost(text)),
+    /** The address of this router as others see it, or none. */
+    OPTIONAL_ADDRESS("empty or host:port with a port from 1 to 65535", ValueForm::isOptionalAddress),
     /** A TCP port to bind. */
     PORT("a whole number from 0 to 65535, 0 being any free port", text -> isNumber(text, 65_535)),
     /** The address of an HTTP service. */
@@ -83,6 +87,14 @@
         return split(text).stream().allMatch(ValueForm::isAddress);
     }
 
+    private static boolean isOptionalAddress(String text) {
+        return text.isEmpty() || (isAddress(text) && portOf(text) > 0);
+    }
+
+    private static int portOf(String address) {
+        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    }
+
     private static boolean isAddress(String text) {
         return ADDRESS_PATTERN.matcher(text).matches() && isNumber(text.substring(text.lastIndexOf(':') + 1), 65_535);
     }
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -39,8 +39,8 @@
 
     /** An API that does not listen yet. */
     public static CallerApi create(Vertx vertx, TrafficParts parts, TrafficSettings settings) {
-        UpstreamClient upstreams =
-                UpstreamClient.create(vertx, settings.timeouts().connect());
+        UpstreamClient upstreams = UpstreamClient.create(
+                vertx, settings.timeouts().connect(), settings.node().outgoingAddress());
         UpstreamHealth health = UpstreamHealth.create(vertx, upstreams, parts.views());
         DispatcherSettings dispatching = new DispatcherSettings(
                 settings.node().name(),
--- a/router/src/main/java/org/baobabcart/router/traffic/TrafficSettings.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/TrafficSettings.java
@@ -18,9 +18,10 @@
      *
      * @param name the router's name
      * @param dataCentre the data centre it stands in
+     * @param outgoingAddress the address that connections to upstreams come from, empty for any
      * @param eventLoops the number of event loops that serve callers
      */
-    public record Node(String name, String dataCentre, int eventLoops) {}
+    public record Node(String name, String dataCentre, String outgoingAddress, int eventLoops) {}
 
     /**
      * Limits on what callers and upstreams send.
@@ -59,7 +60,7 @@
 
     /** Settings for ordinary use. */
     public static TrafficSettings defaults() {
-        Node node = new Node("router", "", Math.max(2, Runtime.getRuntime().availableProcessors() / 2));
+        Node node = new Node("router", "", "", Math.max(2, Runtime.getRuntime().availableProcessors() / 2));
         Limits limits = new Limits(4 * MEBIBYTE, 16 * KIBIBYTE, 16 * MEBIBYTE, 1024, 256, 3);
         Timeouts timeouts = new Timeouts(
                 Duration.ofSeconds(10),
@@ -73,9 +74,9 @@
         return new TrafficSettings(node, limits, timeouts);
     }
 
-    /** The same settings for a named router in a data centre. */
-    public TrafficSettings withNode(String name, String dataCentre) {
-        return new TrafficSettings(new Node(name, dataCentre, node.eventLoops()), limits, timeouts);
+    /** The same settings for a named router in a data centre, whose connections come from an address. */
+    public TrafficSettings withNode(String name, String dataCentre, String outgoingAddress) {
+        return new TrafficSettings(new Node(name, dataCentre, outgoingAddress, node.eventLoops()), limits, timeouts);
     }
 
     /** The same settings with other limits. */
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -35,18 +35,20 @@
 
     private final Vertx vertx;
     private final Duration connectTimeout;
+    private final String outgoingAddress;
     private final HttpClient freshConnections;
     private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
 
-    private UpstreamClient(Vertx vertx, Duration connectTimeout) {
+    private UpstreamClient(Vertx vertx, Duration connectTimeout, String outgoingAddress) {
         this.vertx = vertx;
         this.connectTimeout = connectTimeout;
+        this.outgoingAddress = outgoingAddress;
         this.freshConnections = newClient(false);
     }
 
-    /** A client without connections. */
-    public static UpstreamClient create(Vertx vertx, Duration connectTimeout) {
-        return new UpstreamClient(vertx, connectTimeout);
+    /** A client without connections, which come from an address, or from any where it is empty. */
+    public static UpstreamClient create(Vertx vertx, Duration connectTimeout, String outgoingAddress) {
+        return new UpstreamClient(vertx, connectTimeout, outgoingAddress);
     }
 
     /**
@@ -170,6 +172,9 @@
                 .setTcpKeepAlive(true)
                 .setTcpNoDelay(true)
                 .setConnectTimeout((int) connectTimeout.toMillis());
+        if (!outgoingAddress.isEmpty()) {
+            options.setLocalAddress(outgoingAddress);
+        }
         return vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_UPSTREAM));
     }
 
--- a/router/src/test/java/org/baobabcart/router/peer/PeerTransportTest.java
+++ b/router/src/test/java/org/baobabcart/router/peer/PeerTransportTest.java
@@ -31,7 +31,7 @@
     private static final Duration GENEROUS = Duration.ofSeconds(30);
     private static final Duration SHORT = Duration.ofMillis(100);
     private static final PeerSettings SETTINGS = new PeerSettings(
-            Duration.ofSeconds(5), Duration.ofSeconds(30), Duration.ofMillis(10), 64 * 1024, 1024 * 1024);
+            Duration.ofSeconds(5), Duration.ofSeconds(30), Duration.ofMillis(10), 64 * 1024, 1024 * 1024, "");
 
     private final Vertx vertx = Vertx.vertx();
     private final ThriftPeerClient client = ThriftPeerClient.create(vertx, SETTINGS);
--- a/router/src/test/java/org/baobabcart/router/platform/HttpObjectStoreTest.java
+++ b/router/src/test/java/org/baobabcart/router/platform/HttpObjectStoreTest.java
@@ -27,7 +27,7 @@
 class HttpObjectStoreTest {
     private static final Duration BOUND = Duration.ofSeconds(30);
     private static final PlatformSettings SETTINGS = new PlatformSettings(
-            Duration.ofMillis(500), Duration.ofMillis(1_500), Duration.ofSeconds(1), Duration.ofMillis(500), 2);
+            Duration.ofMillis(500), Duration.ofMillis(1_500), Duration.ofSeconds(1), Duration.ofMillis(500), 2, "");
     private static final StoredObject STORED =
             new StoredObject("sheets", "current", "3", JsonNodeFactory.instance.objectNode());
     private static final String OBJECT =
--- a/router/src/test/java/org/baobabcart/router/traffic/CallerApiTestBase.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerApiTestBase.java
@@ -45,7 +45,7 @@
 
     TrafficSettings settings() {
         TrafficSettings settings = TrafficSettings.defaults();
-        TrafficSettings.Node node = new TrafficSettings.Node("router-one-1", "one", 2);
+        TrafficSettings.Node node = new TrafficSettings.Node("router-one-1", "one", "", 2);
         return new TrafficSettings(node, settings.limits(), settings.timeouts());
     }
 
--- a/standins/src/main/java/org/baobabcart/standins/StandInKind.java
+++ b/standins/src/main/java/org/baobabcart/standins/StandInKind.java
@@ -10,6 +10,7 @@
 import org.baobabcart.standins.machine.VirtualMachineStandIn;
 import org.baobabcart.standins.platform.PlatformStandIn;
 import org.baobabcart.standins.proxy.FaultProxy;
+import org.baobabcart.standins.proxy.NetworkStandIn;
 import org.baobabcart.standins.service.RatingStandIn;
 import org.baobabcart.standins.service.ServiceStandIn;
 
@@ -45,6 +46,12 @@
             return VirtualMachineStandIn.create(vertx, settings).start();
         }
     },
+    NETWORK("network") {
+        @Override
+        Future<Map<String, Integer>> start(Vertx vertx, StandInSettings settings) {
+            return NetworkStandIn.create(vertx, settings).start();
+        }
+    },
     FAULT_PROXY("fault-proxy") {
         @Override
         Future<Map<String, Integer>> start(Vertx vertx, StandInSettings settings) {
--- a/standins/src/main/java/org/baobabcart/standins/proxy/FaultProxy.java
+++ b/standins/src/main/java/org/baobabcart/standins/proxy/FaultProxy.java
@@ -57,7 +57,11 @@
 
     private void accept(NetSocket caller) {
         if (faults.cut()) {
-            caller.close();
+            if (faults.reset()) {
+                Sockets.reset(caller);
+            } else {
+                caller.close();
+            }
             return;
         }
         caller.pause();
--- a/standins/src/main/java/org/baobabcart/standins/proxy/ProxyLink.java
+++ b/standins/src/main/java/org/baobabcart/standins/proxy/ProxyLink.java
@@ -49,14 +49,28 @@
             return;
         }
         if (faults.cut()) {
-            caller.close();
-            target.close();
-        } else if (faults.blackHole()) {
-            caller.pause();
-            target.pause();
+            end(caller);
+            end(target);
+        } else {
+            hold(caller, faults.holdRequests());
+            hold(target, faults.holdAnswers());
+        }
+    }
+
+    /** Closes a socket, or resets it where the faults ask for that. */
+    private void end(NetSocket socket) {
+        if (faults.reset()) {
+            Sockets.reset(socket);
         } else {
-            caller.resume();
-            target.resume();
+            socket.close();
+        }
+    }
+
+    private static void hold(NetSocket socket, boolean held) {
+        if (held) {
+            socket.pause();
+        } else {
+            socket.resume();
         }
     }
 
@@ -66,12 +80,15 @@
         }
         long limit = faults.cutAfterBytes();
         if (limit > 0 && answerBytes + data.length() >= limit) {
-            caller.write(data.slice(0, (int) Math.max(0, limit - answerBytes))).onComplete(ignored -> caller.close());
+            caller.write(data.slice(0, (int) Math.max(0, limit - answerBytes))).onComplete(ignored -> end(caller));
             target.close();
             return;
         }
         answerBytes += data.length();
         pass(caller, data);
+        if (faults.duplicateAnswers()) {
+            pass(caller, data);
+        }
     }
 
     private void pass(NetSocket destination, Buffer data) {
