--- /dev/null
+++ b/integration/src/test/java/org/baobabcart/integration/cut/CutBookingTest.java
@@ -0,0 +1,160 @@
+package org.baobabcart.integration.cut;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.baobabcart.integration.support.Await;
+import org.baobabcart.integration.support.Caller;
+import org.baobabcart.integration.support.Reply;
+import org.baobabcart.launcher.FleetNetwork;
+import org.baobabcart.launcher.FleetNode;
+import org.baobabcart.model.result.ResultCode;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Bookings run at most once, and their callers end honestly, while data centres are cut from each other. */
+class CutBookingTest {
+    private static final int KEYS = 12;
+    private static CutFleet fleet;
+
+    private final Caller caller = fleet.caller();
+    private final FleetNetwork network = fleet.network();
+    private final List<Reply> endings = new ArrayList<>();
+
+    @BeforeAll
+    static void start() {
+        fleet = CutFleet.start("cut-bookings");
+    }
+
+    @AfterAll
+    static void stop() {
+        fleet.close();
+    }
+
+    @AfterEach
+    void noKeyRanTwiceAndEveryCallerEndedHonestly() {
+        network.heal();
+        fleet.awaitWhole();
+        assertThat(
+                fleet.runsByKey().entrySet().stream()
+                        .filter(entry -> entry.getValue() > 1)
+                        .toList(),
+                empty());
+        Set<String> run = fleet.requestsRun();
+        assertThat(
+                endings.stream()
+                        .filter(Reply::saysNotRun)
+                        .map(Reply::requestId)
+                        .filter(run::contains)
+                        .toList(),
+                empty());
+        assertThat(
+                endings.stream()
+                        .filter(ending -> !ending.booked() && !ending.saysNotRun() && !ending.saysUnknown())
+                        .toList(),
+                empty());
+    }
+
+    @Test
+    void theSameKeysOnBothSidesOfACut() {
+        network.cut(CutFleet.NEAR, CutFleet.FAR);
+        bookEverywhereDuringTheCutAndAfterIt("both-ways", true);
+    }
+
+    @Test
+    void theSameKeysOnBothSidesOfACutThatBothHaveNoticed() {
+        network.cut(CutFleet.NEAR, CutFleet.FAR);
+        fleet.awaitCutOff();
+        bookEverywhereDuringTheCutAndAfterIt("noticed", true);
+    }
+
+    @Test
+    void theSameKeysWhereOneDirectionIsCut() {
+        network.cutOneWay(CutFleet.NEAR, CutFleet.FAR);
+        bookEverywhereDuringTheCutAndAfterIt("there", true);
+        network.cutOneWay(CutFleet.FAR, CutFleet.NEAR);
+        bookEverywhereDuringTheCutAndAfterIt("back", true);
+    }
+
+    @Test
+    void theSameKeysWhereConnectionsAreReset() {
+        network.cut(CutFleet.NEAR, CutFleet.FAR);
+        network.reset();
+        bookEverywhereDuringTheCutAndAfterIt("reset", true);
+    }
+
+    @Test
+    void aSideThatIsCutOffFromThePlatformTooRefusesTruly() {
+        network.cut(CutFleet.NEAR, CutFleet.FAR);
+        network.cut(CutFleet.NEAR, FleetNetwork.PLATFORM);
+        List<String> keys = keys("cut-off");
+        for (FleetNode router : fleet.routers(CutFleet.NEAR)) {
+            List<Reply> refused = all(keys.stream()
+                    .map(key -> caller.book(router, key + router.name()))
+                    .toList());
+            assertThat(
+                    refused.stream().map(Reply::code).toList(),
+                    everyItem(equalTo(ResultCode.CLAIM_UNAVAILABLE.number())));
+        }
+        bookEverywhereDuringTheCutAndAfterIt("one-side", false);
+    }
+
+    /** Books at all routers at once, and again after the cut; the keys then have one end, the same at each router. */
+    private void bookEverywhereDuringTheCutAndAfterIt(String name, boolean bookableNear) {
+        List<String> keys = keys(name);
+        List<CompletableFuture<Reply>> calls = new ArrayList<>();
+        keys.forEach(key -> fleet.routers().forEach(router -> calls.add(caller.book(router, key))));
+        all(calls);
+        List<String> sides = bookableNear ? List.of(CutFleet.NEAR, CutFleet.FAR) : List.of(CutFleet.FAR);
+        sides.forEach(side -> awaitNewBooking(fleet.routers(side).get(0), name + "-" + side));
+        network.heal();
+        fleet.awaitWhole();
+        for (String key : keys) {
+            Await.until(key + " has one end everywhere", () -> ends(key).size() == 1);
+        }
+    }
+
+    private void awaitNewBooking(FleetNode router, String name) {
+        List<String> more = IntStream.range(0, 1000)
+                .mapToObj(index -> name + "-more-" + index)
+                .toList();
+        var next = more.iterator();
+        Await.until(
+                router.name() + " books",
+                () -> one(caller.book(router, next.next())).booked());
+    }
+
+    /** The ends of a key as each router tells them: a booking, or that nobody knows. */
+    private Set<String> ends(String key) {
+        Set<String> ends = new java.util.HashSet<>();
+        for (Reply reply : all(
+                fleet.routers().stream().map(router -> caller.book(router, key)).toList())) {
+            boolean unknown = reply.code() == ResultCode.OUTCOME_UNKNOWN.number();
+            ends.add(reply.booked() ? reply.booking() : unknown ? "unknown" : "not yet " + reply.requestId());
+        }
+        return ends;
+    }
+
+    private List<Reply> all(List<CompletableFuture<Reply>> calls) {
+        return calls.stream().map(this::one).toList();
+    }
+
+    private Reply one(CompletableFuture<Reply> call) {
+        Reply ending = call.join();
+        endings.add(ending);
+        return ending;
+    }
+
+    private static List<String> keys(String name) {
+        return IntStream.range(0, KEYS).mapToObj(index -> name + "-" + index).toList();
+    }
+}
