Take in the cut between data centres

One class, Transport, now holds what concerns connections: certificates and the address that they come from.

SecureFleetTest, CutBookingTest, PeerTransportTest, HttpObjectStoreTest, the settings' tests, CallerApiTest, NetworkStandInTest and LocalFleetTest pass on the result (load average about 40).

--- a/bench/src/main/java/org/baobabcart/bench/slope/NodeHost.java
+++ b/bench/src/main/java/org/baobabcart/bench/slope/NodeHost.java
@@ -15,8 +15,8 @@
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.RouterPorts;
 import org.baobabcart.router.RouterProcess;
-import org.baobabcart.router.security.SecurityFiles;
 import org.baobabcart.router.settings.RouterSettings;
+import org.baobabcart.router.transport.SecurityFiles;
 
 /**
  * Routers as library objects in this process, before a platform and list of VMs in processes of their own, so that the
@@ -148,6 +148,8 @@
                 0,
                 0,
                 0,
+                "",
+                "",
                 URI.create(fleet.platform().url("http")),
                 URI.create(fleet.virtualMachines().url("http")),
                 Optional.empty(),
--- a/cli/src/main/java/org/baobabcart/cli/CommandLine.java
+++ b/cli/src/main/java/org/baobabcart/cli/CommandLine.java
@@ -24,7 +24,7 @@
 import org.baobabcart.cli.settings.SecurityFlags;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.Transport;
 
 /**
  * Parses the words of a command line, runs the command and turns every failure into one line and an exit code.
@@ -52,7 +52,7 @@
         return commands;
     }
 
-    /** Runs one command with parts that need no transport security; no failure leaves this method as an exception. */
+    /** Runs one command with parts that need no transport transport; no failure leaves this method as an exception. */
     public ExitCode run(String[] words, Map<String, String> environment, CommandContext context) {
         return run(words, environment, context.output(), ignored -> context);
     }
@@ -60,20 +60,20 @@
     /**
      * Runs one command; no failure leaves this method as an exception.
      *
-     * @param contexts makes the parts that the command works with, by the transport security that its flags ask for
+     * @param contexts makes the parts that the command works with, by the transport transport that its flags ask for
      */
     public ExitCode run(
             String[] words,
             Map<String, String> environment,
             Output output,
-            Function<TransportSecurity, CommandContext> contexts) {
+            Function<Transport, CommandContext> contexts) {
         try {
             Optional<Command> passedOn = commands.stream()
                     .filter(command -> command.parsesItsOwnFlags() && isCalled(command, words))
                     .findFirst();
             if (passedOn.isPresent()) {
                 return passedOn.get()
-                        .run(remaining(passedOn.get(), words, environment), contexts.apply(TransportSecurity.plain()));
+                        .run(remaining(passedOn.get(), words, environment), contexts.apply(Transport.plain()));
             }
             Namespace namespace = parser.parseArgs(words);
             Command command = namespace.get(COMMAND);
--- a/cli/src/main/java/org/baobabcart/cli/Main.java
+++ b/cli/src/main/java/org/baobabcart/cli/Main.java
@@ -5,7 +5,7 @@
 import org.baobabcart.cli.fleet.HttpAdminClient;
 import org.baobabcart.cli.fleet.Pauses;
 import org.baobabcart.cli.output.Output;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.Transport;
 
 /** The entry point of the command line. */
 public final class Main {
@@ -17,13 +17,16 @@
         Vertx vertx = Vertx.vertx();
         Output output = Output.of(System.out, System.err);
         ExitCode code = CommandLine.of(Commands.all())
-                .run(words, System.getenv(), output, security -> context(vertx, output, security));
+                .run(words, System.getenv(), output, transport -> context(vertx, output, transport));
         System.out.flush();
         System.exit(code.status());
     }
 
-    private static CommandContext context(Vertx vertx, Output output, TransportSecurity security) {
+    private static CommandContext context(Vertx vertx, Output output, Transport transport) {
         return new CommandContext(
-                output, HttpAdminClient.create(vertx, security), StoreFactory.create(vertx, security), Pauses.system());
+                output,
+                HttpAdminClient.create(vertx, transport),
+                StoreFactory.create(vertx, transport),
+                Pauses.system());
     }
 }
--- a/cli/src/main/java/org/baobabcart/cli/fleet/HttpAdminClient.java
+++ b/cli/src/main/java/org/baobabcart/cli/fleet/HttpAdminClient.java
@@ -15,7 +15,7 @@
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.control.Futures;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.Transport;
 
 /** Admin calls over HTTP by Vert.x. */
 public final class HttpAdminClient implements AdminClient {
@@ -34,11 +34,11 @@
     }
 
     /** A client on the event loops of a Vert.x instance. */
-    public static HttpAdminClient create(Vertx vertx, TransportSecurity security) {
+    public static HttpAdminClient create(Vertx vertx, Transport transport) {
         return new HttpAdminClient(
-                WebClient.create(vertx, security.toOperatorPorts(options())),
-                WebClient.create(vertx, security.toUpstreams(options())),
-                security.scheme());
+                WebClient.create(vertx, transport.toOperatorPorts(options())),
+                WebClient.create(vertx, transport.toUpstreams(options())),
+                transport.scheme());
     }
 
     @Override
--- a/cli/src/main/java/org/baobabcart/cli/settings/SecurityFlags.java
+++ b/cli/src/main/java/org/baobabcart/cli/settings/SecurityFlags.java
@@ -4,8 +4,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
-import org.baobabcart.router.security.SecurityFiles;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.SecurityFiles;
+import org.baobabcart.router.transport.Transport;
 
 /** The flags by which every command that calls the fleet secures its connections. */
 public final class SecurityFlags {
@@ -24,9 +24,9 @@
         return List.of(CERTIFICATE, KEY, FLEET_AUTHORITIES, UPSTREAM_AUTHORITIES);
     }
 
-    /** The security that the arguments ask for. */
-    public static TransportSecurity read(Arguments arguments) {
-        return TransportSecurity.of(new SecurityFiles(
+    /** The transport that the arguments ask for. */
+    public static Transport read(Arguments arguments) {
+        return Transport.of(new SecurityFiles(
                 file(arguments, CERTIFICATE),
                 file(arguments, KEY),
                 file(arguments, FLEET_AUTHORITIES),
--- a/cli/src/test/java/org/baobabcart/cli/HttpAdminClientTest.java
+++ b/cli/src/test/java/org/baobabcart/cli/HttpAdminClientTest.java
@@ -10,7 +10,7 @@
 import org.baobabcart.cli.fleet.HttpAdminClient;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.Transport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -19,7 +19,7 @@
     private static final Duration BOUND = Duration.ofSeconds(30);
 
     private final Vertx vertx = Vertx.vertx();
-    private final HttpAdminClient client = HttpAdminClient.create(vertx, TransportSecurity.plain());
+    private final HttpAdminClient client = HttpAdminClient.create(vertx, Transport.plain());
     private String router;
     private String address;
 
--- a/integration/src/test/java/org/baobabcart/integration/security/SecureFleetTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/security/SecureFleetTest.java
@@ -41,8 +41,8 @@
 import org.baobabcart.router.peer.ThriftPeerClient;
 import org.baobabcart.router.platform.HttpObjectStore;
 import org.baobabcart.router.platform.PlatformSettings;
-import org.baobabcart.router.security.SecurityFiles;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.SecurityFiles;
+import org.baobabcart.router.transport.Transport;
 import org.baobabcart.wire.DocumentRequest;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -93,8 +93,7 @@
     @Test
     void callersAreServedOverTlsAndPlainOnesTurnedAway() {
         String port = "127.0.0.1:" + router.process().port("caller");
-        WebClient trusting =
-                WebClient.create(vertx, TransportSecurity.of(trustOnly()).toUpstreams(new WebClientOptions()));
+        WebClient trusting = WebClient.create(vertx, Transport.of(trustOnly()).toUpstreams(new WebClientOptions()));
         assertThat(chat(trusting, "https://" + port).map(HttpResponse::statusCode), is(Optional.of(200)));
         assertThat(chat(WebClient.create(vertx), "http://" + port), is(Optional.empty()));
         assertThat(chat(WebClient.create(vertx), "https://" + port), is(Optional.empty()));
@@ -109,9 +108,9 @@
 
     @Test
     void peersNeedACertificateOfTheFleet() {
-        assertThat(servesPeer(TransportSecurity.of(operator)), is(true));
-        assertThat(servesPeer(TransportSecurity.of(stranger)), is(false));
-        assertThat(servesPeer(TransportSecurity.plain()), is(false));
+        assertThat(servesPeer(Transport.of(operator)), is(true));
+        assertThat(servesPeer(Transport.of(stranger)), is(false));
+        assertThat(servesPeer(Transport.plain()), is(false));
     }
 
     @Test
@@ -145,10 +144,10 @@
     }
 
     private Optional<HttpResponse<Buffer>> status(SecurityFiles files) {
-        TransportSecurity security = TransportSecurity.of(files);
-        WebClientOptions options = security.isSecure()
-                ? security.toOperatorPorts(new WebClientOptions())
-                : security.toUpstreams(new WebClientOptions());
+        Transport transport = Transport.of(files);
+        WebClientOptions options = transport.isSecure()
+                ? transport.toOperatorPorts(new WebClientOptions())
+                : transport.toUpstreams(new WebClientOptions());
         String address = "https://127.0.0.1:" + router.process().port("admin") + "/status";
         return answer(WebClient.create(vertx, options).getAbs(address).send());
     }
@@ -171,11 +170,11 @@
         }
     }
 
-    private boolean servesPeer(TransportSecurity security) {
+    private boolean servesPeer(Transport transport) {
         String address = "127.0.0.1:" + router.process().port("peer");
         DocumentRequest request = new DocumentRequest("sheet", 0);
         try (ThriftPeerClient client =
-                ThriftPeerClient.create(vertx, PeerSettings.defaults().withSecurity(security))) {
+                ThriftPeerClient.create(vertx, PeerSettings.defaults().withTransport(transport))) {
             return client.fetchDocument(address, request, Duration.ofSeconds(5))
                     .map(reply -> reply.getGeneration() > 0)
                     .onFailure()
@@ -194,15 +193,15 @@
         words.addAll(List.of("--routers", "127.0.0.1:" + router.process().port("admin")));
         words.addAll(List.of(securityFlags));
         ExitCode code = CommandLine.of(Commands.all())
-                .run(words.toArray(String[]::new), Map.of(), output, security -> context(output, security));
+                .run(words.toArray(String[]::new), Map.of(), output, transport -> context(output, transport));
         return code + " " + printed;
     }
 
-    private CommandContext context(Output output, TransportSecurity security) {
-        PlatformSettings settings = PlatformSettings.defaults().withSecurity(security);
+    private CommandContext context(Output output, Transport transport) {
+        PlatformSettings settings = PlatformSettings.defaults().withTransport(transport);
         return new CommandContext(
                 output,
-                HttpAdminClient.create(vertx, security),
+                HttpAdminClient.create(vertx, transport),
                 address -> HttpObjectStore.create(vertx, URI.create(address), settings),
                 Pauses.system());
     }
--- a/integration/src/test/java/org/baobabcart/integration/support/CertificateAuthority.java
+++ b/integration/src/test/java/org/baobabcart/integration/support/CertificateAuthority.java
@@ -14,7 +14,7 @@
 import java.time.Instant;
 import java.util.Date;
 import java.util.Optional;
-import org.baobabcart.router.security.SecurityFiles;
+import org.baobabcart.router.transport.SecurityFiles;
 import org.bouncycastle.asn1.x500.X500Name;
 import org.bouncycastle.asn1.x509.BasicConstraints;
 import org.bouncycastle.asn1.x509.Extension;
--- a/router/src/main/java/org/baobabcart/router/ControlPlane.java
+++ b/router/src/main/java/org/baobabcart/router/ControlPlane.java
@@ -120,7 +120,7 @@
         VirtualMachineList list = HttpVirtualMachineList.create(
                 core.vertx(),
                 core.settings().virtualMachines(),
-                PlatformSettings.defaults().withSecurity(core.security()));
+                PlatformSettings.defaults().withTransport(core.transport()));
         return VirtualMachineController.create(
                 list, core.blackboard(), core.loop(), core.timers(), core.timeline(), LIST_PERIOD);
     }
--- a/router/src/main/java/org/baobabcart/router/RouterProcess.java
+++ b/router/src/main/java/org/baobabcart/router/RouterProcess.java
@@ -45,7 +45,7 @@
         this.core = RouterCore.create(settings);
         this.traffic = TrafficEdge.create(core);
         this.peerServer =
-                PeerServer.create(core.vertx(), PeerSettings.defaults().withSecurity(core.security()));
+                PeerServer.create(core.vertx(), PeerSettings.defaults().withTransport(core.transport()));
     }
 
     /** A router that does not listen yet. */
@@ -99,7 +99,7 @@
                 () -> StatusReport.create(core.blackboard(), core.timers(), plane.sheets())
                         .write(addresses),
                 this::stop,
-                core.security()));
+                core.transport()));
         return admin;
     }
 
@@ -127,7 +127,9 @@
 
     private Addresses addresses(RouterPorts ports) {
         String host = core.settings().listenAddress();
-        return new Addresses(host + ":" + ports.caller(), host + ":" + ports.admin(), host + ":" + ports.peer());
+        String advertised = core.settings().advertisedPeer();
+        String peer = advertised.isEmpty() ? host + ":" + ports.peer() : advertised;
+        return new Addresses(host + ":" + ports.caller(), host + ":" + ports.admin(), peer);
     }
 
     private void beginStop() {
--- a/router/src/main/java/org/baobabcart/router/TrafficEdge.java
+++ b/router/src/main/java/org/baobabcart/router/TrafficEdge.java
@@ -97,14 +97,15 @@
         RouterSettings settings = core.settings();
         return TrafficSettings.defaults()
                 .withNode(settings.name(), settings.dataCentre())
-                .withSecurity(core.security());
+                .withTransport(core.transport());
     }
 
     private static RatingClient ratings(RouterCore parts) {
         return parts.settings()
                 .ratings()
                 .map(URI::toString)
-                .<RatingClient>map(url -> HttpRatingClient.create(parts.vertx(), url, RATING_TIMEOUT, parts.security()))
+                .<RatingClient>map(
+                        url -> HttpRatingClient.create(parts.vertx(), url, RATING_TIMEOUT, parts.transport()))
                 .orElse(request -> Uni.createFrom().item(OptionalDouble.empty()));
     }
 }
--- a/router/src/main/java/org/baobabcart/router/admin/AdminApi.java
+++ b/router/src/main/java/org/baobabcart/router/admin/AdminApi.java
@@ -20,10 +20,10 @@
 import java.util.function.Supplier;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Futures;
-import org.baobabcart.router.security.TransportSecurity;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.RingTimeline;
 import org.baobabcart.router.timeline.TimelineQuery;
+import org.baobabcart.router.transport.Transport;
 
 /** Serves operators over HTTP. Thread-safe; control state is only read on the control thread. */
 public final class AdminApi {
@@ -46,7 +46,7 @@
     private final MetricRegistry metrics;
     private final Supplier<JsonNode> status;
     private final Runnable drain;
-    private final TransportSecurity security;
+    private final Transport transport;
     private Optional<HttpServer> server = Optional.empty();
 
     private AdminApi(AdminParts parts) {
@@ -58,7 +58,7 @@
         this.metrics = parts.metrics();
         this.status = parts.status();
         this.drain = parts.drain();
-        this.security = parts.security();
+        this.transport = parts.transport();
     }
 
     /** An API that does not listen yet. */
@@ -68,7 +68,7 @@
 
     /** Starts to listen; answers with the port. */
     public Uni<Integer> listen(String host, int port) {
-        return Futures.toUni(() -> vertx.createHttpServer(security.forMembers(new HttpServerOptions()))
+        return Futures.toUni(() -> vertx.createHttpServer(transport.forMembers(new HttpServerOptions()))
                         .requestHandler(routes())
                         .listen(port, host))
                 .invoke(listening -> server = Optional.of(listening))
--- a/router/src/main/java/org/baobabcart/router/admin/AdminParts.java
+++ b/router/src/main/java/org/baobabcart/router/admin/AdminParts.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.baobabcart.router.control.Blackboard;
-import org.baobabcart.router.security.TransportSecurity;
 import org.baobabcart.router.timeline.RingTimeline;
+import org.baobabcart.router.transport.Transport;
 
 /**
  * The parts that the operators' API works with. Immutable.
@@ -20,7 +20,7 @@
  * @param metrics metrics of the process
  * @param status makes the status report; called on the control thread
  * @param drain begins the planned stop; any thread may call it, more than once
- * @param security how connections are secured
+ * @param transport how connections are made
  */
 public record AdminParts(
         Vertx vertx,
@@ -31,4 +31,4 @@
         MetricRegistry metrics,
         Supplier<JsonNode> status,
         Runnable drain,
-        TransportSecurity security) {}
+        Transport transport) {}
--- a/router/src/main/java/org/baobabcart/router/peer/PeerSettings.java
+++ b/router/src/main/java/org/baobabcart/router/peer/PeerSettings.java
@@ -1,7 +1,7 @@
 package org.baobabcart.router.peer;
 
 import java.time.Duration;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.Transport;
 
 /**
  * Limits of the transport between routers. Immutable.
@@ -12,7 +12,7 @@
  * @param sweepPeriod how often overdue calls are looked for
  * @param largestFrameBytes the greatest size of one message
  * @param largestBacklogBytes how many bytes may wait to be written to one peer
- * @param security how connections are secured
+ * @param transport how connections are made
  */
 public record PeerSettings(
         Duration connectTimeout,
@@ -20,7 +20,7 @@
         Duration sweepPeriod,
         int largestFrameBytes,
         int largestBacklogBytes,
-        TransportSecurity security) {
+        Transport transport) {
     private static final int MEBIBYTE = 1024 * 1024;
 
     /** Settings for routers a few milliseconds apart. */
@@ -31,12 +31,12 @@
                 Duration.ofMillis(20),
                 4 * MEBIBYTE,
                 16 * MEBIBYTE,
-                TransportSecurity.plain());
+                Transport.plain());
     }
 
-    /** The same settings with other security. */
-    public PeerSettings withSecurity(TransportSecurity newSecurity) {
+    /** The same settings with connections made another way. */
+    public PeerSettings withTransport(Transport newTransport) {
         return new PeerSettings(
-                connectTimeout, idleTimeout, sweepPeriod, largestFrameBytes, largestBacklogBytes, newSecurity);
+                connectTimeout, idleTimeout, sweepPeriod, largestFrameBytes, largestBacklogBytes, newTransport);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/platform/HttpObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/HttpObjectStore.java
@@ -49,7 +49,7 @@
                 .setKeepAlive(true);
         this.client = WebClient.create(
                 vertx,
-                settings.security().toUpstreams(options),
+                settings.transport().toUpstreams(options),
                 new PoolOptions().setHttp1MaxSize(settings.connections()));
         this.watches = WatchStream.create(vertx, settings);
     }
--- a/router/src/main/java/org/baobabcart/router/platform/HttpVirtualMachineList.java
+++ b/router/src/main/java/org/baobabcart/router/platform/HttpVirtualMachineList.java
@@ -34,7 +34,7 @@
         this.settings = settings;
         int connectMillis = (int) settings.connectTimeout().toMillis();
         WebClientOptions options = new WebClientOptions().setConnectTimeout(connectMillis);
-        this.client = WebClient.create(vertx, settings.security().toUpstreams(options));
+        this.client = WebClient.create(vertx, settings.transport().toUpstreams(options));
     }
 
     /** A client of the list at this address. */
--- a/router/src/main/java/org/baobabcart/router/platform/PlatformSettings.java
+++ b/router/src/main/java/org/baobabcart/router/platform/PlatformSettings.java
@@ -1,7 +1,7 @@
 package org.baobabcart.router.platform;
 
 import java.time.Duration;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.Transport;
 
 /**
  * Time-outs and limits of calls to the platform. Immutable.
@@ -11,7 +11,7 @@
  * @param watchDuration how long the platform is asked to hold a watch
  * @param watchSilence how long after its end a silent watch is taken for broken
  * @param connections the greatest number of connections for calls
- * @param security how connections are secured
+ * @param transport how connections are made
  */
 public record PlatformSettings(
         Duration connectTimeout,
@@ -19,7 +19,7 @@
         Duration watchDuration,
         Duration watchSilence,
         int connections,
-        TransportSecurity security) {
+        Transport transport) {
     private static final int DEFAULT_CONNECTIONS = 8;
 
     /** Settings for a platform that answers in milliseconds. */
@@ -30,11 +30,12 @@
                 Duration.ofSeconds(30),
                 Duration.ofSeconds(5),
                 DEFAULT_CONNECTIONS,
-                TransportSecurity.plain());
+                Transport.plain());
     }
 
-    /** The same settings with other security. */
-    public PlatformSettings withSecurity(TransportSecurity newSecurity) {
-        return new PlatformSettings(connectTimeout, callTimeout, watchDuration, watchSilence, connections, newSecurity);
+    /** The same settings with connections made another way. */
+    public PlatformSettings withTransport(Transport newTransport) {
+        return new PlatformSettings(
+                connectTimeout, callTimeout, watchDuration, watchSilence, connections, newTransport);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
+++ b/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
@@ -39,7 +39,7 @@
                 .setIdleTimeout((int)
                         settings.watchDuration().plus(settings.watchSilence()).toMillis());
         this.client = vertx.createHttpClient(
-                settings.security().toUpstreams(options), new PoolOptions().setHttp1MaxSize(MOST_WATCHES));
+                settings.transport().toUpstreams(options), new PoolOptions().setHttp1MaxSize(MOST_WATCHES));
     }
 
     static WatchStream create(Vertx vertx, PlatformSettings settings) {
--- a/router/src/main/java/org/baobabcart/router/security/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Transport security: certificates, keys and authorities of all ports and outgoing connections. */
-package org.baobabcart.router.security;
--- a/router/src/main/java/org/baobabcart/router/settings/RouterSettings.java
+++ b/router/src/main/java/org/baobabcart/router/settings/RouterSettings.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
-import org.baobabcart.router.security.SecurityFiles;
+import org.baobabcart.router.transport.SecurityFiles;
 
 /**
  * The settings of one router. Immutable; made by {@link SettingsParser}, which checks every value.
@@ -18,6 +18,8 @@
  * @param callerPort the port of the caller API, 0 for any
  * @param adminPort the port of the operators' API, 0 for any
  * @param peerPort the port that other routers call, 0 for any
+ * @param advertisedPeer the peer port as other routers reach it, empty for the one that is bound
+ * @param outgoingAddress the address that connections to routers, upstreams and the platform come from, empty for any
  * @param platform the platform's object API
  * @param virtualMachines the platform's list of VMs
  * @param ratings the service that rates answers, if there is one
@@ -33,6 +35,8 @@
         int callerPort,
         int adminPort,
         int peerPort,
+        String advertisedPeer,
+        String outgoingAddress,
         URI platform,
         URI virtualMachines,
         Optional<URI> ratings,
@@ -54,6 +58,8 @@
                 Integer.parseInt(values.get(Setting.CALLER_PORT)),
                 Integer.parseInt(values.get(Setting.ADMIN_PORT)),
                 Integer.parseInt(values.get(Setting.PEER_PORT)),
+                values.get(Setting.ADVERTISED_PEER),
+                values.get(Setting.OUTGOING_ADDRESS),
                 URI.create(values.get(Setting.PLATFORM)),
                 URI.create(values.get(Setting.VIRTUAL_MACHINES)),
                 optional(values, Setting.RATINGS).map(URI::create),
--- a/router/src/main/java/org/baobabcart/router/traffic/TrafficSettings.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/TrafficSettings.java
@@ -1,7 +1,7 @@
 package org.baobabcart.router.traffic;
 
 import java.time.Duration;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.Transport;
 
 /**
  * Settings of the caller API. Immutable.
@@ -9,9 +9,9 @@
  * @param node who this router is
  * @param limits limits on what callers send
  * @param timeouts how long things may take
- * @param security how connections are secured
+ * @param transport how connections are made
  */
-public record TrafficSettings(Node node, Limits limits, Timeouts timeouts, TransportSecurity security) {
+public record TrafficSettings(Node node, Limits limits, Timeouts timeouts, Transport transport) {
     private static final int MEBIBYTE = 1024 * 1024;
     private static final int KIBIBYTE = 1024;
 
@@ -72,26 +72,26 @@
                 Duration.ofSeconds(10),
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(20));
-        return new TrafficSettings(node, limits, timeouts, TransportSecurity.plain());
+        return new TrafficSettings(node, limits, timeouts, Transport.plain());
     }
 
     /** The same settings for a named router in a data centre. */
     public TrafficSettings withNode(String name, String dataCentre) {
-        return new TrafficSettings(new Node(name, dataCentre, node.eventLoops()), limits, timeouts, security);
+        return new TrafficSettings(new Node(name, dataCentre, node.eventLoops()), limits, timeouts, transport);
     }
 
     /** The same settings with other limits. */
     public TrafficSettings withLimits(Limits newLimits) {
-        return new TrafficSettings(node, newLimits, timeouts, security);
+        return new TrafficSettings(node, newLimits, timeouts, transport);
     }
 
     /** The same settings with other times. */
     public TrafficSettings withTimeouts(Timeouts newTimeouts) {
-        return new TrafficSettings(node, limits, newTimeouts, security);
+        return new TrafficSettings(node, limits, newTimeouts, transport);
     }
 
-    /** The same settings with other security. */
-    public TrafficSettings withSecurity(TransportSecurity newSecurity) {
-        return new TrafficSettings(node, limits, timeouts, newSecurity);
+    /** The same settings with connections made another way. */
+    public TrafficSettings withTransport(Transport newTransport) {
+        return new TrafficSettings(node, limits, timeouts, newTransport);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/security/SecurityFiles.java
+++ b/router/src/main/java/org/baobabcart/router/transport/SecurityFiles.java
@@ -1,4 +1,4 @@
-package org.baobabcart.router.security;
+package org.baobabcart.router.transport;
 
 import java.util.List;
 import java.util.Optional;
--- a/router/src/main/java/org/baobabcart/router/security/TransportSecurity.java
+++ b/router/src/main/java/org/baobabcart/router/transport/Transport.java
@@ -1,4 +1,4 @@
-package org.baobabcart.router.security;
+package org.baobabcart.router.transport;
 
 import io.vertx.core.http.ClientAuth;
 import io.vertx.core.http.HttpClientOptions;
@@ -15,20 +15,24 @@
 import org.baobabcart.model.result.ResultCode;
 
 /**
- * Sets the TLS options of servers and clients. Immutable and thread-safe.
+ * Sets the options of servers and clients that concern TLS and the address that connections come from. Immutable and
+ * thread-safe.
  *
  * <p>Callers see the own certificate and need none, since they have keys. Routers and operators prove themselves by a
  * certificate of the fleet's authorities (mutual TLS). Host names are checked towards the platform and upstreams; not
  * between routers, which go by IP numbers and are replaced at any time, so that there the authority alone counts.
  */
-public final class TransportSecurity {
+public final class Transport {
     private static final Set<String> PROTOCOLS = Set.of("TLSv1.2", "TLSv1.3");
     private static final String NO_HOST_CHECK = "";
+    private static final String ANY_ADDRESS = "";
 
     private final SecurityFiles files;
+    private final String outgoingAddress;
 
-    private TransportSecurity(SecurityFiles files) {
+    private Transport(SecurityFiles files, String outgoingAddress) {
         this.files = files;
+        this.outgoingAddress = outgoingAddress;
     }
 
     /**
@@ -36,17 +40,22 @@
      *
      * @throws BaobabcartException with {@link ResultCode#BAD_SETTING} where some but not all of the own files are given
      */
-    public static TransportSecurity of(SecurityFiles files) {
+    public static Transport of(SecurityFiles files) {
         if (files.isPartial()) {
             throw BaobabcartException.of(
                     ResultCode.BAD_SETTING, "certificate, key and fleet authorities go together: give all or none");
         }
-        return new TransportSecurity(files);
+        return new Transport(files, ANY_ADDRESS);
     }
 
     /** All ports are plain. */
-    public static TransportSecurity plain() {
-        return new TransportSecurity(SecurityFiles.none());
+    public static Transport plain() {
+        return new Transport(SecurityFiles.none(), ANY_ADDRESS);
+    }
+
+    /** The same with connections that come from an address, or from any where it is empty. */
+    public Transport withOutgoingAddress(String newOutgoingAddress) {
+        return new Transport(files, newOutgoingAddress);
     }
 
     /** Whether the own ports speak TLS. */
@@ -90,7 +99,7 @@
     /** Options of connections to the platform, upstreams and the rating service; secure where the address is https. */
     public <O extends HttpClientOptions> O toUpstreams(O options) {
         trust(files.upstreamAuthorities()).ifPresent(options::setTrustOptions);
-        return options;
+        return from(options);
     }
 
     private <O extends ClientOptionsBase> O toMembers(O options) {
@@ -98,6 +107,13 @@
             options.setSsl(true).setKeyCertOptions(ownKey()).setTrustOptions(fleetTrust());
             options.setEnabledSecureTransportProtocols(PROTOCOLS);
         }
+        return from(options);
+    }
+
+    private <O extends ClientOptionsBase> O from(O options) {
+        if (!outgoingAddress.isEmpty()) {
+            options.setLocalAddress(outgoingAddress);
+        }
         return options;
     }
 
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -18,7 +18,7 @@
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.request.Headers;
 import org.baobabcart.policy.retry.FailureKind;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.Transport;
 
 /**
  * Sends attempts to upstreams over HTTP. Thread-safe; callbacks run on the caller's event loop.
@@ -36,20 +36,20 @@
 
     private final Vertx vertx;
     private final Duration connectTimeout;
-    private final TransportSecurity security;
+    private final Transport transport;
     private final HttpClient freshConnections;
     private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
 
-    private UpstreamClient(Vertx vertx, Duration connectTimeout, TransportSecurity security) {
+    private UpstreamClient(Vertx vertx, Duration connectTimeout, Transport transport) {
         this.vertx = vertx;
         this.connectTimeout = connectTimeout;
-        this.security = security;
+        this.transport = transport;
         this.freshConnections = newClient(false);
     }
 
     /** A client without connections. */
-    public static UpstreamClient create(Vertx vertx, Duration connectTimeout, TransportSecurity security) {
-        return new UpstreamClient(vertx, connectTimeout, security);
+    public static UpstreamClient create(Vertx vertx, Duration connectTimeout, Transport transport) {
+        return new UpstreamClient(vertx, connectTimeout, transport);
     }
 
     /**
@@ -174,7 +174,7 @@
                 .setTcpNoDelay(true)
                 .setConnectTimeout((int) connectTimeout.toMillis());
         return vertx.createHttpClient(
-                security.toUpstreams(options), new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_UPSTREAM));
+                transport.toUpstreams(options), new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_UPSTREAM));
     }
 
     /** An attempt between its first byte out and the head of its answer. Confined to one event loop. */
--- a/router/src/test/java/org/baobabcart/router/peer/PeerTransportTest.java
+++ b/router/src/test/java/org/baobabcart/router/peer/PeerTransportTest.java
@@ -22,7 +22,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.Transport;
 import org.baobabcart.wire.DocumentReply;
 import org.baobabcart.wire.DocumentRequest;
 import org.junit.jupiter.api.AfterEach;
@@ -37,7 +37,7 @@
             Duration.ofMillis(10),
             64 * 1024,
             1024 * 1024,
-            TransportSecurity.plain());
+            Transport.plain());
 
     private final Vertx vertx = Vertx.vertx();
     private final ThriftPeerClient client = ThriftPeerClient.create(vertx, SETTINGS);
--- a/router/src/test/java/org/baobabcart/router/platform/HttpObjectStoreTest.java
+++ b/router/src/test/java/org/baobabcart/router/platform/HttpObjectStoreTest.java
@@ -19,7 +19,7 @@
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
-import org.baobabcart.router.security.TransportSecurity;
+import org.baobabcart.router.transport.Transport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -33,7 +33,7 @@
             Duration.ofSeconds(1),
             Duration.ofMillis(500),
             2,
-            TransportSecurity.plain());
+            Transport.plain());
     private static final StoredObject STORED =
             new StoredObject("sheets", "current", "3", JsonNodeFactory.instance.objectNode());
     private static final String OBJECT =
