Let work wait until its caller's deadline, and give refused callers times of their own to come back

Cause: work was refused once its expected wait passed the rank's target, although its caller's deadline was later, so callers had to come back. The time to come back was the wait of the moment and counted none of those already told; they came back together. Work was started that could not be finished before its deadline.

Ruled out: holding refusals back (they go out when they are decided); strict classes without a share (overdue work would starve while timely work floods in).

Change: each rank has timely work and, behind it, overdue work with a share of the rank's dispatches. Work is refused when it cannot start by its deadline less the time that work of its size runs, learnt as round-trip times are. A calendar gives each refused workspace slots at its share of the pace of dispatch. The pace is a quotient of weighted sums and is not believed before 16 gaps. A workspace is no longer charged for waiting work that was given up.

AdmissionQueueTest's entries got a target; its bounds are the same.

Conclusion: callers with patience wait in the queue and need no second try.

--- a/policy/src/main/java/org/baobabcart/policy/admission/AdmissionQueue.java
+++ b/policy/src/main/java/org/baobabcart/policy/admission/AdmissionQueue.java
@@ -4,15 +4,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.DoubleSupplier;
 import org.baobabcart.model.result.ResultCode;
 
 /**
  * Work that waits for an upstream, in bounded room.
  *
  * <p>The most urgent rank goes first, but each lower rank keeps its floor, the share of dispatches that it gets while it
- * has work waiting. Within a rank workspaces share by weight. When the room is full, the workspace with the longest
- * backlog for its weight in the least urgent rank loses its newest work, the newcomer's included (longest queue drop,
- * Suter and others, 1999). Work that cannot start in time is refused as soon as that is seen. Not thread-safe.
+ * has work waiting. Within a rank work that can start within the rank's target goes before overdue work, which keeps a
+ * share; in both workspaces share by weight. When the room is full, the workspace with the longest backlog for its weight in the
+ * least urgent rank loses its newest work, the newcomer's included (longest queue drop, Suter and others, 1999). Work that cannot
+ * start by its deadline is refused as soon as that is seen, with a time to come back of its own. Not thread-safe.
  *
  * @param <T> the type of what is started
  */
@@ -20,9 +22,11 @@
     private static final double CREDIT_LIMIT = 2;
 
     private final Settings settings;
-    private final List<FairQueue<T>> ranks = new ArrayList<>();
+    private final List<RankQueue<T>> ranks = new ArrayList<>();
     private final List<Double> credits = new ArrayList<>();
     private final DispatchRate rate = new DispatchRate();
+    private final ReturnCalendar calendar;
+    private List<Double> floors = List.of();
 
     /**
      * Bounds of a queue.
@@ -32,58 +36,74 @@
      */
     public record Settings(int capacity, int capacityPerWorkspace) {}
 
-    private AdmissionQueue(Settings settings) {
+    private AdmissionQueue(Settings settings, DoubleSupplier random) {
         this.settings = settings;
+        this.calendar = new ReturnCalendar(random);
     }
 
-    /** An empty queue. */
-    public static <T> AdmissionQueue<T> create(Settings settings) {
-        return new AdmissionQueue<>(settings);
+    /**
+     * An empty queue.
+     *
+     * @param random numbers between 0 and 1, by which times to come back are spread
+     */
+    public static <T> AdmissionQueue<T> create(Settings settings, DoubleSupplier random) {
+        return new AdmissionQueue<>(settings, random);
     }
 
     /** Adds work; returns what is refused for it, which may be the work itself. */
     public List<Rejection<T>> offer(Entry<T> entry, long nowNanos) {
         reach(entry.rank());
-        Duration wait = expectedWait(entry.rank(), entry.workspace());
+        Duration wait = timelyWait(entry, nowNanos);
+        boolean timely = nowNanos + wait.toNanos() <= entry.targetNanos();
+        if (!timely) {
+            wait = overdueWait(entry, nowNanos);
+        }
         if (nowNanos + wait.toNanos() > entry.latestStartNanos()) {
-            return List.of(new Rejection<>(entry, ResultCode.DEADLINE_UNREACHABLE, wait));
+            return List.of(reject(entry, ResultCode.DEADLINE_UNREACHABLE, nowNanos));
         }
         if (waiting(entry.workspace()) >= settings.capacityPerWorkspace()) {
-            return List.of(new Rejection<>(entry, ResultCode.QUEUE_FULL, wait));
+            return List.of(reject(entry, ResultCode.QUEUE_FULL, nowNanos));
         }
-        ranks.get(entry.rank()).add(entry);
-        if (size() <= settings.capacity()) {
-            return List.of();
+        if (timely) {
+            ranks.get(entry.rank()).addTimely(entry);
+        } else {
+            ranks.get(entry.rank()).addOverdue(entry);
         }
-        return drop(entry, wait);
+        return size() <= settings.capacity() ? List.of() : drop(entry, nowNanos);
     }
 
     /**
      * Takes the entry that goes next.
      *
-     * @param floors the floor of each rank, from 0 to 1, the most urgent rank first
+     * @param newFloors the floor of each rank, from 0 to 1, the most urgent rank first
      */
-    public Optional<Entry<T>> poll(List<Double> floors, long nowNanos) {
-        int rank = nextRank(floors);
+    public Optional<Entry<T>> poll(List<Double> newFloors, long nowNanos) {
+        floors = newFloors;
+        int rank = nextRank();
         if (rank < 0) {
             return Optional.empty();
         }
         rate.dispatched(nowNanos);
-        Optional<Entry<T>> next = ranks.get(rank).poll();
-        if (size() == 0) {
-            rate.idle();
-        }
+        Optional<Entry<T>> next = ranks.get(rank).poll(nowNanos);
+        noteEmpty();
         return next;
     }
 
-    /** Takes out what cannot start in time any more. */
+    /** Moves what is overdue behind what is timely, and takes out what cannot start by its deadline any more. */
     public List<Rejection<T>> expire(long nowNanos) {
         List<Rejection<T>> expired = new ArrayList<>();
-        for (FairQueue<T> queue : ranks) {
+        for (RankQueue<T> queue : ranks) {
             queue.removeIf(entry -> nowNanos > entry.latestStartNanos())
-                    .forEach(entry -> expired.add(new Rejection<>(
-                            entry, ResultCode.DEADLINE_UNREACHABLE, expectedWait(entry.rank(), entry.workspace()))));
+                    .forEach(entry -> expired.add(reject(entry, ResultCode.DEADLINE_UNREACHABLE, nowNanos)));
+            for (Entry<T> late : queue.takeLate(nowNanos)) {
+                if (nowNanos + overdueWait(late, nowNanos).toNanos() > late.latestStartNanos()) {
+                    expired.add(reject(late, ResultCode.DEADLINE_UNREACHABLE, nowNanos));
+                } else {
+                    queue.addOverdue(late);
+                }
+            }
         }
+        noteEmpty();
         return expired;
     }
 
@@ -91,40 +111,75 @@
     public List<Entry<T>> clear() {
         List<Entry<T>> all = new ArrayList<>();
         ranks.forEach(queue -> all.addAll(queue.removeIf(entry -> true)));
+        noteEmpty();
         return all;
     }
 
     /** Takes out one item, whose caller is gone. */
     public void remove(T item) {
         ranks.forEach(queue -> queue.removeIf(entry -> entry.item() == item));
+        noteEmpty();
     }
 
     /** The number of entries. */
     public int size() {
-        return ranks.stream().mapToInt(FairQueue::size).sum();
+        return ranks.stream().mapToInt(RankQueue::size).sum();
     }
 
-    private Duration expectedWait(int rank, String workspace) {
-        int ahead = ranks.get(rank).ahead(workspace);
-        for (int index = 0; index < rank; index++) {
-            ahead += ranks.get(index).size();
+    private Duration timelyWait(Entry<T> entry, long nowNanos) {
+        double own = ranks.get(entry.rank()).aheadOfTimely(entry.workspace());
+        return rate.timeFor(ahead(entry.rank(), own), nowNanos);
+    }
+
+    private Duration overdueWait(Entry<T> entry, long nowNanos) {
+        RankQueue<T> queue = ranks.get(entry.rank());
+        double own = queue.aheadOfOverdue(entry.workspace());
+        Duration byAll = rate.timeFor(ahead(entry.rank(), own), nowNanos);
+        Duration byOverdue = queue.overdueWait(entry.workspace(), nowNanos);
+        return byAll.compareTo(byOverdue) > 0 ? byAll : byOverdue;
+    }
+
+    /** The dispatches before an entry that has so many of its own rank before it. */
+    private double ahead(int rank, double own) {
+        double all = own;
+        double below = 0;
+        for (int index = 0; index < ranks.size(); index++) {
+            int size = ranks.get(index).size();
+            all += index < rank ? size : 0;
+            below += index > rank && size > 0 ? floor(index) : 0;
         }
-        return rate.timeFor(ahead);
+        double strict = below < 1 ? all / (1 - below) : Double.MAX_VALUE;
+        return floor(rank) > 0 ? Math.min(strict, (own + 1) / floor(rank)) : strict;
+    }
+
+    private double floor(int rank) {
+        return rank < floors.size() ? floors.get(rank) : 0;
+    }
+
+    private Rejection<T> reject(Entry<T> entry, ResultCode code, long nowNanos) {
+        Duration wait = overdueWait(entry, nowNanos);
+        return new Rejection<>(entry, code, calendar.next(entry, wait, rate.gapNanos(nowNanos), nowNanos));
     }
 
-    private List<Rejection<T>> drop(Entry<T> newcomer, Duration wait) {
+    private List<Rejection<T>> drop(Entry<T> newcomer, long nowNanos) {
         for (int rank = ranks.size() - 1; rank >= 0; rank--) {
             Optional<Entry<T>> dropped = ranks.get(rank).dropFromLongest();
             if (dropped.isPresent()) {
                 boolean sameRank = dropped.get().rank() == newcomer.rank();
                 ResultCode code = sameRank ? ResultCode.QUEUE_FULL : ResultCode.RANK_SHED;
-                return List.of(new Rejection<>(dropped.get(), code, wait));
+                return List.of(reject(dropped.get(), code, nowNanos));
             }
         }
         return List.of();
     }
 
-    private int nextRank(List<Double> floors) {
+    private void noteEmpty() {
+        if (size() == 0) {
+            rate.idle();
+        }
+    }
+
+    private int nextRank() {
         int mostUrgent = -1;
         int owed = -1;
         for (int rank = 0; rank < ranks.size(); rank++) {
@@ -132,8 +187,7 @@
                 credits.set(rank, 0.0);
                 continue;
             }
-            double floor = rank < floors.size() ? floors.get(rank) : 0;
-            credits.set(rank, Math.min(CREDIT_LIMIT, credits.get(rank) + floor));
+            credits.set(rank, Math.min(CREDIT_LIMIT, credits.get(rank) + floor(rank)));
             mostUrgent = mostUrgent < 0 ? rank : mostUrgent;
             if (credits.get(rank) >= 1 && (owed < 0 || credits.get(rank) > credits.get(owed))) {
                 owed = rank;
@@ -152,7 +206,7 @@
 
     private void reach(int rank) {
         while (ranks.size() <= rank) {
-            ranks.add(new FairQueue<>());
+            ranks.add(new RankQueue<>());
             credits.add(0.0);
         }
     }
--- a/policy/src/main/java/org/baobabcart/policy/admission/DispatchRate.java
+++ b/policy/src/main/java/org/baobabcart/policy/admission/DispatchRate.java
@@ -3,21 +3,26 @@
 import java.time.Duration;
 
 /**
- * Estimates how fast waiting work is dispatched, by an exponentially weighted mean of the time between two dispatches.
- * Times in which nothing waits do not count. Not thread-safe.
+ * Estimates how fast waiting work is dispatched, by the mean time between two dispatches: a quotient of exponentially
+ * weighted sums, which is the plain mean while few are known. Nothing is said of it before a number of them: the first
+ * come in bursts with long pauses. Times in which nothing waits do not count; a pause that lasts counts as soon as it is
+ * longer than the mean. Not thread-safe.
  */
 final class DispatchRate {
-    private static final double WEIGHT = 0.2;
-    private static final long LONGEST_GAP_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final double KEPT = 31.0 / 32;
+    private static final int FEWEST = 16;
 
+    private int known;
     private boolean begun;
     private long lastNanos;
-    private double gapNanos;
+    private double gaps;
+    private double nanos;
 
     void dispatched(long nowNanos) {
         if (begun) {
-            double gap = Math.min(LONGEST_GAP_NANOS, Math.max(0, nowNanos - lastNanos));
-            gapNanos = gapNanos == 0 ? gap : gapNanos * (1 - WEIGHT) + gap * WEIGHT;
+            known = Math.min(FEWEST, known + 1);
+            gaps = gaps * KEPT + 1;
+            nanos = nanos * KEPT + Math.max(0, nowNanos - lastNanos);
         }
         begun = true;
         lastNanos = nowNanos;
@@ -28,8 +33,18 @@
         begun = false;
     }
 
+    /** The mean time between two dispatches in nanoseconds; zero before anything is known. */
+    double gapNanos(long nowNanos) {
+        if (known < FEWEST) {
+            return 0;
+        }
+        double mean = nanos / gaps;
+        double pause = begun ? nowNanos - lastNanos : 0;
+        return pause <= mean ? mean : (nanos * KEPT + pause) / (gaps * KEPT + 1);
+    }
+
     /** The time in which so many entries are dispatched; zero before anything is known. */
-    Duration timeFor(int entries) {
-        return Duration.ofNanos((long) (gapNanos * entries));
+    Duration timeFor(double entries, long nowNanos) {
+        return Duration.ofNanos((long) (gapNanos(nowNanos) * entries));
     }
 }
--- a/policy/src/main/java/org/baobabcart/policy/admission/FairQueue.java
+++ b/policy/src/main/java/org/baobabcart/policy/admission/FairQueue.java
@@ -41,11 +41,13 @@
         size++;
     }
 
+    /** The entry that goes next. */
+    Optional<Entry<T>> peek() {
+        return next().map(flow -> flow.waiting.peekFirst().entry);
+    }
+
     Optional<Entry<T>> poll() {
-        Optional<Flow<T>> next = flows.values().stream()
-                .filter(flow -> !flow.waiting.isEmpty())
-                .min(Comparator.comparingDouble(Flow::head));
-        return next.map(flow -> {
+        return next().map(flow -> {
             Tagged<T> tagged = flow.waiting.removeFirst();
             virtualTime = tagged.start;
             size--;
@@ -70,18 +72,31 @@
     List<Entry<T>> removeIf(Predicate<Entry<T>> condition) {
         List<Entry<T>> removed = new ArrayList<>();
         for (Flow<T> flow : flows.values()) {
-            flow.waiting.removeIf(tagged -> {
-                boolean matches = condition.test(tagged.entry);
-                if (matches) {
-                    removed.add(tagged.entry);
-                }
-                return matches;
-            });
+            removeIf(flow, condition, removed);
         }
         size -= removed.size();
         return removed;
     }
 
+    /** What stays moves up to the places of what leaves: nobody pays for work that was not started. */
+    private static <T> void removeIf(Flow<T> flow, Predicate<Entry<T>> condition, List<Entry<T>> removed) {
+        if (flow.waiting.stream().noneMatch(tagged -> condition.test(tagged.entry))) {
+            return;
+        }
+        double start = flow.head();
+        List<Tagged<T>> before = List.copyOf(flow.waiting);
+        flow.waiting.clear();
+        for (Tagged<T> tagged : before) {
+            if (condition.test(tagged.entry)) {
+                removed.add(tagged.entry);
+            } else {
+                flow.waiting.addLast(new Tagged<>(tagged.entry, start));
+                start += 1 / tagged.entry.weight();
+            }
+        }
+        flow.lastFinish = start;
+    }
+
     /** The number of entries that go before a new one of a workspace. */
     int ahead(String workspace) {
         Flow<T> own = flows.get(workspace);
@@ -115,6 +130,12 @@
                 .orElse(0);
     }
 
+    private Optional<Flow<T>> next() {
+        return flows.values().stream()
+                .filter(flow -> !flow.waiting.isEmpty())
+                .min(Comparator.comparingDouble(Flow::head));
+    }
+
     private static <T> double backlog(Flow<T> flow) {
         return flow.waiting.size() / flow.waiting.peekFirst().entry.weight();
     }
--- a/policy/src/test/java/org/baobabcart/policy/admission/AdmissionQueueTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/admission/AdmissionQueueTest.java
@@ -34,7 +34,7 @@
 
     @Property(tries = 500, seed = "7301")
     void eachEntryLeavesOnceAndRoomIsBounded(@ForAll("histories") List<Step> history) {
-        AdmissionQueue<Integer> queue = AdmissionQueue.create(new AdmissionQueue.Settings(10, 5));
+        AdmissionQueue<Integer> queue = AdmissionQueue.create(new AdmissionQueue.Settings(10, 5), () -> 0);
         Set<Integer> left = new HashSet<>();
         int arrived = 0;
         int departed = 0;
@@ -48,7 +48,8 @@
                 queue.poll(FLOORS, now).ifPresent(entry -> leaving.add(entry.item()));
             } else {
                 arrived++;
-                Entry<Integer> entry = new Entry<>(step.rank(), step.workspace(), 1, step.latestStart(), arrived);
+                Entry<Integer> entry = new Entry<>(
+                        step.rank(), step.workspace(), 1, step.latestStart() / 2, step.latestStart(), arrived);
                 queue.offer(entry, now)
                         .forEach(rejection -> leaving.add(rejection.entry().item()));
             }
@@ -64,12 +65,12 @@
             @ForAll @IntRange(min = 1, max = 9) int middleTenths, @ForAll @IntRange(min = 1, max = 9) int lowTenths) {
         int sum = Math.max(10, middleTenths + lowTenths);
         List<Double> floors = List.of(0.0, (double) middleTenths / sum, (double) lowTenths / sum);
-        AdmissionQueue<Integer> queue = AdmissionQueue.create(WIDE);
+        AdmissionQueue<Integer> queue = AdmissionQueue.create(WIDE, () -> 0);
         int[] served = new int[3];
         int dispatches = 500;
         for (int index = 0; index < dispatches; index++) {
             for (int rank = 0; rank < 3; rank++) {
-                queue.offer(new Entry<>(rank, "w", 1, FAR, rank), 0);
+                queue.offer(new Entry<>(rank, "w", 1, FAR, FAR, rank), 0);
             }
             served[queue.poll(floors, 0).orElseThrow().rank()]++;
         }
@@ -80,10 +81,10 @@
     @Property(tries = 200, seed = "7303")
     void backloggedWorkspacesShareByWeight(
             @ForAll @IntRange(min = 1, max = 8) int small, @ForAll @IntRange(min = 1, max = 8) int large) {
-        AdmissionQueue<Integer> queue = AdmissionQueue.create(WIDE);
+        AdmissionQueue<Integer> queue = AdmissionQueue.create(WIDE, () -> 0);
         for (int index = 0; index < 2000; index++) {
-            queue.offer(new Entry<>(0, "small", small, FAR, index), 0);
-            queue.offer(new Entry<>(0, "large", large, FAR, index), 0);
+            queue.offer(new Entry<>(0, "small", small, FAR, FAR, index), 0);
+            queue.offer(new Entry<>(0, "large", large, FAR, FAR, index), 0);
         }
         int dispatches = 900;
         int servedSmall = 0;
@@ -96,22 +97,22 @@
 
     @Example
     void mostUrgentGoesFirst() {
-        AdmissionQueue<Integer> queue = AdmissionQueue.create(WIDE);
-        queue.offer(new Entry<>(2, "w", 1, FAR, 2), 0);
-        queue.offer(new Entry<>(0, "w", 1, FAR, 0), 0);
-        queue.offer(new Entry<>(1, "w", 1, FAR, 1), 0);
+        AdmissionQueue<Integer> queue = AdmissionQueue.create(WIDE, () -> 0);
+        queue.offer(new Entry<>(2, "w", 1, FAR, FAR, 2), 0);
+        queue.offer(new Entry<>(0, "w", 1, FAR, FAR, 0), 0);
+        queue.offer(new Entry<>(1, "w", 1, FAR, FAR, 1), 0);
         assertThat(queue.poll(FLOORS, 0).map(Entry::rank), equalTo(Optional.of(0)));
         assertThat(queue.poll(FLOORS, 0).map(Entry::rank), equalTo(Optional.of(1)));
     }
 
     @Example
     void fullRoomTakesTheNewestWorkOfTheLongestBacklogInTheLeastUrgentRank() {
-        AdmissionQueue<String> queue = AdmissionQueue.create(new AdmissionQueue.Settings(4, 4));
-        queue.offer(new Entry<>(1, "large", 1, FAR, "a"), 0);
-        queue.offer(new Entry<>(1, "large", 1, FAR, "b"), 0);
-        queue.offer(new Entry<>(1, "large", 1, FAR, "c"), 0);
-        queue.offer(new Entry<>(1, "small", 1, FAR, "d"), 0);
-        List<Rejection<String>> rejections = queue.offer(new Entry<>(0, "small", 1, FAR, "e"), 0);
+        AdmissionQueue<String> queue = AdmissionQueue.create(new AdmissionQueue.Settings(4, 4), () -> 0);
+        queue.offer(new Entry<>(1, "large", 1, FAR, FAR, "a"), 0);
+        queue.offer(new Entry<>(1, "large", 1, FAR, FAR, "b"), 0);
+        queue.offer(new Entry<>(1, "large", 1, FAR, FAR, "c"), 0);
+        queue.offer(new Entry<>(1, "small", 1, FAR, FAR, "d"), 0);
+        List<Rejection<String>> rejections = queue.offer(new Entry<>(0, "small", 1, FAR, FAR, "e"), 0);
         assertThat(rejections, hasSize(1));
         assertThat(rejections.get(0).entry().item(), is("c"));
         assertThat(rejections.get(0).code(), is(ResultCode.RANK_SHED));
@@ -119,20 +120,20 @@
 
     @Example
     void refusesAtOnceWhatCannotStartInTimeAndSaysWhen() {
-        AdmissionQueue<Integer> queue = AdmissionQueue.create(WIDE);
+        AdmissionQueue<Integer> queue = AdmissionQueue.create(WIDE, () -> 0);
         long gap = Duration.ofMillis(100).toNanos();
         for (int index = 0; index < 40; index++) {
-            queue.offer(new Entry<>(0, "w", 1, FAR, index), 0);
+            queue.offer(new Entry<>(0, "w", 1, FAR, FAR, index), 0);
         }
         for (int index = 0; index < 20; index++) {
             queue.poll(FLOORS, index * gap);
         }
         long now = 20 * gap;
-        List<Rejection<Integer>> rejections = queue.offer(new Entry<>(0, "w", 1, now + gap, 99), now);
+        List<Rejection<Integer>> rejections = queue.offer(new Entry<>(0, "w", 1, now + gap, now + gap, 99), now);
         assertThat(rejections, hasSize(1));
         assertThat(rejections.get(0).code(), is(ResultCode.DEADLINE_UNREACHABLE));
         assertThat((double) rejections.get(0).retryAfter().toMillis(), closeTo(2000, 100));
-        assertThat(queue.offer(new Entry<>(0, "w", 1, now + 30 * gap, 100), now), hasSize(0));
+        assertThat(queue.offer(new Entry<>(0, "w", 1, now + 30 * gap, now + 30 * gap, 100), now), hasSize(0));
     }
 
     @Provide
--- a/router/src/main/java/org/baobabcart/router/traffic/AttemptPlan.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptPlan.java
@@ -11,6 +11,7 @@
  *
  * @param pool the upstreams
  * @param repeatable whether the work may be sent more than once
+ * @param size the most tokens of the answer; zero for services
  * @param affinity a text that like work shares
  * @param fingerprint a digest that is the same for each sending of the same prompt; empty for services
  * @param attemptIds gives the id of the next attempt
@@ -20,6 +21,7 @@
 record AttemptPlan(
         Pool pool,
         boolean repeatable,
+        int size,
         String affinity,
         Optional<String> fingerprint,
         Supplier<String> attemptIds,
--- a/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
@@ -78,7 +78,9 @@
                 context.rankIndex(),
                 context.workspace().name(),
                 context.workspace().weight(),
-                exchange.mayHaveRun() || number > 1 ? context.deadlineNanos() : context.latestStartNanos(),
+                exchange.mayHaveRun() || number > 1 ? context.deadlineNanos() : context.targetNanos(),
+                context.deadlineNanos(),
+                plan.size(),
                 plan.affinity(),
                 failed);
         if (isQuarantined(runtime.parts().views().current())) {
@@ -110,6 +112,7 @@
                     return consumer.apply(answer);
                 })
                 .onSuccess(ignored -> {
+                    slot.finished(System.nanoTime() - begun);
                     slot.release(Optional.empty());
                     pass.ended();
                 })
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerContext.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerContext.java
@@ -57,10 +57,9 @@
                 text(request, Headers.IDEMPOTENCY_KEY));
     }
 
-    /** The time after which a first attempt would break the promise of the rank or of the request. */
-    long latestStartNanos() {
-        long byRank = arrivalNanos + TimeUnit.MILLISECONDS.toNanos(rank.targetMillis());
-        return Math.min(byRank, deadlineNanos);
+    /** The time until which a first attempt has to start by the promise of the rank. */
+    long targetNanos() {
+        return arrivalNanos + TimeUnit.MILLISECONDS.toNanos(rank.targetMillis());
     }
 
     /** The time in which the first byte has to come: a few times what the rank is promised, within bounds. */
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -132,6 +132,7 @@
         AttemptPlan plan = new AttemptPlan(
                 version.pool(),
                 true,
+                request.maximumTokens(),
                 request.affinity(),
                 Optional.of(request.fingerprint()),
                 RequestIds::next,
--- a/router/src/main/java/org/baobabcart/router/traffic/Refusal.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/Refusal.java
@@ -24,7 +24,7 @@
     private static final long MILLIS_PER_SECOND = 1000;
 
     /**
-     * The refusal for a failure. A caller's retry is spread over half to one and a half times the wait, so that callers
+     * The refusal for a failure. Where the failure names no time to come back, callers' retries are spread, so that callers
      * refused together do not return together.
      *
      * @param mayHaveRun whether any byte of the request was sent to an upstream
@@ -65,9 +65,13 @@
         if (!helps) {
             return OptionalLong.empty();
         }
-        long base = exception.retryAfter().orElse(RETRY_AFTER_DEFAULT).toMillis();
+        Duration wait = exception.retryAfter().orElseGet(Refusal::spreadDefault);
+        return OptionalLong.of(Math.max(1, wait.toMillis()));
+    }
+
+    private static Duration spreadDefault() {
         double spread = ThreadLocalRandom.current().nextDouble(0.5, 1.5);
-        return OptionalLong.of(Math.max(1, Math.round(base * spread)));
+        return Duration.ofMillis(Math.round(RETRY_AFTER_DEFAULT.toMillis() * spread));
     }
 
     private static boolean isPassing(ResultCode code) {
--- a/router/src/main/java/org/baobabcart/router/traffic/ServiceRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ServiceRun.java
@@ -147,7 +147,7 @@
 
     private Future<StoredReply> send(Supplier<String> attemptIds, DispatchGate gate) {
         AttemptPlan plan = new AttemptPlan(
-                Pool.ofService(service.name()), repeatable, "", Optional.empty(), attemptIds, this::request, gate);
+                Pool.ofService(service.name()), repeatable, 0, "", Optional.empty(), attemptIds, this::request, gate);
         return AttemptRunner.create(runtime, exchange, context, plan, this::collect)
                 .run();
     }
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -22,6 +22,7 @@
 import org.baobabcart.policy.admission.AdmissionQueue;
 import org.baobabcart.policy.admission.Entry;
 import org.baobabcart.policy.admission.Rejection;
+import org.baobabcart.policy.admission.ServiceTime;
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.policy.upstream.Candidate;
 import org.baobabcart.policy.upstream.LoadReport;
@@ -48,6 +49,7 @@
     private final PoolIndex index = new PoolIndex();
     private final Map<String, UpstreamState> upstreams = new HashMap<>();
     private final Map<Pool, AdmissionQueue<Waiter>> queues = new HashMap<>();
+    private final Map<Pool, ServiceTime> serviceTimes = new HashMap<>();
 
     private Dispatcher(Vertx vertx, DispatcherSettings settings, TrafficViewSource views, UpstreamHealth health) {
         this.vertx = vertx;
@@ -106,21 +108,34 @@
         if (members(view, pool).isEmpty()) {
             return List.of(() -> waiter.refuse(BaobabcartException.of(ResultCode.NO_UPSTREAM)));
         }
-        AdmissionQueue<Waiter> queue = queues.computeIfAbsent(pool, ignored -> AdmissionQueue.create(settings.queue()));
+        AdmissionQueue<Waiter> queue =
+                queues.computeIfAbsent(pool, ignored -> AdmissionQueue.create(settings.queue(), random::nextDouble));
         if (queue.size() == 0) {
             Optional<Slot> slot = choose(view, waiter.work);
             if (slot.isPresent()) {
                 return List.of(() -> waiter.grant(slot.get()));
             }
         }
-        Work work = waiter.work;
-        Entry<Waiter> entry =
-                new Entry<>(work.rank(), work.workspace(), work.weight(), work.latestStartNanos(), waiter);
         List<Runnable> actions = new ArrayList<>();
-        queue.offer(entry, System.nanoTime()).forEach(rejection -> actions.add(refusing(rejection)));
+        queue.offer(entry(waiter), System.nanoTime()).forEach(rejection -> actions.add(refusing(rejection)));
         return actions;
     }
 
+    private Entry<Waiter> entry(Waiter waiter) {
+        Work work = waiter.work;
+        long serviceNanos = serviceTimes
+                .computeIfAbsent(work.pool(), ignored -> ServiceTime.create())
+                .expected(work.size())
+                .toNanos();
+        return new Entry<>(
+                work.rank(),
+                work.workspace(),
+                work.weight(),
+                work.targetNanos(),
+                work.deadlineNanos() - serviceNanos,
+                waiter);
+    }
+
     private List<Runnable> abandon(Waiter waiter) {
         AdmissionQueue<Waiter> queue = queues.get(waiter.work.pool());
         if (queue != null) {
@@ -148,6 +163,7 @@
             actions.addAll(pump(view, entry.getKey(), queue));
         }
         queues.keySet().removeIf(pool -> members(view, pool).isEmpty());
+        serviceTimes.keySet().removeIf(pool -> members(view, pool).isEmpty());
         forgetUnlisted(view);
         return actions;
     }
@@ -181,7 +197,7 @@
                     .filter(member -> member.name().equals(chosen.name()))
                     .findFirst()
                     .orElseThrow();
-            return new CountedSlot(upstream, work.pool());
+            return new CountedSlot(upstream, work.pool(), work.size());
         });
     }
 
@@ -242,6 +258,10 @@
         state(upstream).observed(latencyNanos, report, System.nanoTime());
     }
 
+    private synchronized void learned(Pool pool, int size, long nanos) {
+        serviceTimes.computeIfAbsent(pool, ignored -> ServiceTime.create()).observe(size, nanos);
+    }
+
     private List<Runnable> released(CountedSlot slot, Optional<FailureKind> failure) {
         state(slot.upstream).ended(failure);
         AdmissionQueue<Waiter> queue = queues.get(slot.pool);
@@ -281,11 +301,13 @@
     private final class CountedSlot implements Slot {
         private final VirtualMachine upstream;
         private final Pool pool;
+        private final int size;
         private final AtomicBoolean open = new AtomicBoolean(true);
 
-        private CountedSlot(VirtualMachine upstream, Pool pool) {
+        private CountedSlot(VirtualMachine upstream, Pool pool, int size) {
             this.upstream = upstream;
             this.pool = pool;
+            this.size = size;
         }
 
         @Override
@@ -298,6 +320,11 @@
             observed(upstream, latencyNanos, load.flatMap(LoadReport::parse));
         }
 
+        @Override
+        public void finished(long nanos) {
+            learned(pool, size, nanos);
+        }
+
         @Override
         public void release(Optional<FailureKind> failure) {
             if (open.compareAndSet(true, false)) {
--- a/router/src/main/java/org/baobabcart/router/upstream/Slot.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Slot.java
@@ -17,6 +17,9 @@
      */
     void observe(long latencyNanos, Optional<String> load);
 
+    /** Tells that the work ran to its end in so many nanoseconds. */
+    void finished(long nanos);
+
     /**
      * Gives the slot back; only the first call counts.
      *
--- a/router/src/main/java/org/baobabcart/router/upstream/Work.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Work.java
@@ -10,7 +10,9 @@
  * @param rank the index of its rank, zero being the most urgent
  * @param workspace whose work it is
  * @param weight the workspace's weight
- * @param latestStartNanos the time after which it is of no use to start it
+ * @param targetNanos the time until which it starts as its rank promises
+ * @param deadlineNanos the time until which it has to be finished
+ * @param size its size, the most tokens of its answer; zero for services
  * @param affinity a text that like work shares, by which upstreams with a warm cache are found
  * @param avoid upstreams that have failed it before
  */
@@ -20,7 +22,9 @@
         int rank,
         String workspace,
         double weight,
-        long latestStartNanos,
+        long targetNanos,
+        long deadlineNanos,
+        int size,
         String affinity,
         Set<String> avoid) {
     /** Copies the set. */
