Stop roll-outs of versions that turn slow, and leave versions whose engines are gone

Ruled out: the time against the rank's target alone (long answers would count as slow, and saturate the measure), and a quantile of the old version (it would have to be agreed on by all routers before counting).

Change: each answer's time is a loss between 0 and 1 against an objective of its rank's target and 54 ms for each token; it is counted, exchanged (optional fields, so that routers of both kinds understand each other) and tested as failures and ratings are. The new kind uses a tenth of the bound on false stops; a smaller part for the old version's confidence sequence leaves the thresholds of the other two as they were. A request whose version was only drawn and has no engine within reach goes to another version with a share; one that names its version or is of a session does not.

Stand-ins print how many requests a crash took, so that exposures are counted.

--- a/policy/src/main/java/org/baobabcart/policy/rollout/LossKind.java
+++ b/policy/src/main/java/org/baobabcart/policy/rollout/LossKind.java
@@ -3,7 +3,7 @@
 /** What a version can lose by. */
 enum LossKind {
     /** Requests that failed. */
-    FAILURES("failures") {
+    FAILURES("failures", 0.45) {
         @Override
         LossSample sample(VersionTotals totals) {
             return totals.failureSample();
@@ -20,7 +20,7 @@
         }
     },
     /** What ratings lack to the best one. */
-    RATINGS("rating loss") {
+    RATINGS("rating loss", 0.45) {
         @Override
         LossSample sample(VersionTotals totals) {
             return totals.ratingSample();
@@ -35,12 +35,36 @@
         double assumed(RollOutSettings settings) {
             return settings.assumedRatingLoss();
         }
+    },
+    /** What answers lose by their time. */
+    LATENCY("latency loss", 0.1) {
+        @Override
+        LossSample sample(VersionTotals totals) {
+            return totals.latencySample();
+        }
+
+        @Override
+        double margin(RollOutSettings settings) {
+            return settings.latencyMargin();
+        }
+
+        @Override
+        double assumed(RollOutSettings settings) {
+            return settings.assumedLatencyLoss();
+        }
     };
 
     private final String text;
+    private final double falseStopPart;
 
-    LossKind(String text) {
+    LossKind(String text, double falseStopPart) {
         this.text = text;
+        this.falseStopPart = falseStopPart;
+    }
+
+    /** The part of the bound on false stops that this kind may use; the parts add up to one. */
+    double falseStopPart() {
+        return falseStopPart;
     }
 
     abstract LossSample sample(VersionTotals totals);
--- a/policy/src/main/java/org/baobabcart/policy/rollout/RollOutJudge.java
+++ b/policy/src/main/java/org/baobabcart/policy/rollout/RollOutJudge.java
@@ -9,17 +9,16 @@
  * Judges the stage of a roll-out by comparing the new version with the old one, as both were seen during the same time.
  * Immutable and thread-safe.
  *
- * <p>Failures and ratings are each tested over the whole stage and over recent windows. The new version's mean loss is
+ * <p>Failures, ratings and times of answers are each tested over the whole stage and over recent windows. The new version's mean loss is
  * tested against the upper end of the old version's confidence sequence for the stage, or the old version's mean in the
  * same window if that is greater, plus a margin: what hits both versions alike stops no roll-out. The bound on false
- * stops is divided between the two kinds of loss, between the old version's confidence sequence and the tests, and among
+ * stops is divided between the kinds of loss, between the old version's confidence sequence and the tests, and among
  * stages and windows by the series of {@code 6 / (pi * n) ^ 2}, whose sum is one.
  */
 public final class RollOutJudge {
     private static final double NANOS_PER_SECOND = 1e9;
-    private static final double OLD_VERSION_PART = 0.25;
+    private static final double OLD_VERSION_PART = 1.0 / 6;
     private static final double SUSPICION = Math.log(20);
-    private static final int KINDS = LossKind.values().length;
 
     private final RollOutSettings settings;
 
@@ -53,7 +52,7 @@
     public Optional<String> stopReason(StageEvidence evidence) {
         return comparisons(evidence)
                 .filter(comparison -> comparison.logEvidence()
-                        >= threshold(evidence.stage(), 1 - OLD_VERSION_PART, comparison.window()))
+                        >= threshold(comparison.kind(), evidence.stage(), 1 - OLD_VERSION_PART, comparison.window()))
                 .map(Comparison::text)
                 .findFirst();
     }
@@ -78,7 +77,7 @@
             return kind.assumed(settings);
         }
         return SequentialTest.upperMean(
-                kind.sample(evidence.oldTotals()), threshold(evidence.stage(), OLD_VERSION_PART, 1));
+                kind.sample(evidence.oldTotals()), threshold(kind, evidence.stage(), OLD_VERSION_PART, 1));
     }
 
     private boolean isCompared(StageEvidence evidence) {
@@ -111,8 +110,9 @@
     }
 
     /** The logarithm of the evidence that a part of the bound on false stops asks for. */
-    private double threshold(int stage, double part, long window) {
-        double chance = settings.falseStopChance() / KINDS * part * seriesShare(stage + 1) * seriesShare(window);
+    private double threshold(LossKind kind, int stage, double part, long window) {
+        double chance =
+                settings.falseStopChance() * kind.falseStopPart() * part * seriesShare(stage + 1) * seriesShare(window);
         return -Math.log(chance);
     }
 
--- a/policy/src/test/java/org/baobabcart/policy/rollout/RollOutJudgeTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/rollout/RollOutJudgeTest.java
@@ -22,14 +22,17 @@
     @Test
     void noneOfTwoHundredGoodRollOutsIsStopped() {
         SplittableRandom random = new SplittableRandom(3101);
+        SplittableRandom latencies = new SplittableRandom(3105);
         int stopped = 0;
         int done = 0;
         for (int index = 0; index < ROLL_OUTS; index++) {
             double failures = 0.05 * random.nextDouble();
             double rating = 0.6 + 0.35 * random.nextDouble();
+            double latencyLoss = 0.02 + 0.43 * latencies.nextDouble();
             int outageAt = index % 3 == 0 ? 5 + random.nextInt(80) : Integer.MAX_VALUE;
-            RollOutSimulation.Result result =
-                    new RollOutSimulation(good(failures, rating, outageAt, COMPARED_STAGE), random.nextLong()).run(600);
+            RollOutSimulation.Result result = new RollOutSimulation(
+                            good(failures, rating, latencyLoss, outageAt, COMPARED_STAGE), random.nextLong())
+                    .run(600);
             stopped += result.stopReason().isPresent() ? 1 : 0;
             done += result.stopReason().isEmpty() && result.seconds() < 600 ? 1 : 0;
         }
@@ -66,6 +69,30 @@
         assertThat(exposures[BAD_ROLL_OUTS - 1], lessThanOrEqualTo(greatestExposures));
     }
 
+    /** Answers stay right and whole, and take as long as their objective allows. */
+    @ParameterizedTest
+    @CsvSource({
+        // mean loss by time of the bad version, the second in which it turns bad, a fifth of the exposures by the clock
+        "0.5, 0, 205",
+        "0.5, 15, 190",
+    })
+    void aVersionThatTurnsSlowIsStoppedWithAFifthOfTheExposuresByTheClock(
+            double latencyLoss, int turnsSlowAt, int greatestExposures) {
+        int[] exposures = new int[BAD_ROLL_OUTS];
+        SplittableRandom random = new SplittableRandom(3104);
+        for (int index = 0; index < BAD_ROLL_OUTS; index++) {
+            RollOutSimulation.Result result =
+                    new RollOutSimulation(turnsSlow(latencyLoss, turnsSlowAt), random.nextLong()).run(600);
+            assertThat(result.stopReason().isPresent(), is(true));
+            exposures[index] = result.badExposures();
+        }
+        Arrays.sort(exposures);
+        System.out.printf(
+                "roll-outs: slow, loss %.2f from second %d: exposures median %d, 95th %d, greatest %d%n",
+                latencyLoss, turnsSlowAt, exposures[BAD_ROLL_OUTS / 2], exposures[94], exposures[99]);
+        assertThat(exposures[BAD_ROLL_OUTS - 1], lessThanOrEqualTo(greatestExposures));
+    }
+
     /** The window finds what the whole stage would find late: many good answers come before the bad ones. */
     @Test
     void aVersionThatTurnsBadInALaterStageIsStoppedAsWell() {
@@ -99,7 +126,8 @@
         assertThat(stopped.stopReason().isPresent(), is(true));
     }
 
-    private static RollOutSimulation.Behaviour good(double failures, double rating, int outageAt, int lastOutageStage) {
+    private static RollOutSimulation.Behaviour good(
+            double failures, double rating, double latencyLoss, int outageAt, int lastOutageStage) {
         return new RollOutSimulation.Behaviour() {
             @Override
             public double failures(boolean newVersion, int second, int stage) {
@@ -107,6 +135,12 @@
                 return outage ? 0.5 : failures;
             }
 
+            @Override
+            public double latencyLoss(boolean newVersion, int second, int stage) {
+                boolean outage = second >= outageAt && second < outageAt + 10 && stage <= lastOutageStage;
+                return outage ? 0.5 : latencyLoss;
+            }
+
             @Override
             public double rating(boolean newVersion, int second) {
                 return rating;
@@ -115,7 +149,7 @@
     }
 
     private static RollOutSimulation.Behaviour outageFrom(int second) {
-        return good(0.01, 0.9, second, LAST_STAGE);
+        return good(0.01, 0.9, 0.1, second, LAST_STAGE);
     }
 
     private static RollOutSimulation.Behaviour turnsBad(double badFailures, double badRating, int turnsBadAt) {
@@ -137,6 +171,30 @@
         };
     }
 
+    private static RollOutSimulation.Behaviour turnsSlow(double slowLoss, int turnsSlowAt) {
+        return new RollOutSimulation.Behaviour() {
+            @Override
+            public double failures(boolean newVersion, int second, int stage) {
+                return 0.01;
+            }
+
+            @Override
+            public double rating(boolean newVersion, int second) {
+                return 0.9;
+            }
+
+            @Override
+            public double latencyLoss(boolean newVersion, int second, int stage) {
+                return newVersion && bad(second) ? slowLoss : 0.1;
+            }
+
+            @Override
+            public boolean bad(int second) {
+                return second >= turnsSlowAt;
+            }
+        };
+    }
+
     private static RollOutSimulation.Behaviour unrated(double newFailures) {
         return new RollOutSimulation.Behaviour() {
             @Override
--- a/policy/src/test/java/org/baobabcart/policy/rollout/RollOutSimulation.java
+++ b/policy/src/test/java/org/baobabcart/policy/rollout/RollOutSimulation.java
@@ -25,6 +25,7 @@
     private final RollOutJudge judge = RollOutJudge.of(RollOutSettings.defaults());
     private final Behaviour behaviour;
     private final SplittableRandom random;
+    private final SplittableRandom latencies;
     private final List<EvidenceTable> tables = new ArrayList<>();
     private int stage;
     private EvidenceWindows windows = EvidenceWindows.first();
@@ -35,6 +36,7 @@
     RollOutSimulation(Behaviour behaviour, long seed) {
         this.behaviour = behaviour;
         this.random = new SplittableRandom(seed);
+        this.latencies = new SplittableRandom(~seed);
         for (int node = 0; node < NODES; node++) {
             tables.add(EvidenceTable.empty());
         }
@@ -46,6 +48,11 @@
 
         double rating(boolean newVersion, int second);
 
+        /** The mean loss by the time of answers. */
+        default double latencyLoss(boolean newVersion, int second, int stage) {
+            return 0.1;
+        }
+
         /** Whether the new version is bad in this second. */
         default boolean bad(int second) {
             return false;
@@ -99,6 +106,10 @@
             double rating = behaviour.rating(newVersion, second) + 0.1 * random.nextDouble() - 0.05;
             totals = totals.withRating(Math.max(0, Math.min(1, rating)));
         }
+        if (success) {
+            double loss = behaviour.latencyLoss(newVersion, second, stage) * 2 * latencies.nextDouble();
+            totals = totals.withLatencyLoss(Math.min(1, loss));
+        }
         tables.set(node, tables.get(node).merged(new EvidenceEntry("model", version, "node-" + node, stage, totals)));
     }
 
--- a/router/src/main/java/org/baobabcart/router/rollout/EvidenceCodec.java
+++ b/router/src/main/java/org/baobabcart/router/rollout/EvidenceCodec.java
@@ -10,7 +10,7 @@
 
     static EvidenceReport toReport(EvidenceEntry entry) {
         VersionTotals totals = entry.totals();
-        return new EvidenceReport(
+        EvidenceReport report = new EvidenceReport(
                 entry.model(),
                 entry.version(),
                 entry.nodeId(),
@@ -20,15 +20,23 @@
                 totals.ratings(),
                 totals.ratingSum(),
                 totals.ratingSquareSum());
+        report.setTimed(totals.timed());
+        report.setLatencyLossSum(totals.latencyLossSum());
+        report.setLatencyLossSquareSum(totals.latencyLossSquareSum());
+        return report;
     }
 
+    /** The times are missing in reports of routers that do not know them yet, and count as none. */
     static EvidenceEntry toEntry(EvidenceReport report) {
         VersionTotals totals = new VersionTotals(
                 report.getSuccesses(),
                 report.getFailures(),
                 report.getRatings(),
                 report.getRatingSum(),
-                report.getRatingSquareSum());
+                report.getRatingSquareSum(),
+                report.getTimed(),
+                report.getLatencyLossSum(),
+                report.getLatencyLossSquareSum());
         return new EvidenceEntry(
                 report.getModel(), report.getVersion(), report.getNodeId(), report.getStageEpoch(), totals);
     }
--- a/router/src/main/java/org/baobabcart/router/rollout/EvidenceCounts.java
+++ b/router/src/main/java/org/baobabcart/router/rollout/EvidenceCounts.java
@@ -5,10 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.Set;
 import org.baobabcart.policy.rollout.EvidenceEntry;
 import org.baobabcart.policy.rollout.EvidenceTable;
+import org.baobabcart.policy.rollout.VersionOutcome;
 import org.baobabcart.policy.rollout.VersionTotals;
 import org.baobabcart.wire.EvidenceReport;
 
@@ -40,10 +40,9 @@
     }
 
     /** Counts an outcome of this router. */
-    void count(String model, String version, long stageEpoch, boolean success, OptionalDouble rating) {
+    void count(String model, String version, long stageEpoch, VersionOutcome outcome) {
         Counted counted = new Counted(model, version, stageEpoch);
-        VersionTotals totals = own.getOrDefault(counted, VersionTotals.zero()).withOutcome(success);
-        own.put(counted, rating.isPresent() ? totals.withRating(rating.getAsDouble()) : totals);
+        own.put(counted, own.getOrDefault(counted, VersionTotals.zero()).with(outcome));
     }
 
     /** Takes in another router's counts of a stage that is known here. */
--- a/router/src/main/java/org/baobabcart/router/rollout/RollOutController.java
+++ b/router/src/main/java/org/baobabcart/router/rollout/RollOutController.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -21,6 +20,7 @@
 import org.baobabcart.policy.rollout.RollOutJudge;
 import org.baobabcart.policy.rollout.RollOutVerdict;
 import org.baobabcart.policy.rollout.StageEvidence;
+import org.baobabcart.policy.rollout.VersionOutcome;
 import org.baobabcart.policy.rollout.VersionTotals;
 import org.baobabcart.router.control.Controller;
 import org.baobabcart.router.control.Sections;
@@ -105,10 +105,10 @@
     }
 
     @Override
-    public void outcome(String model, String version, boolean success, OptionalDouble rating) {
+    public void outcome(String model, String version, VersionOutcome outcome) {
         for (ActiveRollOut rollOut : active) {
             if (rollOut.counts(model, version)) {
-                counts.count(model, version, rollOut.stageEpoch(), success, rating);
+                counts.count(model, version, rollOut.stageEpoch(), outcome);
             }
         }
     }
--- a/router/src/main/java/org/baobabcart/router/traffic/Evidence.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/Evidence.java
@@ -4,6 +4,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.baobabcart.model.rollout.RollOutStatus;
+import org.baobabcart.policy.rollout.VersionOutcome;
 import org.baobabcart.router.view.TrafficView;
 
 /**
@@ -25,9 +26,10 @@
     }
 
     /** Counts a finished answer, and has it rated where a roll-out needs that. */
-    void answered(RatingRequest answer) {
+    void answered(RatingRequest answer, double latencyLoss) {
+        VersionOutcome outcome = VersionOutcome.answered(latencyLoss);
         if (!isUnderRollOut(answer.model()) || rating.get() >= RATINGS_AT_ONCE) {
-            parts.feedback().outcome(answer.model(), answer.version(), true, OptionalDouble.empty());
+            count(answer, outcome);
             return;
         }
         rating.incrementAndGet();
@@ -36,20 +38,25 @@
                 .onTermination()
                 .invoke(rating::decrementAndGet)
                 .subscribe()
-                .with(
-                        rated -> parts.feedback().outcome(answer.model(), answer.version(), true, rated),
-                        failure -> parts.feedback()
-                                .outcome(answer.model(), answer.version(), true, OptionalDouble.empty()));
+                .with(rated -> count(answer, outcome.withRating(rated)), failure -> count(answer, outcome));
     }
 
     /** Counts an answer that was rated already. */
-    void rated(SelectedVersion version, OptionalDouble quality) {
-        parts.feedback().outcome(version.model(), version.version(), true, quality);
+    void rated(SelectedVersion version, OptionalDouble quality, double latencyLoss) {
+        parts.feedback()
+                .outcome(
+                        version.model(),
+                        version.version(),
+                        VersionOutcome.answered(latencyLoss).withRating(quality));
     }
 
     /** Counts an attempt that failed at an upstream. */
     void failed(String model, String version) {
-        parts.feedback().outcome(model, version, false, OptionalDouble.empty());
+        parts.feedback().outcome(model, version, VersionOutcome.failed());
+    }
+
+    private void count(RatingRequest answer, VersionOutcome outcome) {
+        parts.feedback().outcome(answer.model(), answer.version(), outcome);
     }
 
     private boolean isUnderRollOut(String model) {
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelAnswer.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelAnswer.java
@@ -12,6 +12,13 @@
  * @param parts the body, or the events without the closing one; empty where they were passed on
  * @param text the text, as far as it was kept
  * @param units the tokens to bill
+ * @param latencyLoss what it loses by its time
  */
 record ModelAnswer(
-        SelectedVersion version, int status, String contentType, List<Buffer> parts, String text, long units) {}
+        SelectedVersion version,
+        int status,
+        String contentType,
+        List<Buffer> parts,
+        String text,
+        long units,
+        double latencyLoss) {}
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -17,11 +17,13 @@
 import org.baobabcart.policy.cascade.CascadeDecision;
 import org.baobabcart.policy.cascade.CascadePlan;
 import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.policy.rollout.LatencyLoss;
 import org.baobabcart.router.cascade.WorkKind;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.UpstreamAnswer;
 import org.baobabcart.router.upstream.UpstreamRequest;
+import org.baobabcart.router.view.TrafficView;
 
 /**
  * One chat or completion request from its steps to its bill. Confined to the event loop of the caller's connection.
@@ -45,6 +47,7 @@
     private final VersionSelector versions;
     private SelectedVersion current;
     private long passedOnUnits;
+    private long sentNanos;
 
     private ModelRun(TrafficRuntime runtime, CallerExchange exchange, CallerContext context, ModelRequest request) {
         this.runtime = runtime;
@@ -89,24 +92,34 @@
                         : Future.failedFuture(failure));
     }
 
-    /** Asks another version where the chosen one was withdrawn while the request waited. */
+    /** Asks another version where the chosen one was withdrawn while the request waited, or none of its engines is there. */
     private Future<ModelAnswer> askAnother(int index, boolean last, Throwable failure) {
-        boolean withdrawn = failure instanceof BaobabcartException refusal
-                && refusal.code() == ResultCode.VERSION_WITHDRAWN
-                && !exchange.started();
-        if (!withdrawn) {
+        if (!(failure instanceof BaobabcartException refusal) || exchange.started()) {
             return Future.failedFuture(failure);
         }
-        current = versions.select(runtime.parts().views().current(), steps.workspace(), steps.step(index));
+        Optional<SelectedVersion> other = another(index, refusal.code());
+        if (other.isEmpty()) {
+            return Future.failedFuture(failure);
+        }
+        current = other.get();
         return ask(current, last && request.stream());
     }
 
+    private Optional<SelectedVersion> another(int index, ResultCode code) {
+        TrafficView view = runtime.parts().views().current();
+        return switch (code) {
+            case VERSION_WITHDRAWN -> Optional.of(versions.select(view, steps.workspace(), steps.step(index)));
+            case UPSTREAM_UNREACHABLE, NO_UPSTREAM -> versions.besides(current, view, steps.workspace());
+            default -> Optional.empty();
+        };
+    }
+
     private Future<Void> rate(int index, boolean escalated, ModelAnswer answer) {
         return Future.fromCompletionStage(
                         runtime.parts().ratings().rate(ratingRequest(answer)).subscribeAsCompletionStage(),
                         runtime.vertx().getOrCreateContext())
                 .compose(rated -> {
-                    runtime.guards().evidence().rated(answer.version(), rated);
+                    runtime.guards().evidence().rated(answer.version(), rated, answer.latencyLoss());
                     CascadeDecision decision =
                             runtime.cascades().afterAnswer(cascade.orElseThrow(), workKind, index, escalated, rated);
                     if (decision.accepted()) {
@@ -141,7 +154,16 @@
                 .run();
     }
 
+    /** What an answer that is whole now loses by its time. */
+    private double latencyLoss(long tokens) {
+        return LatencyLoss.of(
+                Duration.ofNanos(System.nanoTime() - sentNanos),
+                Duration.ofMillis(context.rank().targetMillis()),
+                tokens);
+    }
+
     private UpstreamRequest upstreamRequest(SelectedVersion version, String attemptId) {
+        sentNanos = System.nanoTime();
         Map<String, String> headers = new HashMap<>();
         headers.put("Content-Type", "application/json");
         headers.put(Headers.REQUEST_ID, exchange.requestId());
@@ -189,7 +211,13 @@
         return relay.run()
                 .onComplete(ignored -> passedOnUnits = direct ? relay.units() : 0)
                 .map(ignored -> new ModelAnswer(
-                        version, STATUS_OK, "text/event-stream", relay.kept(), relay.text(), relay.units()));
+                        version,
+                        STATUS_OK,
+                        "text/event-stream",
+                        relay.kept(),
+                        relay.text(),
+                        relay.units(),
+                        latencyLoss(relay.units())));
     }
 
     private Future<ModelAnswer> whole(SelectedVersion version, UpstreamAnswer answer, Buffer body) {
@@ -201,14 +229,14 @@
         }
         String text = json.map(AnswerText::text).orElse("");
         long units = json.map(AnswerText::tokens).orElse(0L);
-        return Future.succeededFuture(
-                new ModelAnswer(version, answer.status(), "application/json", List.of(body), text, units));
+        return Future.succeededFuture(new ModelAnswer(
+                version, answer.status(), "application/json", List.of(body), text, units, latencyLoss(units)));
     }
 
     private Future<Void> deliverLast(ModelAnswer answer) {
         return deliver(answer).onSuccess(ignored -> {
             if (answer.status() == STATUS_OK) {
-                runtime.guards().evidence().answered(ratingRequest(answer));
+                runtime.guards().evidence().answered(ratingRequest(answer), answer.latencyLoss());
             }
         });
     }
--- a/router/src/main/java/org/baobabcart/router/traffic/VersionSelector.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/VersionSelector.java
@@ -5,6 +5,7 @@
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.model.sheet.Model;
+import org.baobabcart.model.sheet.PublishedSheet;
 import org.baobabcart.model.sheet.Sheet;
 import org.baobabcart.model.sheet.Version;
 import org.baobabcart.model.sheet.Workspace;
@@ -65,6 +66,26 @@
         return selected(model, chosen(view, policy, model, workspace), false);
     }
 
+    /**
+     * Another version with a share of new work, for a request whose version has no engine that can be reached; empty where
+     * there is none, or where the request or its session asks for that version.
+     */
+    Optional<SelectedVersion> besides(SelectedVersion unreachable, TrafficView view, Workspace workspace) {
+        Optional<Sheet> sheet = view.sheet().map(PublishedSheet::sheet);
+        Optional<Model> model = sheet.flatMap(known -> known.model(unreachable.model()));
+        if (unreachable.fixed() || model.isEmpty()) {
+            return Optional.empty();
+        }
+        return VersionPolicy.of(sheet.get(), view.rollOuts())
+                .choose(
+                        model.get(),
+                        workspace,
+                        version ->
+                                !version.equals(unreachable.version()) && isServed(view, unreachable.model(), version),
+                        ThreadLocalRandom.current().nextDouble())
+                .map(version -> selected(model.get(), version, false));
+    }
+
     /** Remembers the version that answered, and gives the header for the caller. */
     Optional<String> sign(SelectedVersion version) {
         session = session.withVersion(version.model(), version.version());
--- a/router/src/main/java/org/baobabcart/router/view/FeedbackListener.java
+++ b/router/src/main/java/org/baobabcart/router/view/FeedbackListener.java
@@ -1,6 +1,6 @@
 package org.baobabcart.router.view;
 
-import java.util.OptionalDouble;
+import org.baobabcart.policy.rollout.VersionOutcome;
 
 /** Takes in observations of traffic on the control thread. */
 public interface FeedbackListener {
@@ -11,5 +11,5 @@
     default void unreachable(String upstream) {}
 
     /** A version finished or failed a request. */
-    default void outcome(String model, String version, boolean success, OptionalDouble rating) {}
+    default void outcome(String model, String version, VersionOutcome outcome) {}
 }
--- a/router/src/main/java/org/baobabcart/router/view/FeedbackQueue.java
+++ b/router/src/main/java/org/baobabcart/router/view/FeedbackQueue.java
@@ -4,13 +4,13 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
-import java.util.OptionalDouble;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.baobabcart.policy.rollout.VersionOutcome;
 
 /**
  * Carries observations from traffic threads to the control thread. Thread-safe and never blocking: when the queue is full
@@ -52,8 +52,8 @@
     }
 
     @Override
-    public void outcome(String model, String version, boolean success, OptionalDouble rating) {
-        offer(listener -> listener.outcome(model, version, success, rating));
+    public void outcome(String model, String version, VersionOutcome outcome) {
+        offer(listener -> listener.outcome(model, version, outcome));
     }
 
     private void offer(Consumer<FeedbackListener> observation) {
--- a/router/src/main/java/org/baobabcart/router/view/TrafficFeedback.java
+++ b/router/src/main/java/org/baobabcart/router/view/TrafficFeedback.java
@@ -1,6 +1,6 @@
 package org.baobabcart.router.view;
 
-import java.util.OptionalDouble;
+import org.baobabcart.policy.rollout.VersionOutcome;
 
 /** Observations that traffic threads hand to the control thread over a bounded queue. Thread-safe, never blocking. */
 public interface TrafficFeedback {
@@ -10,10 +10,6 @@
     /** An upstream could not be reached or made no progress. */
     void unreachable(String upstream);
 
-    /**
-     * A version finished or failed a request.
-     *
-     * @param rating the answer's rating from 0 to 1, if it was rated
-     */
-    void outcome(String model, String version, boolean success, OptionalDouble rating);
+    /** A version finished or failed a request. */
+    void outcome(String model, String version, VersionOutcome outcome);
 }
--- a/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
+++ b/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
@@ -19,6 +19,7 @@
 import org.baobabcart.model.sheet.Sheet;
 import org.baobabcart.model.sheet.Version;
 import org.baobabcart.model.sheet.WhenControllerLost;
+import org.baobabcart.policy.rollout.VersionOutcome;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.member.Member;
@@ -67,7 +68,7 @@
         void serve(String version, int requests, boolean success, double rating) {
             for (int index = 0; index < requests; index++) {
                 OptionalDouble rated = success ? OptionalDouble.of(rating) : OptionalDouble.empty();
-                controller.outcome(MODEL, version, success, rated);
+                controller.outcome(MODEL, version, new VersionOutcome(success, rated, OptionalDouble.empty()));
             }
         }
 
--- a/router/src/test/java/org/baobabcart/router/traffic/CallerApiTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerApiTest.java
@@ -4,9 +4,11 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
 import java.net.http.HttpResponse;
@@ -140,6 +142,9 @@
         engine.behave(request -> request.response().setStatusCode(500).end());
         assertThat(chat("layout-large@v1", true).statusCode(), is(502));
         assertThat(fakes.versionOutcomes, hasItem("layout-large@v1 false OptionalDouble.empty"));
+        assertThat("only the answer has a time", fakes.latencyLosses, hasSize(1));
+        assertThat(fakes.latencyLosses.get(0), greaterThan(0.0));
+        assertThat(fakes.latencyLosses.get(0), lessThan(1.0));
     }
 
     @Test
--- a/router/src/test/java/org/baobabcart/router/traffic/FakeParts.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/FakeParts.java
@@ -18,6 +18,7 @@
 import org.baobabcart.model.sheet.PublishedSheet;
 import org.baobabcart.model.sheet.Service;
 import org.baobabcart.model.sheet.Sheet;
+import org.baobabcart.policy.rollout.VersionOutcome;
 import org.baobabcart.policy.session.SessionKey;
 import org.baobabcart.policy.session.SessionSigner;
 import org.baobabcart.router.bill.BillService;
@@ -33,6 +34,7 @@
 /** The parts around the caller API, written by hand for tests. */
 final class FakeParts implements ClaimService, BillService, TrafficFeedback, Timeline, RatingClient {
     final List<Bill> bills = new CopyOnWriteArrayList<>();
+    final List<Double> latencyLosses = new CopyOnWriteArrayList<>();
     final List<ClaimOutcome> outcomes = new CopyOnWriteArrayList<>();
     final List<String> crashes = new CopyOnWriteArrayList<>();
     final List<String> versionOutcomes = new CopyOnWriteArrayList<>();
@@ -102,8 +104,9 @@
     }
 
     @Override
-    public void outcome(String model, String version, boolean success, OptionalDouble givenRating) {
-        versionOutcomes.add(model + "@" + version + " " + success + " " + givenRating);
+    public void outcome(String model, String version, VersionOutcome outcome) {
+        versionOutcomes.add(model + "@" + version + " " + outcome.success() + " " + outcome.rating());
+        outcome.latencyLoss().ifPresent(latencyLosses::add);
     }
 
     @Override
--- a/router/src/test/java/org/baobabcart/router/traffic/UpstreamFailureTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/UpstreamFailureTest.java
@@ -26,7 +26,10 @@
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.request.Headers;
 import org.baobabcart.model.rollout.RollOutState;
+import org.baobabcart.model.sheet.Model;
 import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.model.sheet.Sheet;
+import org.baobabcart.model.sheet.Version;
 import org.baobabcart.model.sheet.Withdrawal;
 import org.baobabcart.policy.crash.CrashCounts;
 import org.baobabcart.policy.upstream.ConcurrencyLimit;
@@ -76,6 +79,46 @@
         assertThat(fakes.unreachable, hasItem("gone"));
     }
 
+    @Test
+    void aVersionWhoseEnginesAreGoneLeavesItsRequestsToAnotherButNotThoseThatNameIt() throws Exception {
+        FakeUpstream gone = upstream("gone", FakeUpstream.answering("never"));
+        FakeUpstream other = upstream("other", FakeUpstream.answering("done"));
+        VirtualMachine goneEngine = gone.engine("layout-large", "v2");
+        gone.stop();
+        fakes.show(withEqualShares(sheet()), other.engine("layout-large", "v1"), goneEngine);
+        for (int index = 0; index < 40; index++) {
+            HttpResponse<String> answer = chat("layout-large", false);
+            assertThat(answer.body(), answer.statusCode(), is(200));
+        }
+        assertThat(fakes.unreachable, hasItem("gone"));
+        assertThat(chat("layout-large@v2", false).statusCode(), not(is(200)));
+        assertThat(other.requests(), hasSize(40));
+    }
+
+    private static Sheet withEqualShares(Sheet sheet) {
+        List<Model> models = sheet.models().stream()
+                .map(model -> new Model(
+                        model.name(),
+                        model.versions().stream()
+                                .map(version -> new Version(
+                                        version.name(),
+                                        version.costPerThousandTokens(),
+                                        version.quality(),
+                                        1.0 / model.versions().size()))
+                                .toList()))
+                .toList();
+        return new Sheet(
+                sheet.name(),
+                sheet.defaultRank(),
+                sheet.ranks(),
+                models,
+                sheet.cascades(),
+                sheet.workspaces(),
+                sheet.services(),
+                sheet.rollOuts(),
+                sheet.withdrawals());
+    }
+
     @Test
     void answerOfAnotherAttemptIsNeverPassedOn() throws Exception {
         FakeUpstream crossed = upstream(
--- a/standins/src/main/java/org/baobabcart/standins/base/RunLog.java
+++ b/standins/src/main/java/org/baobabcart/standins/base/RunLog.java
@@ -23,6 +23,11 @@
         return run;
     }
 
+    /** The number of runs listed. */
+    public int size() {
+        return runs.size();
+    }
+
     /** The runs as JSON, the oldest first. */
     public JsonArray toJson() {
         JsonArray array = new JsonArray();
--- a/standins/src/main/java/org/baobabcart/standins/base/UpstreamServer.java
+++ b/standins/src/main/java/org/baobabcart/standins/base/UpstreamServer.java
@@ -38,9 +38,14 @@
         }
     }
 
-    /** Ends the process without an answer if the text holds the text set as a fault. */
+    /**
+     * Ends the process without an answer if the text holds the text set as a fault. The number of requests that it began
+     * is printed first, since the list of runs is lost with the process.
+     */
     protected final void crashIfAsked(String text) {
         if (!crashText.isEmpty() && text != null && text.contains(crashText)) {
+            System.out.println("CRASHED runs=" + runs().size());
+            System.out.flush();
             Runtime.getRuntime().halt(EXIT_CRASH);
         }
     }
--- a/wire/src/main/java/org/baobabcart/wire/EvidenceReport.java
+++ b/wire/src/main/java/org/baobabcart/wire/EvidenceReport.java
@@ -37,6 +37,14 @@
     private static final org.apache.thrift.protocol.TField RATING_SQUARE_SUM_FIELD_DESC =
             new org.apache.thrift.protocol.TField(
                     "ratingSquareSum", org.apache.thrift.protocol.TType.DOUBLE, (short) 9);
+    private static final org.apache.thrift.protocol.TField TIMED_FIELD_DESC =
+            new org.apache.thrift.protocol.TField("timed", org.apache.thrift.protocol.TType.I64, (short) 10);
+    private static final org.apache.thrift.protocol.TField LATENCY_LOSS_SUM_FIELD_DESC =
+            new org.apache.thrift.protocol.TField(
+                    "latencyLossSum", org.apache.thrift.protocol.TType.DOUBLE, (short) 11);
+    private static final org.apache.thrift.protocol.TField LATENCY_LOSS_SQUARE_SUM_FIELD_DESC =
+            new org.apache.thrift.protocol.TField(
+                    "latencyLossSquareSum", org.apache.thrift.protocol.TType.DOUBLE, (short) 12);
 
     private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
             new EvidenceReportStandardSchemeFactory();
@@ -52,6 +60,9 @@
     private long ratings; // required
     private double ratingSum; // required
     private double ratingSquareSum; // required
+    private long timed; // optional
+    private double latencyLossSum; // optional
+    private double latencyLossSquareSum; // optional
 
     /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
     public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -63,7 +74,10 @@
         FAILURES((short) 6, "failures"),
         RATINGS((short) 7, "ratings"),
         RATING_SUM((short) 8, "ratingSum"),
-        RATING_SQUARE_SUM((short) 9, "ratingSquareSum");
+        RATING_SQUARE_SUM((short) 9, "ratingSquareSum"),
+        TIMED((short) 10, "timed"),
+        LATENCY_LOSS_SUM((short) 11, "latencyLossSum"),
+        LATENCY_LOSS_SQUARE_SUM((short) 12, "latencyLossSquareSum");
 
         private static final java.util.Map<java.lang.String, _Fields> byName =
                 new java.util.HashMap<java.lang.String, _Fields>();
@@ -98,6 +112,12 @@
                     return RATING_SUM;
                 case 9: // RATING_SQUARE_SUM
                     return RATING_SQUARE_SUM;
+                case 10: // TIMED
+                    return TIMED;
+                case 11: // LATENCY_LOSS_SUM
+                    return LATENCY_LOSS_SUM;
+                case 12: // LATENCY_LOSS_SQUARE_SUM
+                    return LATENCY_LOSS_SQUARE_SUM;
                 default:
                     return null;
             }
@@ -147,7 +167,12 @@
     private static final int __RATINGS_ISSET_ID = 3;
     private static final int __RATINGSUM_ISSET_ID = 4;
     private static final int __RATINGSQUARESUM_ISSET_ID = 5;
-    private byte __isset_bitfield = 0;
+    private static final int __TIMED_ISSET_ID = 6;
+    private static final int __LATENCYLOSSSUM_ISSET_ID = 7;
+    private static final int __LATENCYLOSSSQUARESUM_ISSET_ID = 8;
+    private short __isset_bitfield = 0;
+    private static final _Fields optionals[] = {_Fields.TIMED, _Fields.LATENCY_LOSS_SUM, _Fields.LATENCY_LOSS_SQUARE_SUM
+    };
     public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
 
     static {
@@ -207,6 +232,24 @@
                         "ratingSquareSum",
                         org.apache.thrift.TFieldRequirementType.REQUIRED,
                         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
+        tmpMap.put(
+                _Fields.TIMED,
+                new org.apache.thrift.meta_data.FieldMetaData(
+                        "timed",
+                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
+                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        tmpMap.put(
+                _Fields.LATENCY_LOSS_SUM,
+                new org.apache.thrift.meta_data.FieldMetaData(
+                        "latencyLossSum",
+                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
+                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
+        tmpMap.put(
+                _Fields.LATENCY_LOSS_SQUARE_SUM,
+                new org.apache.thrift.meta_data.FieldMetaData(
+                        "latencyLossSquareSum",
+                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
+                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
         metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
         org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(EvidenceReport.class, metaDataMap);
     }
@@ -261,6 +304,9 @@
         this.ratings = other.ratings;
         this.ratingSum = other.ratingSum;
         this.ratingSquareSum = other.ratingSquareSum;
+        this.timed = other.timed;
+        this.latencyLossSum = other.latencyLossSum;
+        this.latencyLossSquareSum = other.latencyLossSquareSum;
     }
 
     @Override
@@ -285,6 +331,12 @@
         this.ratingSum = 0.0;
         setRatingSquareSumIsSet(false);
         this.ratingSquareSum = 0.0;
+        setTimedIsSet(false);
+        this.timed = 0;
+        setLatencyLossSumIsSet(false);
+        this.latencyLossSum = 0.0;
+        setLatencyLossSquareSumIsSet(false);
+        this.latencyLossSquareSum = 0.0;
     }
 
     @org.apache.thrift.annotation.Nullable
@@ -500,6 +552,76 @@
         __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RATINGSQUARESUM_ISSET_ID, value);
     }
 
+    public long getTimed() {
+        return this.timed;
+    }
+
+    public EvidenceReport setTimed(long timed) {
+        this.timed = timed;
+        setTimedIsSet(true);
+        return this;
+    }
+
+    public void unsetTimed() {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TIMED_ISSET_ID);
+    }
+
+    /** Returns true if field timed is set (has been assigned a value) and false otherwise */
+    public boolean isSetTimed() {
+        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TIMED_ISSET_ID);
+    }
+
+    public void setTimedIsSet(boolean value) {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TIMED_ISSET_ID, value);
+    }
+
+    public double getLatencyLossSum() {
+        return this.latencyLossSum;
+    }
+
+    public EvidenceReport setLatencyLossSum(double latencyLossSum) {
+        this.latencyLossSum = latencyLossSum;
+        setLatencyLossSumIsSet(true);
+        return this;
+    }
+
+    public void unsetLatencyLossSum() {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LATENCYLOSSSUM_ISSET_ID);
+    }
+
+    /** Returns true if field latencyLossSum is set (has been assigned a value) and false otherwise */
+    public boolean isSetLatencyLossSum() {
+        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LATENCYLOSSSUM_ISSET_ID);
+    }
+
+    public void setLatencyLossSumIsSet(boolean value) {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LATENCYLOSSSUM_ISSET_ID, value);
+    }
+
+    public double getLatencyLossSquareSum() {
+        return this.latencyLossSquareSum;
+    }
+
+    public EvidenceReport setLatencyLossSquareSum(double latencyLossSquareSum) {
+        this.latencyLossSquareSum = latencyLossSquareSum;
+        setLatencyLossSquareSumIsSet(true);
+        return this;
+    }
+
+    public void unsetLatencyLossSquareSum() {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LATENCYLOSSSQUARESUM_ISSET_ID);
+    }
+
+    /** Returns true if field latencyLossSquareSum is set (has been assigned a value) and false otherwise */
+    public boolean isSetLatencyLossSquareSum() {
+        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LATENCYLOSSSQUARESUM_ISSET_ID);
+    }
+
+    public void setLatencyLossSquareSumIsSet(boolean value) {
+        __isset_bitfield =
+                org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LATENCYLOSSSQUARESUM_ISSET_ID, value);
+    }
+
     @Override
     public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
         switch (field) {
@@ -574,6 +696,30 @@
                     setRatingSquareSum((java.lang.Double) value);
                 }
                 break;
+
+            case TIMED:
+                if (value == null) {
+                    unsetTimed();
+                } else {
+                    setTimed((java.lang.Long) value);
+                }
+                break;
+
+            case LATENCY_LOSS_SUM:
+                if (value == null) {
+                    unsetLatencyLossSum();
+                } else {
+                    setLatencyLossSum((java.lang.Double) value);
+                }
+                break;
+
+            case LATENCY_LOSS_SQUARE_SUM:
+                if (value == null) {
+                    unsetLatencyLossSquareSum();
+                } else {
+                    setLatencyLossSquareSum((java.lang.Double) value);
+                }
+                break;
         }
     }
 
@@ -607,6 +753,15 @@
 
             case RATING_SQUARE_SUM:
                 return getRatingSquareSum();
+
+            case TIMED:
+                return getTimed();
+
+            case LATENCY_LOSS_SUM:
+                return getLatencyLossSum();
+
+            case LATENCY_LOSS_SQUARE_SUM:
+                return getLatencyLossSquareSum();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -637,6 +792,12 @@
                 return isSetRatingSum();
             case RATING_SQUARE_SUM:
                 return isSetRatingSquareSum();
+            case TIMED:
+                return isSetTimed();
+            case LATENCY_LOSS_SUM:
+                return isSetLatencyLossSum();
+            case LATENCY_LOSS_SQUARE_SUM:
+                return isSetLatencyLossSquareSum();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -714,6 +875,27 @@
             if (this.ratingSquareSum != that.ratingSquareSum) return false;
         }
 
+        boolean this_present_timed = true && this.isSetTimed();
+        boolean that_present_timed = true && that.isSetTimed();
+        if (this_present_timed || that_present_timed) {
+            if (!(this_present_timed && that_present_timed)) return false;
+            if (this.timed != that.timed) return false;
+        }
+
+        boolean this_present_latencyLossSum = true && this.isSetLatencyLossSum();
+        boolean that_present_latencyLossSum = true && that.isSetLatencyLossSum();
+        if (this_present_latencyLossSum || that_present_latencyLossSum) {
+            if (!(this_present_latencyLossSum && that_present_latencyLossSum)) return false;
+            if (this.latencyLossSum != that.latencyLossSum) return false;
+        }
+
+        boolean this_present_latencyLossSquareSum = true && this.isSetLatencyLossSquareSum();
+        boolean that_present_latencyLossSquareSum = true && that.isSetLatencyLossSquareSum();
+        if (this_present_latencyLossSquareSum || that_present_latencyLossSquareSum) {
+            if (!(this_present_latencyLossSquareSum && that_present_latencyLossSquareSum)) return false;
+            if (this.latencyLossSquareSum != that.latencyLossSquareSum) return false;
+        }
+
         return true;
     }
 
@@ -742,6 +924,16 @@
 
         hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ratingSquareSum);
 
+        hashCode = hashCode * 8191 + ((isSetTimed()) ? 131071 : 524287);
+        if (isSetTimed()) hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(timed);
+
+        hashCode = hashCode * 8191 + ((isSetLatencyLossSum()) ? 131071 : 524287);
+        if (isSetLatencyLossSum()) hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(latencyLossSum);
+
+        hashCode = hashCode * 8191 + ((isSetLatencyLossSquareSum()) ? 131071 : 524287);
+        if (isSetLatencyLossSquareSum())
+            hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(latencyLossSquareSum);
+
         return hashCode;
     }
 
@@ -843,6 +1035,37 @@
                 return lastComparison;
             }
         }
+        lastComparison = java.lang.Boolean.compare(isSetTimed(), other.isSetTimed());
+        if (lastComparison != 0) {
+            return lastComparison;
+        }
+        if (isSetTimed()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.timed, other.timed);
+            if (lastComparison != 0) {
+                return lastComparison;
+            }
+        }
+        lastComparison = java.lang.Boolean.compare(isSetLatencyLossSum(), other.isSetLatencyLossSum());
+        if (lastComparison != 0) {
+            return lastComparison;
+        }
+        if (isSetLatencyLossSum()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.latencyLossSum, other.latencyLossSum);
+            if (lastComparison != 0) {
+                return lastComparison;
+            }
+        }
+        lastComparison = java.lang.Boolean.compare(isSetLatencyLossSquareSum(), other.isSetLatencyLossSquareSum());
+        if (lastComparison != 0) {
+            return lastComparison;
+        }
+        if (isSetLatencyLossSquareSum()) {
+            lastComparison =
+                    org.apache.thrift.TBaseHelper.compareTo(this.latencyLossSquareSum, other.latencyLossSquareSum);
+            if (lastComparison != 0) {
+                return lastComparison;
+            }
+        }
         return 0;
     }
 
@@ -914,6 +1137,24 @@
         sb.append("ratingSquareSum:");
         sb.append(this.ratingSquareSum);
         first = false;
+        if (isSetTimed()) {
+            if (!first) sb.append(", ");
+            sb.append("timed:");
+            sb.append(this.timed);
+            first = false;
+        }
+        if (isSetLatencyLossSum()) {
+            if (!first) sb.append(", ");
+            sb.append("latencyLossSum:");
+            sb.append(this.latencyLossSum);
+            first = false;
+        }
+        if (isSetLatencyLossSquareSum()) {
+            if (!first) sb.append(", ");
+            sb.append("latencyLossSquareSum:");
+            sb.append(this.latencyLossSquareSum);
+            first = false;
+        }
         sb.append(")");
         return sb.toString();
     }
@@ -1054,6 +1295,30 @@
                             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                         }
                         break;
+                    case 10: // TIMED
+                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+                            struct.timed = iprot.readI64();
+                            struct.setTimedIsSet(true);
+                        } else {
+                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+                        }
+                        break;
+                    case 11: // LATENCY_LOSS_SUM
+                        if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
+                            struct.latencyLossSum = iprot.readDouble();
+                            struct.setLatencyLossSumIsSet(true);
+                        } else {
+                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+                        }
+                        break;
+                    case 12: // LATENCY_LOSS_SQUARE_SUM
+                        if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
+                            struct.latencyLossSquareSum = iprot.readDouble();
+                            struct.setLatencyLossSquareSumIsSet(true);
+                        } else {
+                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+                        }
+                        break;
                     default:
                         org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                 }
@@ -1128,6 +1393,21 @@
             oprot.writeFieldBegin(RATING_SQUARE_SUM_FIELD_DESC);
             oprot.writeDouble(struct.ratingSquareSum);
             oprot.writeFieldEnd();
+            if (struct.isSetTimed()) {
+                oprot.writeFieldBegin(TIMED_FIELD_DESC);
+                oprot.writeI64(struct.timed);
+                oprot.writeFieldEnd();
+            }
+            if (struct.isSetLatencyLossSum()) {
+                oprot.writeFieldBegin(LATENCY_LOSS_SUM_FIELD_DESC);
+                oprot.writeDouble(struct.latencyLossSum);
+                oprot.writeFieldEnd();
+            }
+            if (struct.isSetLatencyLossSquareSum()) {
+                oprot.writeFieldBegin(LATENCY_LOSS_SQUARE_SUM_FIELD_DESC);
+                oprot.writeDouble(struct.latencyLossSquareSum);
+                oprot.writeFieldEnd();
+            }
             oprot.writeFieldStop();
             oprot.writeStructEnd();
         }
@@ -1155,6 +1435,26 @@
             oprot.writeI64(struct.ratings);
             oprot.writeDouble(struct.ratingSum);
             oprot.writeDouble(struct.ratingSquareSum);
+            java.util.BitSet optionals = new java.util.BitSet();
+            if (struct.isSetTimed()) {
+                optionals.set(0);
+            }
+            if (struct.isSetLatencyLossSum()) {
+                optionals.set(1);
+            }
+            if (struct.isSetLatencyLossSquareSum()) {
+                optionals.set(2);
+            }
+            oprot.writeBitSet(optionals, 3);
+            if (struct.isSetTimed()) {
+                oprot.writeI64(struct.timed);
+            }
+            if (struct.isSetLatencyLossSum()) {
+                oprot.writeDouble(struct.latencyLossSum);
+            }
+            if (struct.isSetLatencyLossSquareSum()) {
+                oprot.writeDouble(struct.latencyLossSquareSum);
+            }
         }
 
         @Override
@@ -1179,6 +1479,19 @@
             struct.setRatingSumIsSet(true);
             struct.ratingSquareSum = iprot.readDouble();
             struct.setRatingSquareSumIsSet(true);
+            java.util.BitSet incoming = iprot.readBitSet(3);
+            if (incoming.get(0)) {
+                struct.timed = iprot.readI64();
+                struct.setTimedIsSet(true);
+            }
+            if (incoming.get(1)) {
+                struct.latencyLossSum = iprot.readDouble();
+                struct.setLatencyLossSumIsSet(true);
+            }
+            if (incoming.get(2)) {
+                struct.latencyLossSquareSum = iprot.readDouble();
+                struct.setLatencyLossSquareSumIsSet(true);
+            }
         }
     }
 
--- a/wire/src/main/thrift/peer.thrift
+++ b/wire/src/main/thrift/peer.thrift
@@ -45,7 +45,10 @@
   6: required i64 failures,
   7: required i64 ratings,
   8: required double ratingSum,
-  9: required double ratingSquareSum
+  9: required double ratingSquareSum,
+  10: optional i64 timed,
+  11: optional double latencyLossSum,
+  12: optional double latencyLossSquareSum
 }
 
 /** Periodic exchange between two routers. */
