Test that times of answers travel between routers and stop a slow version

Cause: the exchange of times was covered by the simulation of the policy only. Conclusion: no code changes.

--- a/router/src/test/java/org/baobabcart/router/rollout/RollOutControllerTest.java
+++ b/router/src/test/java/org/baobabcart/router/rollout/RollOutControllerTest.java
@@ -54,6 +54,20 @@
         assertThat(fleet.stored().orElseThrow().isWithdrawn(RollOutFleet.MODEL, RollOutFleet.NEW), is(true));
     }
 
+    @Test
+    void aSlowVersionIsStoppedByTheTimesThatAllRoutersTook() {
+        begin(WhenControllerLost.REST, "router-1", "router-2", "router-3");
+        fleet.nodes.values().forEach(node -> node.serveUnrated(RollOutFleet.OLD, 90, 0.1));
+        fleet.nodes.values().forEach(node -> node.serveUnrated(RollOutFleet.NEW, 10, 0.1));
+        fleet.seconds(2);
+        fleet.nodes.values().forEach(node -> node.serveUnrated(RollOutFleet.NEW, 20, 0.6));
+        fleet.timers.advance(Duration.ofSeconds(2));
+        fleet.nodes.values().forEach(node -> assertThat("by its own times", node.withdrawn(), is(false)));
+        fleet.seconds(2);
+        fleet.nodes.values().forEach(node -> assertThat(node.withdrawn(), is(true)));
+        assertThat(fleet.storedProgress().status(), equalTo(RollOutStatus.STOPPED));
+    }
+
     @Test
     void aStopIsWrittenByAnotherRouterIfTheControllerDoesNot() {
         begin(WhenControllerLost.REST, "router-1", "router-2");
--- a/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
+++ b/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
@@ -72,6 +72,13 @@
             }
         }
 
+        /** Whole answers that were not rated, all with the same loss by time. */
+        void serveUnrated(String version, int requests, double latencyLoss) {
+            for (int index = 0; index < requests; index++) {
+                controller.outcome(MODEL, version, VersionOutcome.answered(latencyLoss));
+            }
+        }
+
         /** Requests to the new version and, as in the first stage, nine times as many to the old one. */
         void serveWell(int requests) {
             serve(OLD, OLD_FOR_EACH_NEW * requests, true, 0.9);
