Let few routers read the list of VMs and the others take differences from peers

Every router read the whole list once a second: at 450 routers and 11,450 entries 450 readings a second and about 1.8 MB a second each. Two routers of each data centre, chosen by rendezvous hashing, now read it. What they say of an entry is a statement with a logical clock; the greatest statement of a name wins, so several readers need no common order, no leader and no platform write. Exchanges carry clock, digest and the age of the last reading; a difference is fetched above a clock that lies a little lower, then further, then whole. A router that no reading proves recent reads by itself, whatever the cause: readers dead, paused or cut off, or itself cut off.

A reader states what changes in its own list, and contradicts without a change only after ten seconds, so that a lagging list undoes nothing. An empty list is a failed reading; when more than a quarter goes missing at once it is taken away a quarter at a time, at the earliest after 30 s.

ViewPublisherTest.aVanishedUpstreamIsOutOfTheView used an empty list to let one engine vanish; an empty list now takes away nothing, which has a test of its own, and the engine vanishes from a list that still shows the router.

--- a/router/src/main/java/org/baobabcart/router/ControlPlane.java
+++ b/router/src/main/java/org/baobabcart/router/ControlPlane.java
@@ -1,6 +1,5 @@
 package org.baobabcart.router;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.baobabcart.model.rollout.RollOutState;
@@ -15,13 +14,14 @@
 import org.baobabcart.router.document.DocumentSettings;
 import org.baobabcart.router.key.SessionSecretDocument;
 import org.baobabcart.router.key.SessionSecrets;
+import org.baobabcart.router.machine.MachineListController;
+import org.baobabcart.router.machine.MachineListSettings;
 import org.baobabcart.router.member.Member;
 import org.baobabcart.router.member.MembershipController;
 import org.baobabcart.router.member.MembershipParts;
 import org.baobabcart.router.member.MembershipSettings;
 import org.baobabcart.router.platform.HttpVirtualMachineList;
 import org.baobabcart.router.platform.PlatformSettings;
-import org.baobabcart.router.platform.VirtualMachineController;
 import org.baobabcart.router.platform.VirtualMachineList;
 import org.baobabcart.router.rollout.RollOutControlSettings;
 import org.baobabcart.router.rollout.RollOutController;
@@ -48,9 +48,7 @@
         DocumentController<RollOutState> rollOuts,
         RollOutController rollOutControl,
         DocumentController<SessionSecrets> secrets,
-        VirtualMachineController machines) {
-    private static final Duration LIST_PERIOD = Duration.ofSeconds(1);
-
+        MachineListController machines) {
     static ControlPlane create(RouterCore core, Member self) {
         MembershipController members = members(core, self);
         DocumentParts parts = new DocumentParts(
@@ -72,7 +70,8 @@
         DocumentController<SessionSecrets> secrets =
                 document(core, SessionSecretDocument.kind(), parts, Sections.SESSION_SECRETS);
         DocumentRegistry documents = DocumentRegistry.create(core.loop());
-        List.of(sheets, rollOuts, secrets).forEach(documents::add);
+        MachineListController machines = machines(core, parts);
+        List.of(sheets, rollOuts, secrets, machines).forEach(documents::add);
         members.addParticipant(documents);
         members.addParticipant(rollOutControl);
         core.feedback().addListener(rollOutControl);
@@ -80,7 +79,7 @@
                 CrashController.create(core.blackboard(), core.timeline(), members::spread, self.nodeId());
         members.addParticipant(crashes);
         core.feedback().addListener(crashes);
-        return new ControlPlane(members, documents, sheets, rollOuts, rollOutControl, secrets, machines(core));
+        return new ControlPlane(members, documents, sheets, rollOuts, rollOutControl, secrets, machines);
     }
 
     /** The controllers in the order of their start. */
@@ -116,10 +115,9 @@
                 kind, parts, document -> core.blackboard().write(section, document));
     }
 
-    private static VirtualMachineController machines(RouterCore core) {
+    private static MachineListController machines(RouterCore core, DocumentParts parts) {
         VirtualMachineList list = HttpVirtualMachineList.create(
                 core.vertx(), core.settings().virtualMachines(), PlatformSettings.defaults());
-        return VirtualMachineController.create(
-                list, core.blackboard(), core.loop(), core.timers(), core.timeline(), LIST_PERIOD);
+        return MachineListController.create(list, parts, MachineListSettings.defaults());
     }
 }
--- a/router/src/main/java/org/baobabcart/router/RouterProcess.java
+++ b/router/src/main/java/org/baobabcart/router/RouterProcess.java
@@ -95,7 +95,7 @@
                 core.loop(),
                 core.timeline(),
                 core.metrics(),
-                () -> StatusReport.create(core.blackboard(), core.timers(), plane.sheets())
+                () -> StatusReport.create(core.blackboard(), core.timers(), plane.sheets(), plane.machines())
                         .write(addresses),
                 this::stop));
         return admin;
--- a/router/src/main/java/org/baobabcart/router/admin/StatusReport.java
+++ b/router/src/main/java/org/baobabcart/router/admin/StatusReport.java
@@ -10,6 +10,7 @@
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.document.DocumentController;
+import org.baobabcart.router.machine.MachineListController;
 import org.baobabcart.router.member.Member;
 import org.baobabcart.router.member.Members;
 
@@ -21,17 +22,26 @@
     private final Blackboard blackboard;
     private final TimerService timers;
     private final DocumentController<PublishedSheet> sheets;
+    private final MachineListController machines;
 
-    private StatusReport(Blackboard blackboard, TimerService timers, DocumentController<PublishedSheet> sheets) {
+    private StatusReport(
+            Blackboard blackboard,
+            TimerService timers,
+            DocumentController<PublishedSheet> sheets,
+            MachineListController machines) {
         this.blackboard = blackboard;
         this.timers = timers;
         this.sheets = sheets;
+        this.machines = machines;
     }
 
     /** A report on this control state. */
     public static StatusReport create(
-            Blackboard blackboard, TimerService timers, DocumentController<PublishedSheet> sheets) {
-        return new StatusReport(blackboard, timers, sheets);
+            Blackboard blackboard,
+            TimerService timers,
+            DocumentController<PublishedSheet> sheets,
+            MachineListController machines) {
+        return new StatusReport(blackboard, timers, sheets, machines);
     }
 
     /** The state as it is now. */
@@ -53,6 +63,11 @@
                         .put("generation", blackboard.read(Sections.ROLL_OUTS).generation()));
         report.put("platformReachable", blackboard.read(Sections.PLATFORM_REACHABLE));
         report.set("members", MAPPER.valueToTree(members.others()));
+        report.set(
+                "virtualMachineList",
+                MAPPER.createObjectNode()
+                        .put("reads", machines.reads())
+                        .put("ageMillis", machines.ageMillis().orElse(-1)));
         report.set(
                 "upstreams",
                 MAPPER.valueToTree(blackboard.read(Sections.VIRTUAL_MACHINES).stream()
--- a/router/src/main/java/org/baobabcart/router/document/DocumentContent.java
+++ b/router/src/main/java/org/baobabcart/router/document/DocumentContent.java
@@ -12,13 +12,14 @@
 import org.baobabcart.model.result.ResultCode;
 
 /** Documents as compressed JSON between peers. Thread-safe. */
-final class DocumentContent {
+public final class DocumentContent {
     private static final ObjectMapper MAPPER = JsonMapper.builder().build();
     private static final int LARGEST_BYTES = 4 * 1024 * 1024;
 
     private DocumentContent() {}
 
-    static byte[] compressed(JsonNode specification) {
+    /** Compresses a document. */
+    public static byte[] compressed(JsonNode specification) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (GZIPOutputStream compressing = new GZIPOutputStream(bytes)) {
             compressing.write(MAPPER.writeValueAsBytes(specification));
@@ -28,7 +29,8 @@
         return bytes.toByteArray();
     }
 
-    static JsonNode parsed(byte[] content) {
+    /** Reads a document; throws {@code BaobabcartException} where it is too large or no document. */
+    public static JsonNode parsed(byte[] content) {
         try (GZIPInputStream expanding = new GZIPInputStream(new ByteArrayInputStream(content))) {
             byte[] json = expanding.readNBytes(LARGEST_BYTES + 1);
             if (json.length > LARGEST_BYTES) {
--- a/router/src/main/java/org/baobabcart/router/document/DocumentController.java
+++ b/router/src/main/java/org/baobabcart/router/document/DocumentController.java
@@ -25,7 +25,7 @@
  *
  * @param <T> the immutable type of the document
  */
-public final class DocumentController<T> implements Controller {
+public final class DocumentController<T> implements Controller, SpreadDocument {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final DocumentKind<T> kind;
@@ -65,7 +65,7 @@
         return Uni.createFrom().voidItem();
     }
 
-    /** The document's name between peers. */
+    @Override
     public String name() {
         return kind.name();
     }
@@ -90,14 +90,14 @@
         found(object);
     }
 
-    /** The generation that peers are told. */
-    DocumentVersion version() {
+    @Override
+    public DocumentVersion version() {
         return new DocumentVersion(kind.name(), register.generation());
     }
 
-    /** Fetches from a peer that has a higher generation. */
-    void peerHas(long generation, String peerAddress) {
-        if (fetching || generation <= register.generation()) {
+    @Override
+    public void peerHas(DocumentVersion version, String peerAddress) {
+        if (fetching || version.getGeneration() <= register.generation()) {
             return;
         }
         fetching = true;
@@ -110,7 +110,8 @@
     }
 
     /** The document for a peer that has a lower generation; empty otherwise. */
-    DocumentReply reply(DocumentRequest request) {
+    @Override
+    public DocumentReply reply(DocumentRequest request) {
         boolean newer = register.generation() > request.getHaveGeneration();
         byte[] sent = newer ? content : new byte[0];
         return new DocumentReply(kind.name(), register.generation(), 0, java.nio.ByteBuffer.wrap(sent));
--- a/router/src/main/java/org/baobabcart/router/document/DocumentRegistry.java
+++ b/router/src/main/java/org/baobabcart/router/document/DocumentRegistry.java
@@ -18,7 +18,7 @@
  */
 public final class DocumentRegistry implements DocumentHandler, ExchangeParticipant {
     private final Executor loop;
-    private final Map<String, DocumentController<?>> controllers = new LinkedHashMap<>();
+    private final Map<String, SpreadDocument> documents = new LinkedHashMap<>();
 
     private DocumentRegistry(Executor loop) {
         this.loop = loop;
@@ -30,21 +30,21 @@
     }
 
     /** Adds a document; called before the start. */
-    public void add(DocumentController<?> controller) {
-        controllers.put(controller.name(), controller);
+    public void add(SpreadDocument document) {
+        documents.put(document.name(), document);
     }
 
     @Override
     public void contribute(Exchange outgoing) {
-        controllers.values().forEach(controller -> outgoing.addToDocuments(controller.version()));
+        documents.values().forEach(document -> outgoing.addToDocuments(document.version()));
     }
 
     @Override
     public void received(Exchange incoming, String peerAddress) {
         for (DocumentVersion version : incoming.getDocuments()) {
-            DocumentController<?> controller = controllers.get(version.getDocument());
-            if (controller != null) {
-                controller.peerHas(version.getGeneration(), peerAddress);
+            SpreadDocument document = documents.get(version.getDocument());
+            if (document != null) {
+                document.peerHas(version, peerAddress);
             }
         }
     }
@@ -55,10 +55,10 @@
     }
 
     private DocumentReply reply(DocumentRequest request) {
-        DocumentController<?> controller = controllers.get(request.getDocument());
-        if (controller == null) {
+        SpreadDocument document = documents.get(request.getDocument());
+        if (document == null) {
             return new DocumentReply(request.getDocument(), 0, 0, ByteBuffer.allocate(0));
         }
-        return controller.reply(request);
+        return document.reply(request);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/document/WatchKeeper.java
+++ b/router/src/main/java/org/baobabcart/router/document/WatchKeeper.java
@@ -3,17 +3,15 @@
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.subscription.Cancellable;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
-import org.baobabcart.policy.hash.RendezvousHash;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.control.TimerService;
-import org.baobabcart.router.member.Member;
+import org.baobabcart.router.member.DataCentreDuty;
 import org.baobabcart.router.member.Members;
 
 /**
@@ -68,7 +66,8 @@
         if (stopped) {
             return;
         }
-        boolean chosen = isChosen(members);
+        int count = parts.settings().watchersPerDataCentre();
+        boolean chosen = DataCentreDuty.isChosen("watch/" + kind, members, count);
         if (chosen && !onDuty) {
             onDuty = true;
             beginRound();
@@ -77,17 +76,6 @@
         }
     }
 
-    private boolean isChosen(Members members) {
-        String dataCentre = members.self().dataCentre();
-        List<String> candidates = members.eligible().stream()
-                .filter(member -> member.dataCentre().equals(dataCentre))
-                .map(Member::nodeId)
-                .toList();
-        int count = parts.settings().watchersPerDataCentre();
-        return RendezvousHash.top("watch/" + kind, candidates, count)
-                .contains(members.self().nodeId());
-    }
-
     private void endDuty() {
         onDuty = false;
         round++;
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/machine/StatementCodec.java
@@ -0,0 +1,58 @@
+package org.baobabcart.router.machine;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.machine.MachineStatement;
+import org.baobabcart.router.document.DocumentContent;
+
+/** Statements about VMs between peers, as compressed JSON. Thread-safe. */
+final class StatementCodec {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .build();
+    private static final String CLOCK = "clock";
+    private static final String NAME = "name";
+    private static final String MACHINE = "machine";
+
+    private StatementCodec() {}
+
+    static byte[] write(List<MachineStatement> statements) {
+        ArrayNode array = MAPPER.createArrayNode();
+        for (MachineStatement statement : statements) {
+            ObjectNode node = array.addObject().put(CLOCK, statement.clock()).put(NAME, statement.name());
+            statement.machine().ifPresent(machine -> node.set(MACHINE, MAPPER.valueToTree(machine)));
+        }
+        return DocumentContent.compressed(array);
+    }
+
+    /** Reads statements; throws {@code BaobabcartException} where a peer sent something else. */
+    static List<MachineStatement> read(byte[] content) {
+        List<MachineStatement> statements = new ArrayList<>();
+        for (JsonNode node : DocumentContent.parsed(content)) {
+            statements.add(statement(node));
+        }
+        return statements;
+    }
+
+    private static MachineStatement statement(JsonNode node) {
+        long clock = node.path(CLOCK).asLong();
+        if (!node.has(MACHINE)) {
+            return MachineStatement.absent(clock, node.path(NAME).asText());
+        }
+        try {
+            return MachineStatement.shown(clock, MAPPER.convertValue(node.path(MACHINE), VirtualMachine.class));
+        } catch (IllegalArgumentException exception) {
+            throw BaobabcartException.of(ResultCode.BAD_REQUEST, "a statement about a VM cannot be read")
+                    .withCause(exception);
+        }
+    }
+}
--- a/router/src/test/java/org/baobabcart/router/document/Fleet.java
+++ b/router/src/test/java/org/baobabcart/router/document/Fleet.java
@@ -9,6 +9,7 @@
 import org.baobabcart.model.sheet.Sheet;
 import org.baobabcart.router.sheet.PublishRequest;
 import org.baobabcart.router.sheet.SheetPublisher;
+import org.baobabcart.router.testing.FakeMachineList;
 import org.baobabcart.router.testing.InMemoryObjectStore;
 import org.baobabcart.router.testing.ManualExecutor;
 import org.baobabcart.router.testing.ManualTimerService;
@@ -23,6 +24,7 @@
     final ManualTimerService timers = ManualTimerService.create();
     final ManualExecutor loop = ManualExecutor.create();
     final PeerNetwork network = PeerNetwork.create();
+    final FakeMachineList list = FakeMachineList.create(timers);
     final SplittableRandom random;
     final List<FleetNode> nodes = new ArrayList<>();
     private final int dataCentres;
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/document/FleetMachinesTest.java
@@ -0,0 +1,189 @@
+package org.baobabcart.router.document;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.platform.VirtualMachine.Role;
+import org.baobabcart.model.platform.VirtualMachine.State;
+import org.junit.jupiter.api.Test;
+
+/** The list of VMs over real controllers of membership and list, in driven time. */
+class FleetMachinesTest {
+    private static final Duration LEAVING_BOUND = Duration.ofSeconds(5);
+    private static final Duration CONVERGENCE_BOUND = Duration.ofMinutes(3);
+    private static final Duration OLDEST = Duration.ofSeconds(30);
+    private static final Duration WARM_UP = Duration.ofSeconds(20);
+    private static final Duration MEASURED = Duration.ofSeconds(30);
+    private static final int NODES = 6;
+    private static final int ENGINES = 8;
+    private static final int TARGET_ROUTERS = 450;
+    private static final int TARGET_DATA_CENTRES = 10;
+    private static final long TARGET_READS_PER_SECOND = 40;
+    private static final int CHANGES_MEASURED = 3;
+    private static final long CONTROL_BYTES_PER_SECOND = 2_048;
+
+    @Test
+    void aLeavingUpstreamIsKnownWithinFiveSecondsWhenAllReadersOfADataCentreDieFirst() {
+        Fleet fleet = fleetWithEngines(12, 2, 11);
+        fleet.nodes.stream()
+                .filter(node -> node.dataCentre().equals("dc-0") && node.readsTheList())
+                .toList()
+                .forEach(FleetNode::stop);
+        assertThat(timeUntilLeavingIsKnown(fleet, 0).orElseThrow(), lessThanOrEqualTo(LEAVING_BOUND));
+    }
+
+    @Test
+    void aLeavingUpstreamIsKnownWithinFiveSecondsWhenEveryReaderDiesFirst() {
+        Fleet fleet = fleetWithEngines(12, 2, 12);
+        fleet.nodes.stream().filter(FleetNode::readsTheList).toList().forEach(FleetNode::stop);
+        assertThat(timeUntilLeavingIsKnown(fleet, 0).orElseThrow(), lessThanOrEqualTo(LEAVING_BOUND));
+    }
+
+    @Test
+    void aLeavingUpstreamIsKnownWithinFiveSecondsWhenEveryReaderLosesTheList() {
+        Fleet fleet = fleetWithEngines(12, 2, 13);
+        fleet.nodes.stream().filter(FleetNode::readsTheList).forEach(node -> node.list.setCut(true));
+        assertThat(timeUntilLeavingIsKnown(fleet, 0).orElseThrow(), lessThanOrEqualTo(LEAVING_BOUND));
+    }
+
+    @Test
+    void aRouterThatIsCutOffFromItsPeersReadsByItself() {
+        Fleet fleet = fleetWithEngines(12, 2, 14);
+        fleet.network.setCut((from, to) -> true);
+        assertThat(timeUntilLeavingIsKnown(fleet, 0).orElseThrow(), lessThanOrEqualTo(LEAVING_BOUND));
+        assertThat(fleet.nodes.stream().allMatch(FleetNode::readsTheList), is(true));
+        fleet.network.setCut((from, to) -> false);
+        fleet.advance(Duration.ofMinutes(1));
+        assertThat(fleet.nodes.stream().filter(FleetNode::readsTheList).count(), is(4L));
+    }
+
+    @Test
+    void aRouterThatStartsWhileTheListIsAwayTakesItFromAPeer() {
+        Fleet fleet = fleetWithEngines(4, 1, 15);
+        fleet.list.setOutage(true);
+        fleet.restart(3);
+        Optional<Duration> time =
+                fleet.timeUntil(() -> fleet.nodes.get(3).upstreams().size() == ENGINES, Duration.ofSeconds(2));
+        assertThat(time.isPresent(), is(true));
+    }
+
+    @Test
+    void aListThatSuddenlyLacksMostVmsTakesThemAwayOnlyBitByBit() {
+        Fleet fleet = fleetWithEngines(4, 2, 16);
+        List<VirtualMachine> before = fleet.list.machines();
+        fleet.list.replaceAll(before.subList(0, 1));
+        fleet.advance(Duration.ofSeconds(25));
+        assertThat(holdAll(fleet, before), is(true));
+        fleet.advance(Duration.ofSeconds(30));
+        assertThat(fleet.nodes.stream().allMatch(node -> node.upstreams().size() == ENGINES - 2), is(true));
+        fleet.list.replaceAll(before);
+        assertThat(fleet.timeUntil(() -> holdAll(fleet, before), LEAVING_BOUND).isPresent(), is(true));
+    }
+
+    @Test
+    void aFleetOfTheTargetSizeReadsSeldomAndStaysWithinItsBudgetOfBytes() {
+        Fleet fleet = fleetWithEngines(TARGET_ROUTERS, TARGET_DATA_CENTRES, 17);
+        fleet.advance(Duration.ofSeconds(70));
+        long reads = fleet.list.reads();
+        long bytes = fleet.network.bytes();
+        for (int change = 1; change <= CHANGES_MEASURED; change++) {
+            fleet.list.put(engine(change, State.LEAVING, "v0"));
+            fleet.advance(MEASURED.dividedBy(CHANGES_MEASURED));
+        }
+        assertThat((fleet.list.reads() - reads) / MEASURED.toSeconds(), lessThanOrEqualTo(TARGET_READS_PER_SECOND));
+        long bytesPerNodeAndSecond = 2 * (fleet.network.bytes() - bytes) / TARGET_ROUTERS / MEASURED.toSeconds();
+        assertThat(bytesPerNodeAndSecond, lessThanOrEqualTo(CONTROL_BYTES_PER_SECOND));
+        assertThat(timeUntilLeavingIsKnown(fleet, 0).orElseThrow(), lessThanOrEqualTo(LEAVING_BOUND));
+    }
+
+    /** Whoever reaches the list never holds what it showed long ago only, and all agree with it in the end. */
+    @Property(tries = 60, seed = "7811", shrinking = ShrinkingMode.OFF)
+    void noRouterThatReachesTheListHoldsAnOldOneAndAllAgreeAfterAnyHistory(
+            @ForAll @Size(max = 40) List<@IntRange(max = 1023) Integer> steps) {
+        Fleet fleet = fleetWithEngines(NODES, 2, 18);
+        for (int step : steps) {
+            step(fleet, step);
+            fleet.advance(Duration.ofMillis(400L * (step % 7)));
+            fleet.nodes.stream()
+                    .filter(node -> node.reachedTheListFor(OLDEST))
+                    .forEach(node -> assertHoldsNothingOld(fleet, node));
+        }
+        fleet.network.setCut((from, to) -> false);
+        fleet.list.setOutage(false);
+        fleet.nodes.forEach(node -> node.cutList(false));
+        leave(fleet, 0);
+        Optional<Duration> agreed = fleet.timeUntil(() -> holdAll(fleet, fleet.list.machines()), CONVERGENCE_BOUND);
+        assertThat("all agree", agreed.isPresent(), is(true));
+    }
+
+    private static void step(Fleet fleet, int step) {
+        int argument = step / 8;
+        FleetNode node = fleet.nodes.get(argument % NODES);
+        switch (step % 8) {
+            case 0 -> fleet.restart(argument % NODES);
+            case 1 -> fleet.network.setCut((from, to) -> (side(from, argument) != side(to, argument)));
+            case 2 -> node.cutList(true);
+            case 3 -> node.cutList(false);
+            case 4 -> fleet.network.setCut((from, to) -> false);
+            case 5 -> node.list.setLag(Duration.ofMillis(argument % 3 * 500));
+            case 6 -> fleet.list.put(engine(argument % ENGINES, State.LIVE, "v" + argument));
+            default -> leave(fleet, argument % ENGINES);
+        }
+    }
+
+    private static int side(String address, int sides) {
+        int index = Integer.parseInt(address.substring("host-".length(), address.indexOf(':')));
+        return sides >> index & 1;
+    }
+
+    private static void assertHoldsNothingOld(Fleet fleet, FleetNode node) {
+        for (int index = 0; index < ENGINES; index++) {
+            String name = engine(index, State.LIVE, "v0").name();
+            boolean shown = fleet.list.hasShown(name, node.upstream(name), OLDEST);
+            assertThat(name + " held as " + node.upstream(name), shown, is(true));
+        }
+    }
+
+    private static Fleet fleetWithEngines(int size, int dataCentres, long seed) {
+        Fleet fleet = new Fleet(size, dataCentres, seed);
+        for (int index = 0; index < ENGINES; index++) {
+            fleet.list.put(engine(index, State.LIVE, "v0"));
+        }
+        fleet.advance(WARM_UP);
+        return fleet;
+    }
+
+    private static Optional<Duration> timeUntilLeavingIsKnown(Fleet fleet, int index) {
+        leave(fleet, index);
+        String name = engine(index, State.LEAVING, "v0").name();
+        return fleet.timeUntil(
+                () -> fleet.nodes.stream()
+                        .filter(node -> !node.isStopped())
+                        .allMatch(node -> node.upstream(name)
+                                .filter(machine -> machine.state() == State.LEAVING)
+                                .isPresent()),
+                CONVERGENCE_BOUND);
+    }
+
+    private static boolean holdAll(Fleet fleet, List<VirtualMachine> machines) {
+        return fleet.nodes.stream().allMatch(node -> node.upstreams().equals(machines));
+    }
+
+    private static void leave(Fleet fleet, int index) {
+        fleet.list.put(engine(index, State.LEAVING, "v0"));
+    }
+
+    private static VirtualMachine engine(int index, State state, String version) {
+        return new VirtualMachine("engine-" + index, Role.ENGINE, "dc-0", state, "http://e:1", "layout", version, "");
+    }
+}
--- a/router/src/test/java/org/baobabcart/router/document/FleetNode.java
+++ b/router/src/test/java/org/baobabcart/router/document/FleetNode.java
@@ -1,16 +1,21 @@
 package org.baobabcart.router.document;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.sheet.PublishedSheet;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Sections;
+import org.baobabcart.router.machine.MachineListController;
+import org.baobabcart.router.machine.MachineListSettings;
 import org.baobabcart.router.member.Member;
 import org.baobabcart.router.member.MembershipController;
 import org.baobabcart.router.member.MembershipParts;
 import org.baobabcart.router.member.MembershipSettings;
 import org.baobabcart.router.sheet.SheetDocuments;
 import org.baobabcart.router.testing.CuttableStore;
+import org.baobabcart.router.testing.FakeMachineList;
 import org.baobabcart.router.timeline.RingTimeline;
 
 /** One node of a {@link Fleet}. */
@@ -18,18 +23,24 @@
     private static final int EVENTS = 64;
 
     final CuttableStore store;
+    final FakeMachineList.Way list;
     private final Fleet fleet;
     private final String address;
     private final Blackboard blackboard = Blackboard.create();
     private final MembershipController members;
     private final DocumentController<PublishedSheet> sheets;
+    private final MachineListController machines;
     private long highest;
     private boolean wentBack;
+    private boolean stopped;
+    private long listReachedSinceNanos;
 
     private FleetNode(Fleet fleet, int index, List<String> seeds) {
         this.fleet = fleet;
         this.address = address(index);
         this.store = CuttableStore.of(fleet.store);
+        this.list = fleet.list.way();
+        this.listReachedSinceNanos = fleet.timers.nanoTime();
         RingTimeline timeline = RingTimeline.create("node-" + index, fleet.timers, EVENTS);
         Member self = new Member(
                 "node-" + index,
@@ -60,16 +71,19 @@
                 fleet.random,
                 members::spread);
         sheets = DocumentController.create(SheetDocuments.sheet(), parts, this::apply);
+        machines = MachineListController.create(list, parts, MachineListSettings.defaults());
     }
 
     static FleetNode start(Fleet fleet, int index, List<String> seeds) {
         FleetNode node = new FleetNode(fleet, index, seeds);
         DocumentRegistry registry = DocumentRegistry.create(fleet.loop);
         registry.add(node.sheets);
+        registry.add(node.machines);
         node.members.addParticipant(registry);
         fleet.network.join(node.address, node.members, registry);
         node.members.start();
         node.sheets.start();
+        node.machines.start();
         return node;
     }
 
@@ -82,6 +96,8 @@
         fleet.network.remove(address);
         members.stop().await().indefinitely();
         sheets.stop().await().indefinitely();
+        machines.stop().await().indefinitely();
+        stopped = true;
     }
 
     void leave() {
@@ -111,6 +127,40 @@
         return blackboard.read(Sections.MEMBERS).other(nodeId).map(Member::state);
     }
 
+    boolean readsTheList() {
+        return machines.reads();
+    }
+
+    void cutList(boolean cut) {
+        list.setCut(cut);
+        listReachedSinceNanos = cut ? Long.MAX_VALUE : Math.min(listReachedSinceNanos, fleet.timers.nanoTime());
+    }
+
+    /** Whether the list was within this node's reach for at least so long. */
+    boolean reachedTheListFor(Duration time) {
+        return listReachedSinceNanos != Long.MAX_VALUE
+                && fleet.timers.nanoTime() - listReachedSinceNanos >= time.toNanos();
+    }
+
+    String dataCentre() {
+        return blackboard.read(Sections.MEMBERS).self().dataCentre();
+    }
+
+    boolean isStopped() {
+        return stopped;
+    }
+
+    /** The list of VMs as the node holds it. */
+    List<VirtualMachine> upstreams() {
+        return blackboard.read(Sections.VIRTUAL_MACHINES);
+    }
+
+    Optional<VirtualMachine> upstream(String name) {
+        return upstreams().stream()
+                .filter(machine -> machine.name().equals(name))
+                .findFirst();
+    }
+
     private void apply(PublishedSheet sheet) {
         wentBack |= sheet.generation() <= highest;
         highest = sheet.generation();
--- a/router/src/test/java/org/baobabcart/router/view/ViewPublisherTest.java
+++ b/router/src/test/java/org/baobabcart/router/view/ViewPublisherTest.java
@@ -8,6 +8,7 @@
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicReference;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.platform.VirtualMachine.Role;
@@ -16,7 +17,14 @@
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Sections;
-import org.baobabcart.router.platform.VirtualMachineController;
+import org.baobabcart.router.document.DocumentParts;
+import org.baobabcart.router.document.DocumentSettings;
+import org.baobabcart.router.machine.MachineListController;
+import org.baobabcart.router.machine.MachineListSettings;
+import org.baobabcart.router.member.Member;
+import org.baobabcart.router.member.Members;
+import org.baobabcart.router.testing.InMemoryObjectStore;
+import org.baobabcart.router.testing.LoopbackPeers;
 import org.baobabcart.router.testing.ManualTimerService;
 import org.baobabcart.router.timeline.RingTimeline;
 import org.baobabcart.router.timeline.TimelineQuery;
@@ -36,8 +44,9 @@
     void start() {
         show(machine("engine", Role.ENGINE, State.LIVE), machine("router", Role.ROUTER, State.LIVE));
         views.start();
-        VirtualMachineController.create(
-                        () -> Uni.createFrom().deferred(list::get), blackboard, Runnable::run, timers, timeline, PERIOD)
+        blackboard.write(Sections.MEMBERS, Members.alone(new Member("node", 1, Member.State.ALIVE, "a", "", "")));
+        MachineListController.create(
+                        () -> Uni.createFrom().deferred(list::get), parts(), MachineListSettings.defaults())
                 .start();
     }
 
@@ -55,7 +64,7 @@
 
     @Test
     void aVanishedUpstreamIsOutOfTheView() {
-        show();
+        show(machine("router", Role.ROUTER, State.LIVE));
         timers.advance(PERIOD);
         assertThat(upstreams(), is(empty()));
         assertThat(
@@ -64,6 +73,13 @@
                 is(true));
     }
 
+    @Test
+    void anEmptyListTakesAwayNothing() {
+        show();
+        timers.advance(Duration.ofMinutes(5));
+        assertThat(upstreams(), contains("engine"));
+    }
+
     @Test
     void theLastListStandsWhileItCannotBeRead() {
         list.set(Uni.createFrom().failure(BaobabcartException.of(ResultCode.PLATFORM_UNAVAILABLE)));
@@ -79,6 +95,19 @@
         assertThat(views.current().stopping(), is(true));
     }
 
+    private DocumentParts parts() {
+        return new DocumentParts(
+                DocumentSettings.defaults(),
+                blackboard,
+                Runnable::run,
+                timers,
+                InMemoryObjectStore.create(),
+                new LoopbackPeers(),
+                timeline,
+                new SplittableRandom(1),
+                () -> {});
+    }
+
     private void show(VirtualMachine... machines) {
         list.set(Uni.createFrom().item(List.of(machines)));
     }
--- a/wire/src/main/java/org/baobabcart/wire/DocumentRequest.java
+++ b/wire/src/main/java/org/baobabcart/wire/DocumentRequest.java
@@ -6,6 +6,9 @@
  */
 package org.baobabcart.wire;
 
+/**
+ * Asks for what is newer than a generation; zero asks for the whole.
+ */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class DocumentRequest
         implements org.apache.thrift.TBase<DocumentRequest, DocumentRequest._Fields>,
--- a/wire/src/main/java/org/baobabcart/wire/DocumentVersion.java
+++ b/wire/src/main/java/org/baobabcart/wire/DocumentVersion.java
@@ -22,6 +22,10 @@
             new org.apache.thrift.protocol.TField("document", org.apache.thrift.protocol.TType.STRING, (short) 1);
     private static final org.apache.thrift.protocol.TField GENERATION_FIELD_DESC =
             new org.apache.thrift.protocol.TField("generation", org.apache.thrift.protocol.TType.I64, (short) 2);
+    private static final org.apache.thrift.protocol.TField DIGEST_FIELD_DESC =
+            new org.apache.thrift.protocol.TField("digest", org.apache.thrift.protocol.TType.I64, (short) 3);
+    private static final org.apache.thrift.protocol.TField AGE_MILLIS_FIELD_DESC =
+            new org.apache.thrift.protocol.TField("ageMillis", org.apache.thrift.protocol.TType.I64, (short) 4);
 
     private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
             new DocumentVersionStandardSchemeFactory();
@@ -30,11 +34,21 @@
 
     private @org.apache.thrift.annotation.Nullable java.lang.String document; // required
     private long generation; // required
+    private long digest; // optional
+    private long ageMillis; // optional
 
     /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
     public enum _Fields implements org.apache.thrift.TFieldIdEnum {
         DOCUMENT((short) 1, "document"),
-        GENERATION((short) 2, "generation");
+        GENERATION((short) 2, "generation"),
+        /**
+         * Digest of the content, for documents that several nodes write without a common order.
+         */
+        DIGEST((short) 3, "digest"),
+        /**
+         * How long ago some node read the source of this content; absent where none is known to have.
+         */
+        AGE_MILLIS((short) 4, "ageMillis");
 
         private static final java.util.Map<java.lang.String, _Fields> byName =
                 new java.util.HashMap<java.lang.String, _Fields>();
@@ -55,6 +69,10 @@
                     return DOCUMENT;
                 case 2: // GENERATION
                     return GENERATION;
+                case 3: // DIGEST
+                    return DIGEST;
+                case 4: // AGE_MILLIS
+                    return AGE_MILLIS;
                 default:
                     return null;
             }
@@ -99,7 +117,10 @@
 
     // isset id assignments
     private static final int __GENERATION_ISSET_ID = 0;
+    private static final int __DIGEST_ISSET_ID = 1;
+    private static final int __AGEMILLIS_ISSET_ID = 2;
     private byte __isset_bitfield = 0;
+    private static final _Fields optionals[] = {_Fields.DIGEST, _Fields.AGE_MILLIS};
     public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
 
     static {
@@ -117,6 +138,18 @@
                         "generation",
                         org.apache.thrift.TFieldRequirementType.REQUIRED,
                         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        tmpMap.put(
+                _Fields.DIGEST,
+                new org.apache.thrift.meta_data.FieldMetaData(
+                        "digest",
+                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
+                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        tmpMap.put(
+                _Fields.AGE_MILLIS,
+                new org.apache.thrift.meta_data.FieldMetaData(
+                        "ageMillis",
+                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
+                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
         metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
         org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DocumentVersion.class, metaDataMap);
     }
@@ -139,6 +172,8 @@
             this.document = other.document;
         }
         this.generation = other.generation;
+        this.digest = other.digest;
+        this.ageMillis = other.ageMillis;
     }
 
     @Override
@@ -151,6 +186,10 @@
         this.document = null;
         setGenerationIsSet(false);
         this.generation = 0;
+        setDigestIsSet(false);
+        this.digest = 0;
+        setAgeMillisIsSet(false);
+        this.ageMillis = 0;
     }
 
     @org.apache.thrift.annotation.Nullable
@@ -201,6 +240,64 @@
         __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __GENERATION_ISSET_ID, value);
     }
 
+    /**
+     * Digest of the content, for documents that several nodes write without a common order.
+     */
+    public long getDigest() {
+        return this.digest;
+    }
+
+    /**
+     * Digest of the content, for documents that several nodes write without a common order.
+     */
+    public DocumentVersion setDigest(long digest) {
+        this.digest = digest;
+        setDigestIsSet(true);
+        return this;
+    }
+
+    public void unsetDigest() {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __DIGEST_ISSET_ID);
+    }
+
+    /** Returns true if field digest is set (has been assigned a value) and false otherwise */
+    public boolean isSetDigest() {
+        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __DIGEST_ISSET_ID);
+    }
+
+    public void setDigestIsSet(boolean value) {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __DIGEST_ISSET_ID, value);
+    }
+
+    /**
+     * How long ago some node read the source of this content; absent where none is known to have.
+     */
+    public long getAgeMillis() {
+        return this.ageMillis;
+    }
+
+    /**
+     * How long ago some node read the source of this content; absent where none is known to have.
+     */
+    public DocumentVersion setAgeMillis(long ageMillis) {
+        this.ageMillis = ageMillis;
+        setAgeMillisIsSet(true);
+        return this;
+    }
+
+    public void unsetAgeMillis() {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+    }
+
+    /** Returns true if field ageMillis is set (has been assigned a value) and false otherwise */
+    public boolean isSetAgeMillis() {
+        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+    }
+
+    public void setAgeMillisIsSet(boolean value) {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGEMILLIS_ISSET_ID, value);
+    }
+
     @Override
     public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
         switch (field) {
@@ -219,6 +316,22 @@
                     setGeneration((java.lang.Long) value);
                 }
                 break;
+
+            case DIGEST:
+                if (value == null) {
+                    unsetDigest();
+                } else {
+                    setDigest((java.lang.Long) value);
+                }
+                break;
+
+            case AGE_MILLIS:
+                if (value == null) {
+                    unsetAgeMillis();
+                } else {
+                    setAgeMillis((java.lang.Long) value);
+                }
+                break;
         }
     }
 
@@ -231,6 +344,12 @@
 
             case GENERATION:
                 return getGeneration();
+
+            case DIGEST:
+                return getDigest();
+
+            case AGE_MILLIS:
+                return getAgeMillis();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -247,6 +366,10 @@
                 return isSetDocument();
             case GENERATION:
                 return isSetGeneration();
+            case DIGEST:
+                return isSetDigest();
+            case AGE_MILLIS:
+                return isSetAgeMillis();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -275,6 +398,20 @@
             if (this.generation != that.generation) return false;
         }
 
+        boolean this_present_digest = true && this.isSetDigest();
+        boolean that_present_digest = true && that.isSetDigest();
+        if (this_present_digest || that_present_digest) {
+            if (!(this_present_digest && that_present_digest)) return false;
+            if (this.digest != that.digest) return false;
+        }
+
+        boolean this_present_ageMillis = true && this.isSetAgeMillis();
+        boolean that_present_ageMillis = true && that.isSetAgeMillis();
+        if (this_present_ageMillis || that_present_ageMillis) {
+            if (!(this_present_ageMillis && that_present_ageMillis)) return false;
+            if (this.ageMillis != that.ageMillis) return false;
+        }
+
         return true;
     }
 
@@ -287,6 +424,12 @@
 
         hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(generation);
 
+        hashCode = hashCode * 8191 + ((isSetDigest()) ? 131071 : 524287);
+        if (isSetDigest()) hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(digest);
+
+        hashCode = hashCode * 8191 + ((isSetAgeMillis()) ? 131071 : 524287);
+        if (isSetAgeMillis()) hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ageMillis);
+
         return hashCode;
     }
 
@@ -318,6 +461,26 @@
                 return lastComparison;
             }
         }
+        lastComparison = java.lang.Boolean.compare(isSetDigest(), other.isSetDigest());
+        if (lastComparison != 0) {
+            return lastComparison;
+        }
+        if (isSetDigest()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.digest, other.digest);
+            if (lastComparison != 0) {
+                return lastComparison;
+            }
+        }
+        lastComparison = java.lang.Boolean.compare(isSetAgeMillis(), other.isSetAgeMillis());
+        if (lastComparison != 0) {
+            return lastComparison;
+        }
+        if (isSetAgeMillis()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ageMillis, other.ageMillis);
+            if (lastComparison != 0) {
+                return lastComparison;
+            }
+        }
         return 0;
     }
 
@@ -353,6 +516,18 @@
         sb.append("generation:");
         sb.append(this.generation);
         first = false;
+        if (isSetDigest()) {
+            if (!first) sb.append(", ");
+            sb.append("digest:");
+            sb.append(this.digest);
+            first = false;
+        }
+        if (isSetAgeMillis()) {
+            if (!first) sb.append(", ");
+            sb.append("ageMillis:");
+            sb.append(this.ageMillis);
+            first = false;
+        }
         sb.append(")");
         return sb.toString();
     }
@@ -425,6 +600,22 @@
                             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                         }
                         break;
+                    case 3: // DIGEST
+                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+                            struct.digest = iprot.readI64();
+                            struct.setDigestIsSet(true);
+                        } else {
+                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+                        }
+                        break;
+                    case 4: // AGE_MILLIS
+                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+                            struct.ageMillis = iprot.readI64();
+                            struct.setAgeMillisIsSet(true);
+                        } else {
+                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+                        }
+                        break;
                     default:
                         org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                 }
@@ -454,6 +645,16 @@
             oprot.writeFieldBegin(GENERATION_FIELD_DESC);
             oprot.writeI64(struct.generation);
             oprot.writeFieldEnd();
+            if (struct.isSetDigest()) {
+                oprot.writeFieldBegin(DIGEST_FIELD_DESC);
+                oprot.writeI64(struct.digest);
+                oprot.writeFieldEnd();
+            }
+            if (struct.isSetAgeMillis()) {
+                oprot.writeFieldBegin(AGE_MILLIS_FIELD_DESC);
+                oprot.writeI64(struct.ageMillis);
+                oprot.writeFieldEnd();
+            }
             oprot.writeFieldStop();
             oprot.writeStructEnd();
         }
@@ -474,6 +675,20 @@
             org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
             oprot.writeString(struct.document);
             oprot.writeI64(struct.generation);
+            java.util.BitSet optionals = new java.util.BitSet();
+            if (struct.isSetDigest()) {
+                optionals.set(0);
+            }
+            if (struct.isSetAgeMillis()) {
+                optionals.set(1);
+            }
+            oprot.writeBitSet(optionals, 2);
+            if (struct.isSetDigest()) {
+                oprot.writeI64(struct.digest);
+            }
+            if (struct.isSetAgeMillis()) {
+                oprot.writeI64(struct.ageMillis);
+            }
         }
 
         @Override
@@ -484,6 +699,15 @@
             struct.setDocumentIsSet(true);
             struct.generation = iprot.readI64();
             struct.setGenerationIsSet(true);
+            java.util.BitSet incoming = iprot.readBitSet(2);
+            if (incoming.get(0)) {
+                struct.digest = iprot.readI64();
+                struct.setDigestIsSet(true);
+            }
+            if (incoming.get(1)) {
+                struct.ageMillis = iprot.readI64();
+                struct.setAgeMillisIsSet(true);
+            }
         }
     }
 
--- a/wire/src/main/thrift/peer.thrift
+++ b/wire/src/main/thrift/peer.thrift
@@ -25,7 +25,11 @@
 /** The generation of a replicated document that a node holds. */
 struct DocumentVersion {
   1: required string document,
-  2: required i64 generation
+  2: required i64 generation,
+  /** Digest of the content, for documents that several nodes write without a common order. */
+  3: optional i64 digest,
+  /** How long ago some node read the source of this content; absent where none is known to have. */
+  4: optional i64 ageMillis
 }
 
 /** Upstream crashes blamed on one request fingerprint, counted by the node that saw them. */
@@ -71,6 +75,7 @@
   1: required bool reached
 }
 
+/** Asks for what is newer than a generation; zero asks for the whole. */
 struct DocumentRequest {
   1: required string document,
   2: required i64 haveGeneration
