--- a/router/src/test/java/org/baobabcart/router/document/FleetMachinesTest.java
+++ b/router/src/test/java/org/baobabcart/router/document/FleetMachinesTest.java
@@ -35,24 +35,21 @@
     @Test
     void aLeavingUpstreamIsKnownWithinFiveSecondsWhenAllReadersOfADataCentreDieFirst() {
         Fleet fleet = fleetWithEngines(12, 2, 11);
-        fleet.nodes.stream()
-                .filter(node -> node.dataCentre().equals("dc-0") && node.readsTheList())
-                .toList()
-                .forEach(FleetNode::stop);
+        readers(fleet).stream().filter(node -> node.dataCentre().equals("dc-0")).forEach(FleetNode::stop);
         assertThat(timeUntilLeavingIsKnown(fleet, 0).orElseThrow(), lessThanOrEqualTo(LEAVING_BOUND));
     }
 
     @Test
     void aLeavingUpstreamIsKnownWithinFiveSecondsWhenEveryReaderDiesFirst() {
         Fleet fleet = fleetWithEngines(12, 2, 12);
-        fleet.nodes.stream().filter(FleetNode::readsTheList).toList().forEach(FleetNode::stop);
+        readers(fleet).forEach(FleetNode::stop);
         assertThat(timeUntilLeavingIsKnown(fleet, 0).orElseThrow(), lessThanOrEqualTo(LEAVING_BOUND));
     }
 
     @Test
     void aLeavingUpstreamIsKnownWithinFiveSecondsWhenEveryReaderLosesTheList() {
         Fleet fleet = fleetWithEngines(12, 2, 13);
-        fleet.nodes.stream().filter(FleetNode::readsTheList).forEach(node -> node.list.setCut(true));
+        readers(fleet).forEach(node -> node.list.setCut(true));
         assertThat(timeUntilLeavingIsKnown(fleet, 0).orElseThrow(), lessThanOrEqualTo(LEAVING_BOUND));
     }
 
@@ -90,6 +87,51 @@
         assertThat(fleet.timeUntil(() -> holdAll(fleet, before), LEAVING_BOUND).isPresent(), is(true));
     }
 
+    @Test
+    void aReaderWhoseListLagsDoesNotUndoTheNewsOfAnother() {
+        Fleet fleet = fleetWithEngines(4, 1, 19);
+        readers(fleet).get(0).list.setLag(Duration.ofSeconds(3));
+        fleet.advance(Duration.ofSeconds(5));
+        timeUntilLeavingIsKnown(fleet, 0).orElseThrow();
+        boolean undone = fleet.timeUntil(
+                        () -> fleet.nodes.stream().anyMatch(node -> isLive(node, 0)), Duration.ofSeconds(20))
+                .isPresent();
+        assertThat(undone, is(false));
+    }
+
+    @Test
+    void theLastWordOfAReaderThatLaggedAndDiedIsContradicted() {
+        Fleet fleet = fleetWithEngines(2, 1, 20);
+        FleetNode lagging = readers(fleet).get(0);
+        FleetNode other = readers(fleet).get(1);
+        lagging.list.setLag(Duration.ofSeconds(4));
+        fleet.advance(Duration.ofSeconds(5));
+        timeUntilLeavingIsKnown(fleet, 0).orElseThrow();
+        fleet.list.put(engine(0, State.LIVE, "v0"));
+        fleet.timeUntil(() -> isLive(other, 0), LEAVING_BOUND).orElseThrow();
+        fleet.timeUntil(() -> !isLive(other, 0), LEAVING_BOUND).orElseThrow();
+        lagging.stop();
+        assertThat(fleet.timeUntil(() -> isLive(other, 0), OLDEST).isPresent(), is(true));
+    }
+
+    @Test
+    void aDifferenceThatLiesFarBackIsFetched() {
+        Fleet fleet = fleetWithEngines(2, 1, 21);
+        FleetNode wrong = fleet.nodes.get(1);
+        fleet.network.setCut((from, to) -> true);
+        wrong.list.pretend(engine(0, State.LIVE, "v0"));
+        leave(fleet, 0);
+        for (int change = 0; change < 2 * ENGINES; change++) {
+            fleet.advance(LEAVING_BOUND);
+            fleet.list.put(engine(1, State.LIVE, "v" + change));
+        }
+        fleet.advance(LEAVING_BOUND);
+        assertThat(isLive(wrong, 0), is(true));
+        wrong.list.setCut(true);
+        fleet.network.setCut((from, to) -> false);
+        assertThat(fleet.timeUntil(() -> !isLive(wrong, 0), OLDEST).isPresent(), is(true));
+    }
+
     @Test
     void aFleetOfTheTargetSizeReadsSeldomAndStaysWithinItsBudgetOfBytes() {
         Fleet fleet = fleetWithEngines(TARGET_ROUTERS, TARGET_DATA_CENTRES, 17);
@@ -175,6 +217,16 @@
                 CONVERGENCE_BOUND);
     }
 
+    private static List<FleetNode> readers(Fleet fleet) {
+        return fleet.nodes.stream().filter(FleetNode::readsTheList).toList();
+    }
+
+    private static boolean isLive(FleetNode node, int index) {
+        return node.upstream(engine(index, State.LIVE, "v0").name())
+                .filter(machine -> machine.state() == State.LIVE)
+                .isPresent();
+    }
+
     private static boolean holdAll(Fleet fleet, List<VirtualMachine> machines) {
         return fleet.nodes.stream().allMatch(node -> node.upstreams().equals(machines));
     }
--- a/router/src/test/java/org/baobabcart/router/testing/FakeMachineList.java
+++ b/router/src/test/java/org/baobabcart/router/testing/FakeMachineList.java
@@ -75,6 +75,7 @@
     public final class Way implements VirtualMachineList {
         private Duration lag = Duration.ZERO;
         private boolean cut;
+        private Optional<VirtualMachine> pretended = Optional.empty();
 
         public void setLag(Duration newLag) {
             lag = newLag;
@@ -84,6 +85,11 @@
             cut = nowCut;
         }
 
+        /** Shows this entry from now on, whatever the list has. */
+        public void pretend(VirtualMachine machine) {
+            pretended = Optional.of(machine);
+        }
+
         @Override
         public Uni<List<VirtualMachine>> read() {
             return Uni.createFrom().deferred(() -> {
@@ -92,8 +98,10 @@
                     return Uni.createFrom().failure(BaobabcartException.of(ResultCode.PLATFORM_UNAVAILABLE));
                 }
                 long shownAt = timers.nanoTime() - lag.toNanos();
-                return Uni.createFrom()
-                        .item(List.copyOf(history.floorEntry(shownAt).getValue().values()));
+                Map<String, VirtualMachine> shown =
+                        new TreeMap<>(history.floorEntry(shownAt).getValue());
+                pretended.ifPresent(machine -> shown.put(machine.name(), machine));
+                return Uni.createFrom().item(List.copyOf(shown.values()));
             });
         }
     }
