Part what a router knows of the members from how it asks for it

Change: KnownMembers keeps what is known; the controller keeps the schedule and the calls. No behaviour changes.

--- a/router/src/main/java/org/baobabcart/router/member/MembershipController.java
+++ b/router/src/main/java/org/baobabcart/router/member/MembershipController.java
@@ -1,29 +1,23 @@
 package org.baobabcart.router.member;
 
-import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Collections;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
-import org.baobabcart.policy.member.GossipQueue;
-import org.baobabcart.policy.member.Liveness;
 import org.baobabcart.policy.member.MemberStatement;
-import org.baobabcart.policy.member.MembershipTable;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Controller;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.peer.MemberHandler;
 import org.baobabcart.router.peer.PeerClient;
-import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.RingTimeline;
 import org.baobabcart.wire.Exchange;
-import org.baobabcart.wire.MemberUpdate;
 import org.baobabcart.wire.ProbeReply;
 import org.baobabcart.wire.ProbeRequest;
 
@@ -35,30 +29,19 @@
  * the control thread; the methods of {@link MemberHandler} may be called on any thread.
  */
 public final class MembershipController implements Controller, MemberHandler {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
-    /** A message carries more news when more than this many messages' worth is waiting, as after a power cut. */
-    private static final int BURST_SHARE = 4;
-
-    private static final int UPDATES_BESIDES_NEWS = 2;
 
     private final MembershipSettings settings;
     private final Blackboard blackboard;
+    private final KnownMembers members;
     private final Executor loop;
     private final TimerService timers;
     private final PeerClient peers;
     private final RingTimeline timeline;
     private final RandomGenerator random;
     private final SeedList seeds;
-    private final GossipQueue news = GossipQueue.create();
     private final ProbeOrder probeOrder;
-    private final Map<String, Long> changedAtNanos = new HashMap<>();
     private final List<ExchangeParticipant> participants = new ArrayList<>();
     private final List<TimerService.Subscription> subscriptions = new ArrayList<>();
-    private MembershipTable table = MembershipTable.empty();
-    private MemberStatement self;
-    private MembershipTable publishedTable;
-    private MemberStatement publishedSelf;
     private long periods;
     private long lastDifferencePeriod;
     private boolean spreading;
@@ -71,7 +54,7 @@
         this.peers = parts.peers();
         this.timeline = parts.timeline();
         this.random = parts.random();
-        this.self = MemberCodec.fromMember(self);
+        this.members = KnownMembers.create(parts, MemberCodec.fromMember(self));
         this.seeds = SeedList.create(fixedSeeds);
         this.probeOrder = ProbeOrder.create(random);
     }
@@ -88,11 +71,11 @@
 
     @Override
     public void start() {
-        publish();
+        members.publish();
         seeds.update(blackboard.read(Sections.VIRTUAL_MACHINES));
         blackboard.subscribe(Sections.VIRTUAL_MACHINES, seeds::update);
         subscriptions.add(timers.every("member-probe", settings.probePeriod(), this::runPeriod));
-        seeds.allExcept(self.peerAddress()).forEach(this::join);
+        seeds.allExcept(members.self().peerAddress()).forEach(this::join);
     }
 
     @Override
@@ -103,9 +86,7 @@
 
     /** Tells others that this node has begun a planned stop. */
     public void leave() {
-        self = self.withLiveness(Liveness.LEAVING);
-        news.add(self);
-        publish();
+        members.leave();
         spread();
     }
 
@@ -139,10 +120,10 @@
 
     private void runPeriod() {
         periods++;
-        expireSuspects();
-        forgetDead();
-        probeOrder.next(reachable()).ifPresent(this::probeDirectly);
-        boolean alone = reachable().isEmpty();
+        members.expireSuspects();
+        members.forgetDead();
+        probeOrder.next(members.reachable()).ifPresent(this::probeDirectly);
+        boolean alone = members.reachable().isEmpty();
         if (alone || periods % settings.seedPeriods() == 0) {
             trySeed();
         }
@@ -150,8 +131,8 @@
 
     private void trySeed() {
         List<String> known =
-                reachable().stream().map(MemberStatement::peerAddress).toList();
-        List<String> unknown = seeds.allExcept(self.peerAddress()).stream()
+                members.reachable().stream().map(MemberStatement::peerAddress).toList();
+        List<String> unknown = seeds.allExcept(members.self().peerAddress()).stream()
                 .filter(address -> !known.contains(address))
                 .toList();
         if (!unknown.isEmpty()) {
@@ -160,24 +141,24 @@
     }
 
     private void join(String address) {
-        Optional<String> nodeId = table.statements().stream()
-                .filter(statement -> statement.peerAddress().equals(address))
-                .map(MemberStatement::nodeId)
-                .findFirst();
-        send(address, nodeId).subscribe().with(ignored -> {}, ignored -> {});
+        send(address, members.nodeAt(address)).subscribe().with(ignored -> {}, ignored -> {});
     }
 
     private void spreadNow() {
         spreading = false;
-        List<MemberStatement> targets = new ArrayList<>(reachable());
-        java.util.Collections.shuffle(targets, new java.util.Random(random.nextLong()));
-        targets.stream()
+        shuffled(members.reachable()).stream()
                 .limit(settings.fanOut())
                 .forEach(target -> send(target.peerAddress(), Optional.of(target.nodeId()))
                         .subscribe()
                         .with(ignored -> {}, ignored -> {}));
     }
 
+    private List<MemberStatement> shuffled(List<MemberStatement> statements) {
+        List<MemberStatement> shuffled = new ArrayList<>(statements);
+        Collections.shuffle(shuffled, new Random(random.nextLong()));
+        return shuffled;
+    }
+
     private void probeDirectly(MemberStatement target) {
         send(target.peerAddress(), Optional.of(target.nodeId()))
                 .subscribe()
@@ -192,15 +173,13 @@
     }
 
     private void probeIndirectly(MemberStatement target) {
-        List<MemberStatement> helpers = new ArrayList<>(reachable());
-        helpers.removeIf(helper -> helper.nodeId().equals(target.nodeId()));
-        java.util.Collections.shuffle(helpers, new java.util.Random(random.nextLong()));
-        List<Uni<ProbeReply>> probes = helpers.stream()
+        List<Uni<ProbeReply>> probes = shuffled(members.reachable()).stream()
+                .filter(helper -> !helper.nodeId().equals(target.nodeId()))
                 .limit(settings.indirectProbes())
                 .map(helper -> askToProbe(helper, target))
                 .toList();
         if (probes.isEmpty()) {
-            missed(target);
+            members.missed(target);
             return;
         }
         Uni.join()
@@ -208,7 +187,7 @@
                 .andCollectFailures()
                 .emitOn(loop)
                 .subscribe()
-                .with(replies -> decide(target, replies), ignored -> missed(target));
+                .with(replies -> decide(target, replies), ignored -> members.missed(target));
     }
 
     private Uni<ProbeReply> askToProbe(MemberStatement helper, MemberStatement target) {
@@ -222,54 +201,13 @@
 
     private void decide(MemberStatement target, List<ProbeReply> replies) {
         if (replies.stream().noneMatch(ProbeReply::isReached)) {
-            missed(target);
-        }
-    }
-
-    private void missed(MemberStatement target) {
-        table.of(target.nodeId())
-                .filter(current -> current.incarnation() == target.incarnation())
-                .ifPresent(current -> learn(current.withLiveness(afterMiss(current.liveness()))));
-        publish();
-    }
-
-    private static Liveness afterMiss(Liveness liveness) {
-        return switch (liveness) {
-            case ALIVE, SUSPECT -> Liveness.SUSPECT;
-            case LEAVING, DEAD -> Liveness.DEAD;
-        };
-    }
-
-    private void expireSuspects() {
-        long timeout = settings.suspicion(table.statements().size() + 1).toNanos();
-        for (MemberStatement statement : List.copyOf(table.statements())) {
-            if (statement.liveness() == Liveness.SUSPECT && unchangedFor(statement, timeout)) {
-                learn(statement.withLiveness(Liveness.DEAD));
-            }
+            members.missed(target);
         }
-        publish();
-    }
-
-    private void forgetDead() {
-        long retention = settings.deadRetention().toNanos();
-        for (MemberStatement statement : List.copyOf(table.statements())) {
-            if (statement.liveness() == Liveness.DEAD && unchangedFor(statement, retention)) {
-                table = table.without(statement.nodeId());
-                changedAtNanos.remove(statement.nodeId());
-            }
-        }
-        publish();
-    }
-
-    private boolean unchangedFor(MemberStatement statement, long nanos) {
-        return timers.nanoTime() - changedAtNanos.getOrDefault(statement.nodeId(), 0L) >= nanos;
     }
 
     private Exchange answer(Exchange request) {
         MemberStatement sender = MemberCodec.fromWire(request.getSender());
-        boolean joining = table.of(sender.nodeId())
-                .filter(known -> known.liveness() != Liveness.DEAD)
-                .isEmpty();
+        boolean joining = !members.isReachable(sender.nodeId());
         take(request, sender.peerAddress());
         boolean wholeList = joining || mayDiffer(request);
         int limit = wholeList ? settings.updatesForJoiner() : settings.updatesPerMessage();
@@ -278,120 +216,33 @@
 
     /** Whether both sides have no news and yet know different members; told at most once in a number of periods. */
     private boolean mayDiffer(Exchange request) {
-        boolean quiet = request.isSetMembersDigest() && news.size() == 0;
+        boolean quiet = request.isSetMembersDigest() && !members.hasNews();
         boolean due = periods - lastDifferencePeriod >= settings.differencePeriods();
-        if (!quiet || !due || request.getMembersDigest() == digest()) {
+        if (!quiet || !due || request.getMembersDigest() == members.digest()) {
             return false;
         }
         lastDifferencePeriod = periods;
         return true;
     }
 
-    private long digest() {
-        return table.digest() + self.digest();
-    }
-
     private void take(Exchange incoming, String peerAddress) {
         timeline.receive(incoming.getClock());
-        learn(MemberCodec.fromWire(incoming.getSender()));
-        boolean wholeList = incoming.getUpdatesSize() > settings.updatesInBurst() + UPDATES_BESIDES_NEWS;
-        for (MemberUpdate update : incoming.getUpdates()) {
-            MemberStatement statement = MemberCodec.fromWire(update);
-            boolean changed = merge(statement);
-            if (changed && !wholeList) {
-                news.add(statement);
-            }
-        }
-        publish();
+        members.take(incoming);
         participants.forEach(participant -> participant.received(incoming, peerAddress));
     }
 
-    private void learn(MemberStatement statement) {
-        if (merge(statement)) {
-            news.add(statement);
-        }
-    }
-
-    /** Takes a statement in; the result is whether it told anything new of another member. */
-    private boolean merge(MemberStatement statement) {
-        if (statement.nodeId().equals(self.nodeId())) {
-            refute(statement);
-            return false;
-        }
-        MembershipTable merged = table.with(statement);
-        if (merged == table) {
-            return false;
-        }
-        table = merged;
-        changedAtNanos.put(statement.nodeId(), timers.nanoTime());
-        timeline.record(EventType.MEMBER_CHANGED, describe(statement));
-        LOGGER.atInfo().log("event=member_changed %s", describe(statement));
-        return true;
-    }
-
-    private void refute(MemberStatement statement) {
-        if (self.mustRefute(statement)) {
-            self = self.refuting(statement);
-            news.add(self);
-        }
-    }
-
     private Exchange outgoing(Optional<String> target, int limit) {
         Exchange exchange = new Exchange(
-                MemberCodec.toWire(self),
-                updates(target, limit),
+                MemberCodec.toWire(members.self()),
+                members.updates(target, limit),
                 new ArrayList<>(),
                 new ArrayList<>(),
                 new ArrayList<>(),
                 timeline.send());
-        if (news.size() == 0) {
-            exchange.setMembersDigest(digest());
+        if (!members.hasNews()) {
+            exchange.setMembersDigest(members.digest());
         }
         participants.forEach(participant -> participant.contribute(exchange));
         return exchange;
     }
-
-    private List<MemberUpdate> updates(Optional<String> target, int limit) {
-        List<MemberStatement> statements =
-                new ArrayList<>(news.take(limit, table.statements().size() + 1));
-        target.flatMap(table::of)
-                .filter(statement -> statement.liveness() != Liveness.ALIVE)
-                .ifPresent(statements::add);
-        if (limit >= settings.updatesForJoiner()) {
-            table.statements().stream().limit(limit).forEach(statements::add);
-        } else {
-            anyStatement().ifPresent(statements::add);
-        }
-        return statements.stream().distinct().map(MemberCodec::toWire).toList();
-    }
-
-    /** One member at random, so that news that was missed still gets everywhere in time. */
-    private Optional<MemberStatement> anyStatement() {
-        List<MemberStatement> all = List.copyOf(table.statements());
-        return all.isEmpty() ? Optional.empty() : Optional.of(all.get(random.nextInt(all.size())));
-    }
-
-    private List<MemberStatement> reachable() {
-        return table.statements().stream()
-                .filter(statement -> statement.liveness() != Liveness.DEAD)
-                .filter(statement -> !statement.peerAddress().isEmpty())
-                .toList();
-    }
-
-    /** Tables are immutable, so that an unchanged one is the same instance. */
-    private void publish() {
-        if (table == publishedTable && self.equals(publishedSelf)) {
-            return;
-        }
-        publishedTable = table;
-        publishedSelf = self;
-        List<Member> others =
-                table.statements().stream().map(MemberCodec::toMember).toList();
-        blackboard.write(Sections.MEMBERS, new Members(MemberCodec.toMember(self), others));
-    }
-
-    private static String describe(MemberStatement statement) {
-        return "member=" + statement.nodeId() + " state=" + statement.liveness() + " incarnation="
-                + statement.incarnation();
-    }
 }
