Placements in the sheet and the policy that chooses orders to engines

Cause: no controller used the lease, and nothing said which engines are to serve what. The sheet gets an optional section, placements, checked whole with paths and left out of the file where it is empty, so that sheets without it read and write as before; the import of tables reads placements.csv.

policy.placement gives the next loads from the wanted placements, the listed engines and the orders in flight.

First expectation of PlacementPolicyTest was wrong: it wanted three of three engines to be tried, and the policy rightly keeps the last that is not in doubt.

--- a/bench/src/main/java/org/baobabcart/bench/SharedFleet.java
+++ b/bench/src/main/java/org/baobabcart/bench/SharedFleet.java
@@ -117,7 +117,8 @@
                 declared,
                 base.services(),
                 base.rollOuts(),
-                base.withdrawals());
+                base.withdrawals(),
+                base.placements());
         return SheetReader.create().write(sheet);
     }
 }
--- a/bench/src/main/java/org/baobabcart/bench/slope/Sheets.java
+++ b/bench/src/main/java/org/baobabcart/bench/slope/Sheets.java
@@ -32,6 +32,7 @@
                 workspaces,
                 base.services(),
                 base.rollOuts(),
-                base.withdrawals());
+                base.withdrawals(),
+                base.placements());
     }
 }
--- a/cli/src/main/java/org/baobabcart/cli/sheet/SheetImport.java
+++ b/cli/src/main/java/org/baobabcart/cli/sheet/SheetImport.java
@@ -12,6 +12,7 @@
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.model.sheet.Cascade;
 import org.baobabcart.model.sheet.Model;
+import org.baobabcart.model.sheet.Placement;
 import org.baobabcart.model.sheet.Rank;
 import org.baobabcart.model.sheet.RollOut;
 import org.baobabcart.model.sheet.RollOutStage;
@@ -71,7 +72,8 @@
                 rollOuts(),
                 rows("withdrawals").stream()
                         .map(row -> new Withdrawal(row.text(MODEL), row.text("version")))
-                        .toList());
+                        .toList(),
+                rows("placements").stream().map(SheetImport::placement).toList());
     }
 
     private List<CsvRow> rows(String table) {
@@ -146,6 +148,11 @@
         return new RollOutStage(row.number("share"), row.whole("minimumSeconds"), row.whole("minimumSamples"));
     }
 
+    private static Placement placement(CsvRow row) {
+        return new Placement(row.text("dataCentre"), row.text(MODEL), row.text("version"), (int)
+                Math.max(-1, Math.min(Integer.MAX_VALUE, row.whole("engines"))));
+    }
+
     private static WhenControllerLost whenControllerLost(CsvRow row) {
         String column = "whenControllerLost";
         String value = row.text(column);
--- a/cli/src/test/java/org/baobabcart/cli/SheetImportTest.java
+++ b/cli/src/test/java/org/baobabcart/cli/SheetImportTest.java
@@ -39,6 +39,7 @@
             workspaces.csv | ,orders,         | ,stock,   | $.workspaces[0].services[0]
             calls.csv      | no,yes           | perhaps,yes | calls.csv row 2: The sheet has faults: column repeatable
             rollOuts.csv   | rest             | sleep     | column whenControllerLost 'sleep' is none of
+            placements.csv | a,layout-large,v2,2 | a,layout-large,v2,two | placements.csv row 2: The sheet has faults: column engines
             sheet.csv      | morning-1,normal | ''        | sheet.csv: The sheet has faults: needs exactly one row
             """)
     void namesTheFileRowAndColumnOfAFault(String file, String original, String fault, String expected)
--- a/integration/src/test/java/org/baobabcart/integration/control/ControlFleetTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/control/ControlFleetTest.java
@@ -194,7 +194,8 @@
                 sheet.workspaces(),
                 sheet.services(),
                 sheet.rollOuts(),
-                sheet.withdrawals());
+                sheet.withdrawals(),
+                sheet.placements());
     }
 
     private HttpRequest streamRequest(FleetNode router) {
--- a/launcher/src/main/java/org/baobabcart/launcher/DefaultSheet.java
+++ b/launcher/src/main/java/org/baobabcart/launcher/DefaultSheet.java
@@ -53,6 +53,7 @@
                 workspaces.stream().map(DefaultSheet::declared).toList(),
                 services.stream().map(DefaultSheet::service).toList(),
                 List.of(),
+                List.of(),
                 List.of());
         return new DefaultSheet(sheet, workspaces);
     }
--- a/model/src/main/java/org/baobabcart/model/platform/VirtualMachine.java
+++ b/model/src/main/java/org/baobabcart/model/platform/VirtualMachine.java
@@ -11,6 +11,7 @@
  * @param model the model of an engine, otherwise empty
  * @param version the version of an engine, otherwise empty
  * @param service the service's name, otherwise empty
+ * @param checksFencing whether an engine is known to refuse orders with an old fencing number
  */
 public record VirtualMachine(
         String name,
@@ -20,7 +21,31 @@
         String address,
         String model,
         String version,
-        String service) {
+        String service,
+        boolean checksFencing) {
+    /** An entry that does not say whether fencing numbers are checked. */
+    public VirtualMachine(
+            String name,
+            Role role,
+            String dataCentre,
+            State state,
+            String address,
+            String model,
+            String version,
+            String service) {
+        this(name, role, dataCentre, state, address, model, version, service, false);
+    }
+
+    /** The same VM at another address. */
+    public VirtualMachine withAddress(String newAddress) {
+        return new VirtualMachine(name, role, dataCentre, state, newAddress, model, version, service, checksFencing);
+    }
+
+    /** The same VM, known to refuse orders with an old fencing number, or not. */
+    public VirtualMachine withChecksFencing(boolean nowChecks) {
+        return new VirtualMachine(name, role, dataCentre, state, address, model, version, service, nowChecks);
+    }
+
     /** What runs on a VM. */
     public enum Role {
         ROUTER,
--- a/model/src/main/java/org/baobabcart/model/sheet/Sheet.java
+++ b/model/src/main/java/org/baobabcart/model/sheet/Sheet.java
@@ -1,16 +1,19 @@
 package org.baobabcart.model.sheet;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.List;
 import java.util.Optional;
 
 /**
- * What operators declare: ranks, models and versions, cascades, workspaces, services, roll-outs and withdrawals.
+ * What operators declare: ranks, models and versions, cascades, workspaces, services, roll-outs, withdrawals and placements.
  *
  * <p>Immutable and thread-safe. Lists keep the order of the file; ranks are ordered from the most to the least urgent.
  * A sheet is only made by {@link SheetReader}, which checks it whole.
  *
  * @param name the operators' name of this sheet
  * @param defaultRank the rank of requests that name none
+ * @param placements how many engines serve which versions; left out of the file where there are none, so that readers of
+ *     sheets without this section can read it
  */
 public record Sheet(
         String name,
@@ -21,7 +24,8 @@
         List<Workspace> workspaces,
         List<Service> services,
         List<RollOut> rollOuts,
-        List<Withdrawal> withdrawals) {
+        List<Withdrawal> withdrawals,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Placement> placements) {
 
     /** Replaces missing lists by empty ones and copies the others. */
     public Sheet {
@@ -32,6 +36,7 @@
         services = Lists.copyOrEmpty(services);
         rollOuts = Lists.copyOrEmpty(rollOuts);
         withdrawals = Lists.copyOrEmpty(withdrawals);
+        placements = Lists.copyOrEmpty(placements);
     }
 
     /** The model of this name, if declared. */
@@ -91,6 +96,13 @@
                 workspaces,
                 services,
                 rollOuts,
-                Lists.append(withdrawals, withdrawal));
+                Lists.append(withdrawals, withdrawal),
+                placements);
+    }
+
+    /** The same sheet with other placements. */
+    public Sheet withPlacements(List<Placement> newPlacements) {
+        return new Sheet(
+                name, defaultRank, ranks, models, cascades, workspaces, services, rollOuts, withdrawals, newPlacements);
     }
 }
--- a/model/src/main/java/org/baobabcart/model/sheet/SheetChecks.java
+++ b/model/src/main/java/org/baobabcart/model/sheet/SheetChecks.java
@@ -32,6 +32,7 @@
         checkWorkspaces();
         checkRollOuts();
         checkWithdrawals();
+        checkPlacements();
         return List.copyOf(problems);
     }
 
@@ -191,6 +192,17 @@
         }
     }
 
+    private void checkPlacements() {
+        checkUnique("$.placements", sheet.placements(), Placement::key);
+        for (int index = 0; index < sheet.placements().size(); index++) {
+            Placement placement = sheet.placements().get(index);
+            String path = "$.placements[" + index + "]";
+            checkName(path + ".dataCentre", placement.dataCentre());
+            checkModelReference(path + ".version", placement.model() + "@" + placement.version());
+            require(placement.engines() >= 0, path + ".engines", "must not be negative: " + placement.engines());
+        }
+    }
+
     private void checkModelReference(String path, String reference) {
         int separator = reference.indexOf('@');
         String modelName = separator < 0 ? reference : reference.substring(0, separator);
--- a/model/src/test/java/org/baobabcart/model/sheet/SheetReaderTest.java
+++ b/model/src/test/java/org/baobabcart/model/sheet/SheetReaderTest.java
@@ -3,11 +3,13 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.junit.jupiter.api.Test;
@@ -23,6 +25,20 @@
         assertThat(reader.read(reader.write(sheet)), equalTo(sheet));
     }
 
+    @Test
+    void aSheetWithoutPlacementsIsWrittenAsBeforeTheSectionExisted() {
+        Sheet without = reader.read(sample()).withPlacements(List.of());
+        assertThat(reader.write(without).has("placements"), is(false));
+        assertThat(reader.read(reader.write(without)), equalTo(without));
+    }
+
+    @Test
+    void aWithdrawalKeepsThePlacements() {
+        Sheet sheet = reader.read(sample());
+        Sheet withdrawn = sheet.withWithdrawal(new Withdrawal("layout-large", "v1"));
+        assertThat(withdrawn.placements(), equalTo(sheet.placements()));
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', textBlock = """
             "share": 1}  | "share": 0.9}  | $.models[1].versions: the shares add up to 0.9
@@ -33,6 +49,12 @@
             "targetMillis": 800 | "targetMillis": "soon" | $.ranks[0].targetMillis
             "services": ["orders"] | "services": ["stock"] | $.workspaces[0].services[0]
             "worth": 10, | "worth": null, | $.ranks[1].worth
+            "engines": 2 | "engines": -2 | $.placements[0].engines
+            "dataCentre": "a", "model": "layout-large", "version": "v2" | "dataCentre": "a/b", "model": "layout-large", "version": "v2" | $.placements[0].dataCentre
+            "version": "v2", "engines" | "version": "v9", "engines" | $.placements[0].version: names no model or version: layout-large@v9
+            "version": "v2", "engines" | "version": "v1", "engines" | $.placements[1]: stands twice
+            "engines": 0 | "count": 0 | $.placements[1].engines
+            "engines": 0 | "engines": 0, "count": 1 | count
             """)
     void namesThePathOfAFault(String original, String fault, String expected) {
         BaobabcartException exception =
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/placement/ListedEngine.java
@@ -0,0 +1,9 @@
+package org.baobabcart.policy.placement;
+
+/**
+ * An engine as the list of VMs shows it. Immutable.
+ *
+ * @param name the engine's name
+ * @param serves what it serves
+ */
+public record ListedEngine(String name, ModelVersion serves) {}
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/placement/PlacementDraft.java
@@ -0,0 +1,133 @@
+package org.baobabcart.policy.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** A plan in the making. Not thread-safe; made for one use. */
+final class PlacementDraft {
+    private final OrderBook book;
+    private final WantedPlacements wanted;
+    private final List<ListedEngine> engines;
+    private final PlacementSettings settings;
+    private final long nowNanos;
+    private final List<ListedEngine> free = new ArrayList<>();
+    private final List<PlacementPlan.Move> moves = new ArrayList<>();
+    private final List<Shortfall> shortfalls = new ArrayList<>();
+
+    PlacementDraft(
+            OrderBook book,
+            WantedPlacements wanted,
+            List<ListedEngine> engines,
+            PlacementSettings settings,
+            long nowNanos) {
+        this.book = book;
+        this.wanted = wanted;
+        this.engines = engines;
+        this.settings = settings;
+        this.nowNanos = nowNanos;
+        engines.stream()
+                .filter(engine -> !book.inFlight().containsKey(engine.name()))
+                .forEach(free::add);
+    }
+
+    /** Finds engines for a version. */
+    void fill(ModelVersion target) {
+        if (wanted.withdrawn().contains(target)) {
+            report(target, wanted.engines().get(target), Shortfall.Reason.WITHDRAWN);
+            return;
+        }
+        int missing = (int) Math.max(0, wanted.count(target) - book.present(target, engines));
+        Optional<Shortfall.Reason> obstacle = missing > 0 ? obstacle(target) : Optional.empty();
+        while (missing > 0 && obstacle.isEmpty()) {
+            obstacle = move(target);
+            missing -= obstacle.isEmpty() ? 1 : 0;
+        }
+        int left = missing;
+        obstacle.ifPresent(reason -> report(target, left, reason));
+    }
+
+    PlacementPlan plan() {
+        return new PlacementPlan(moves, shortfalls);
+    }
+
+    private Optional<Shortfall.Reason> obstacle(ModelVersion target) {
+        long since = book.missingSinceNanos().getOrDefault(target, nowNanos);
+        if (nowNanos - since < settings.settleTime().toNanos()) {
+            return Optional.of(Shortfall.Reason.SETTLING);
+        }
+        if (book.failures(target).pauses(nowNanos, settings)) {
+            return Optional.of(Shortfall.Reason.LOADS_FAILED);
+        }
+        return Optional.empty();
+    }
+
+    /** Moves one engine to the target, or says why none can be moved. */
+    private Optional<Shortfall.Reason> move(ModelVersion target) {
+        if (book.inFlight().size() + moves.size() >= settings.maximumLoads()) {
+            return Optional.of(Shortfall.Reason.LOADS_LIMITED);
+        }
+        if (book.failures(target).count() > 0 && isBeingTried(target)) {
+            return Optional.of(Shortfall.Reason.LOADS_FAILED);
+        }
+        Optional<ListedEngine> engine =
+                free.stream().filter(this::isSpare).filter(this::isReplaced).min(preference(target));
+        if (engine.isEmpty()) {
+            boolean spare = free.stream().anyMatch(this::isSpare);
+            return Optional.of(spare ? Shortfall.Reason.LAST_OF_ITS_VERSION : Shortfall.Reason.NO_SPARE_ENGINE);
+        }
+        free.remove(engine.get());
+        moves.add(new PlacementPlan.Move(engine.get().name(), target));
+        return Optional.empty();
+    }
+
+    /** A version that has failed is tried on one engine at a time until it has been loaded. */
+    private boolean isBeingTried(ModelVersion target) {
+        boolean loading = book.inFlight().values().stream()
+                .anyMatch(entry -> entry.order().target().equals(target));
+        boolean moved = moves.stream().anyMatch(move -> move.target().equals(target));
+        return loading || moved;
+    }
+
+    /** Whether its version has enough engines without it. */
+    private boolean isSpare(ListedEngine engine) {
+        return wanted.manages(engine.serves().model()) && others(engine) >= wanted.count(engine.serves());
+    }
+
+    /** Whether callers of its version are served without it. */
+    private boolean isReplaced(ListedEngine engine) {
+        ModelVersion serves = engine.serves();
+        return wanted.withdrawn().contains(serves)
+                || others(engine) > 0
+                || !wanted.wantsModel(serves.model())
+                || free.stream()
+                        .filter(other -> !book.doubts(other.name()))
+                        .map(ListedEngine::serves)
+                        .anyMatch(other -> other.model().equals(serves.model())
+                                && !other.equals(serves)
+                                && wanted.count(other) > 0);
+    }
+
+    private long others(ListedEngine engine) {
+        return free.stream()
+                .filter(other -> !other.equals(engine))
+                .filter(other -> other.serves().equals(engine.serves()))
+                .filter(other -> !book.doubts(other.name()))
+                .count();
+    }
+
+    private Comparator<ListedEngine> preference(ModelVersion target) {
+        return Comparator.comparing(
+                        (ListedEngine engine) -> book.failures(target).engines().contains(engine.name()))
+                .thenComparing(engine -> book.doubts(engine.name()))
+                .thenComparing(engine -> !wanted.withdrawn().contains(engine.serves()))
+                .thenComparing(ListedEngine::name);
+    }
+
+    private void report(ModelVersion target, int missing, Shortfall.Reason reason) {
+        if (missing > 0) {
+            shortfalls.add(new Shortfall(target, missing, reason));
+        }
+    }
+}
--- a/policy/src/test/java/org/baobabcart/policy/version/VersionPolicyTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/version/VersionPolicyTest.java
@@ -166,7 +166,8 @@
                 sheet.workspaces(),
                 sheet.services(),
                 sheet.rollOuts(),
-                sheet.withdrawals());
+                sheet.withdrawals(),
+                sheet.placements());
     }
 
     private static Situation situation(
@@ -197,7 +198,8 @@
                 List.of(workspace),
                 List.of(),
                 List.of(rollOut),
-                bySheet);
+                bySheet,
+                List.of());
         List<RollOutProgress> progress = status.map(known -> new RollOutProgress(MODEL, "v1", known, stage, ""))
                 .map(List::of)
                 .orElse(List.of());
--- a/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
+++ b/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
@@ -196,6 +196,7 @@
                 List.of(),
                 List.of(),
                 List.of(rollOut),
+                List.of(),
                 List.of());
     }
 }
--- a/router/src/test/java/org/baobabcart/router/testing/TestSheets.java
+++ b/router/src/test/java/org/baobabcart/router/testing/TestSheets.java
@@ -15,7 +15,17 @@
     public static Sheet named(String name) {
         Model model = new Model("layout", List.of(new Version("v1", 1, 0.9, 1), new Version("v2", 1, 0.9, 0)));
         List<Rank> ranks = List.of(new Rank("normal", 1_000, 1, 0));
-        return new Sheet(name, "normal", ranks, List.of(model), List.of(), List.of(), List.of(), List.of(), List.of());
+        return new Sheet(
+                name,
+                "normal",
+                ranks,
+                List.of(model),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of());
     }
 
     /** The same sheet with version {@code v2} withdrawn. */
