Engine stand-ins obey an order once, drain before they load and report what they serve

Cause: the stand-in changed its version at once, under running requests, knew no order ids and told nobody. The fault fail-loads lets loads fail. The launcher says which engines check fencing numbers, in the list of VMs too.

The field "order" of an order is now "action" and an order has an id; the test of old fencing numbers sends that form and asks for the same answers as before.

--- a/launcher/src/main/java/org/baobabcart/launcher/FleetProcesses.java
+++ b/launcher/src/main/java/org/baobabcart/launcher/FleetProcesses.java
@@ -50,11 +50,9 @@
                 logs);
     }
 
-    /** An engine. */
-    ProcessSettings engine(String name, String dataCentre, EngineSettings engine) {
-        return standIn(
-                "engine",
-                name,
+    /** An engine that reports to this list of VMs. */
+    ProcessSettings engine(String name, String dataCentre, EngineSettings engine, String machines) {
+        List<String> arguments = new ArrayList<>(List.of(
                 "--data-centre",
                 dataCentre,
                 "--model",
@@ -66,7 +64,15 @@
                 "--token-millis",
                 Double.toString(engine.tokenMillis()),
                 "--quality",
-                Double.toString(engine.quality()));
+                Double.toString(engine.quality()),
+                "--load-millis",
+                Long.toString(engine.loadMillis()),
+                "--virtual-machines",
+                machines));
+        if (!engine.checksFencing()) {
+            arguments.add("--ignore-fencing");
+        }
+        return standIn("engine", name, arguments.toArray(String[]::new));
     }
 
     /** A router. */
--- a/launcher/src/main/java/org/baobabcart/launcher/LocalFleet.java
+++ b/launcher/src/main/java/org/baobabcart/launcher/LocalFleet.java
@@ -204,15 +204,17 @@
 
     private PlannedNode plannedEngine(String name, String dataCentre, EngineSettings engine) {
         VirtualMachine machine = new VirtualMachine(
-                name,
-                VirtualMachine.Role.ENGINE,
-                dataCentre,
-                VirtualMachine.State.LIVE,
-                "",
-                engine.model(),
-                engine.version(),
-                "");
-        return new PlannedNode(processes.engine(name, dataCentre, engine), engines, HTTP, "http://", machine);
+                        name,
+                        VirtualMachine.Role.ENGINE,
+                        dataCentre,
+                        VirtualMachine.State.LIVE,
+                        "",
+                        engine.model(),
+                        engine.version(),
+                        "")
+                .withChecksFencing(engine.checksFencing());
+        ProcessSettings process = processes.engine(name, dataCentre, engine, virtualMachines.url(HTTP));
+        return new PlannedNode(process, engines, HTTP, "http://", machine);
     }
 
     private PlannedNode plannedService(String name, String dataCentre, String service) {
--- a/launcher/src/main/java/org/baobabcart/launcher/PlannedNode.java
+++ b/launcher/src/main/java/org/baobabcart/launcher/PlannedNode.java
@@ -21,15 +21,6 @@
     /** The node, once its process is ready. */
     FleetNode nodeOn(ManagedProcess started) {
         String address = addressPrefix + "127.0.0.1:" + started.port(addressPort);
-        VirtualMachine reachable = new VirtualMachine(
-                machine.name(),
-                machine.role(),
-                machine.dataCentre(),
-                machine.state(),
-                address,
-                machine.model(),
-                machine.version(),
-                machine.service());
-        return new FleetNode(reachable, started);
+        return new FleetNode(machine.withAddress(address), started);
     }
 }
--- a/standins/src/main/java/org/baobabcart/standins/StandInMain.java
+++ b/standins/src/main/java/org/baobabcart/standins/StandInMain.java
@@ -76,5 +76,7 @@
         parser.addArgument("--quality").type(Double.class).setDefault(0.95);
         parser.addArgument("--prefix-blocks").type(Integer.class).setDefault(4096);
         parser.addArgument("--ignore-fencing").action(Arguments.storeTrue());
+        parser.addArgument("--load-millis").type(Long.class).setDefault(0L);
+        parser.addArgument("--virtual-machines").setDefault("");
     }
 }
--- a/standins/src/main/java/org/baobabcart/standins/base/StandInSettings.java
+++ b/standins/src/main/java/org/baobabcart/standins/base/StandInSettings.java
@@ -33,6 +33,8 @@
      * @param quality the quality that its answers state, from 0 to 1
      * @param prefixBlocks the number of prompt blocks that the prefix cache keeps
      * @param ignoreFencing whether orders with an old fencing number are obeyed
+     * @param loadMillis how long the loading of a version takes, in milliseconds
+     * @param virtualMachines the list of VMs to which it reports what it serves, or empty
      */
     public record Engine(
             String model,
@@ -41,7 +43,9 @@
             double tokenMillis,
             double quality,
             int prefixBlocks,
-            boolean ignoreFencing) {}
+            boolean ignoreFencing,
+            long loadMillis,
+            String virtualMachines) {}
 
     /**
      * Settings of the platform. Immutable.
@@ -76,6 +80,8 @@
                 namespace.getDouble("token_millis"),
                 namespace.getDouble("quality"),
                 namespace.getInt("prefix_blocks"),
-                namespace.getBoolean("ignore_fencing"));
+                namespace.getBoolean("ignore_fencing"),
+                namespace.getLong("load_millis"),
+                namespace.getString("virtual_machines"));
     }
 }
--- a/standins/src/main/java/org/baobabcart/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/baobabcart/standins/engine/EngineStandIn.java
@@ -2,10 +2,10 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.json.DecodeException;
-import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
+import java.util.Optional;
 import org.baobabcart.model.request.Headers;
 import org.baobabcart.model.request.RequestIds;
 import org.baobabcart.standins.base.RunLog;
@@ -25,13 +25,18 @@
     private final ContinuousBatch batch;
     private final PrefixCache prefixes;
     private final OrderGate orderGate;
-    private final JsonArray orders = new JsonArray();
+    private final OrderLog orders = new OrderLog();
+    private final ListReport listReport;
     private JsonObject loadReport = new JsonObject();
     private String model;
     private String version;
     private long prefixHits;
     private boolean badQuality;
     private boolean stepping;
+    private Optional<OrderLog.Order> loading = Optional.empty();
+    private boolean loadBegun;
+    private long loads;
+    private boolean failLoads;
 
     private EngineStandIn(Vertx vertx, StandInSettings settings) {
         super(vertx, settings);
@@ -42,6 +47,7 @@
         model = engine.model();
         version = engine.version();
         loadReport = load();
+        listReport = ListReport.create(vertx, engine.virtualMachines(), settings.name());
     }
 
     /** An engine that has not started yet. */
@@ -56,7 +62,8 @@
         router.get("/health").handler(this::health);
         router.get("/load").handler(context -> whenThawed(() -> answer(context, 200, loadReport)));
         router.post("/orders").handler(this::takeOrder);
-        router.get("/standin/orders").handler(context -> answer(context, 200, orders.encode()));
+        router.get("/standin/orders")
+                .handler(context -> answer(context, 200, orders.toJson().encode()));
         vertx().setPeriodic(LOAD_REPORT_MILLIS, ignored -> loadReport = load());
     }
 
@@ -64,10 +71,11 @@
     protected void applyFaults(JsonObject faults) {
         super.applyFaults(faults);
         badQuality = faults.getBoolean("bad-quality", badQuality);
+        failLoads = faults.getBoolean("fail-loads", failLoads);
     }
 
     private void generate(RoutingContext context, boolean chat) {
-        if (refusedAsLeaving(context) || refusedAsOtherVersion(context)) {
+        if (refusedAsLeaving(context) || refusedAsLoading(context) || refusedAsOtherVersion(context)) {
             return;
         }
         Prompt prompt;
@@ -82,6 +90,13 @@
         enqueue(context, prompt, run);
     }
 
+    private boolean refusedAsLoading(RoutingContext context) {
+        if (loading.isPresent()) {
+            refuseNotRun(context, 503, "loading another version");
+        }
+        return loading.isPresent();
+    }
+
     private boolean refusedAsOtherVersion(RoutingContext context) {
         String asked = context.request().getHeader(Headers.VERSION);
         boolean other = asked != null && !asked.equals(version);
@@ -99,7 +114,10 @@
         Generation generation = new Generation(prompt, run, writer(context, prompt), priority(context), prefillSteps);
         batch.add(generation);
         setHeaders(context, known > 0);
-        context.response().closeHandler(ignored -> batch.remove(generation));
+        context.response().closeHandler(ignored -> {
+            batch.remove(generation);
+            loadOnceIdle();
+        });
         scheduleStep();
     }
 
@@ -136,6 +154,7 @@
         if (!batch.isEmpty()) {
             scheduleStep();
         }
+        loadOnceIdle();
     }
 
     private void end(Generation generation) {
@@ -147,18 +166,68 @@
     }
 
     private void takeOrder(RoutingContext context) {
-        JsonObject order = context.body().asJsonObject();
-        boolean obeyed = orderGate.admits(order.getLong("fencing", 0L));
-        orders.add(order.copy().put("obeyed", obeyed));
-        if (!obeyed) {
+        OrderLog.Order order = OrderLog.Order.of(context.body().asJsonObject());
+        if (!order.isKnownAction()) {
+            orders.add(order, OrderLog.Verdict.UNKNOWN_ACTION);
+            answer(context, 400, new JsonObject().put("error", "unknown action"));
+            return;
+        }
+        if (!orderGate.admits(order.fencing())) {
+            orders.add(order, OrderLog.Verdict.OLD_FENCING);
             answer(context, 409, new JsonObject().put("error", "old fencing number"));
             return;
         }
-        if (order.getString("order", "").equals("load-model")) {
-            model = order.getString("model", model);
-            version = order.getString("version", version);
+        if (orders.hasObeyed(order.orderId())) {
+            orders.add(order, OrderLog.Verdict.REPEATED);
+        } else {
+            orders.add(order, OrderLog.Verdict.OBEYED);
+            obey(order);
+        }
+        boolean serves = loading.isEmpty();
+        answer(
+                context,
+                serves ? 200 : 202,
+                new JsonObject().put("model", model).put("version", version).put("loading", !serves));
+    }
+
+    /** Takes no new work, lets running requests end, loads, then serves the version ordered last. */
+    private void obey(OrderLog.Order order) {
+        loads++;
+        loadBegun = false;
+        boolean serves = order.model().equals(model) && order.version().equals(version);
+        loading = serves ? Optional.empty() : Optional.of(order);
+        loadOnceIdle();
+    }
+
+    private void loadOnceIdle() {
+        if (loading.isEmpty() || loadBegun || !batch.isEmpty()) {
+            return;
+        }
+        loadBegun = true;
+        long load = loads;
+        long millis = settings().engine().loadMillis();
+        if (millis == 0) {
+            endLoad();
+        } else {
+            vertx().setTimer(millis, ignored -> whenThawed(() -> endLoad(load)));
+        }
+    }
+
+    private void endLoad(long load) {
+        if (load == loads) {
+            endLoad();
+        }
+    }
+
+    private void endLoad() {
+        OrderLog.Order order = loading.orElseThrow();
+        loading = Optional.empty();
+        if (failLoads) {
+            return;
         }
-        answer(context, 200, new JsonObject().put("model", model).put("version", version));
+        model = order.model();
+        version = order.version();
+        listReport.serves(model, version);
     }
 
     private String loadNow() {
--- a/standins/src/test/java/org/baobabcart/standins/base/RunningStandIn.java
+++ b/standins/src/test/java/org/baobabcart/standins/base/RunningStandIn.java
@@ -40,15 +40,12 @@
     }
 
     public static StandInSettings settings() {
+        return settings(new StandInSettings.Engine("layout-large", "v1", 2, 1, 0.95, 64, false, 0, ""));
+    }
+
+    public static StandInSettings settings(StandInSettings.Engine engine) {
         return new StandInSettings(
-                "test",
-                0,
-                "a",
-                new StandInSettings.Engine("layout-large", "v1", 2, 1, 0.95, 64, false),
-                new StandInSettings.Platform(100_000, 100_000, 100),
-                "orders",
-                "",
-                0);
+                "test", 0, "a", engine, new StandInSettings.Platform(100_000, 100_000, 100), "orders", "", 0);
     }
 
     public int port(String name) {
--- a/standins/src/test/java/org/baobabcart/standins/engine/EngineStandInTest.java
+++ b/standins/src/test/java/org/baobabcart/standins/engine/EngineStandInTest.java
@@ -1,6 +1,7 @@
 package org.baobabcart.standins.engine;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.equalTo;
@@ -10,8 +11,11 @@
 import io.vertx.core.json.JsonObject;
 import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.baobabcart.model.request.Headers;
 import org.baobabcart.standins.base.RunningStandIn;
+import org.baobabcart.standins.base.StandInSettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -110,9 +114,85 @@
         assertThat(order(2), equalTo(200));
     }
 
+    @Test
+    void anOrderIsObeyedOnceAndAllAreListedInTheOrderOfTheirArrival() throws Exception {
+        assertThat(order("first", 2, "v2"), equalTo(200));
+        assertThat(order("first", 3, "v2"), equalTo(200));
+        assertThat(order("late", 2, "v1"), equalTo(409));
+        assertThat(orders(), contains("first 2 OBEYED true", "first 3 REPEATED false", "late 2 OLD_FENCING false"));
+        assertThat(order("next", 3, "v3"), equalTo(200));
+        assertThat(chatStatus("v3"), equalTo(200));
+    }
+
+    @Test
+    void anEngineThatIgnoresFencingObeysOldNumbers() throws Exception {
+        restart(new StandInSettings.Engine("layout-large", "v1", 2, 1, 0.95, 64, true, 0, ""));
+        assertThat(order("first", 2, "v2"), equalTo(200));
+        assertThat(order("late", 1, "v1"), equalTo(200));
+        assertThat(orders(), contains("first 2 OBEYED true", "late 1 OBEYED true"));
+    }
+
+    @Test
+    void runningRequestsEndBeforeTheVersionChangesAndNewOnesAreRefusedAsNotRun() throws Exception {
+        restart(new StandInSettings.Engine("layout-large", "v1", 2, 20, 0.95, 64, false, 1, ""));
+        CompletableFuture<HttpResponse<String>> running =
+                CompletableFuture.supplyAsync(() -> send(chat("p", 50, true)));
+        RunningStandIn.awaitTrue(() -> load().startsWith("1/"));
+        assertThat(order("first", 1, "v2"), equalTo(202));
+        HttpResponse<String> refused = engine.call("POST", CHAT, chat("p", 1, false));
+        assertThat(refused.statusCode(), equalTo(503));
+        assertThat(refused.headers().firstValue("Baobabcart-Not-Run").orElse(""), equalTo("true"));
+        assertThat(running.join().body(), endsWith("data: [DONE]\n\n"));
+        RunningStandIn.awaitTrue(() -> chatStatus("v2") == 200);
+        assertThat(runs().getJsonObject(0).getString("version"), equalTo("v1"));
+    }
+
+    @Test
+    void aFailedLoadLeavesTheOldVersion() throws Exception {
+        engine.fault("{\"fail-loads\":true}");
+        assertThat(order("first", 1, "v2"), equalTo(200));
+        assertThat(chatStatus("v1"), equalTo(200));
+        assertThat(chatStatus("v2"), equalTo(409));
+    }
+
+    private void restart(StandInSettings.Engine settings) throws Exception {
+        engine.close();
+        engine = RunningStandIn.start(EngineStandIn::create, RunningStandIn.settings(settings));
+    }
+
+    private int chatStatus(String version) {
+        return send(chat("p", 1, false), Headers.VERSION, version).statusCode();
+    }
+
+    private HttpResponse<String> send(String body, String... headers) {
+        try {
+            return engine.call("POST", CHAT, body, headers);
+        } catch (Exception exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    private List<String> orders() throws Exception {
+        return new JsonArray(engine.call("GET", "/standin/orders", "").body())
+                .stream()
+                        .map(JsonObject.class::cast)
+                        .map(order -> order.getString("orderId") + " " + order.getLong("fencing") + " "
+                                + order.getString("verdict") + " " + order.getBoolean("obeyed"))
+                        .toList();
+    }
+
     private int order(int fencing) throws Exception {
-        String order = "{\"order\":\"load-model\",\"model\":\"layout-large\",\"version\":\"v2\",\"fencing\":" + fencing;
-        return engine.call("POST", "/orders", order + "}").statusCode();
+        return order("order-" + fencing, fencing, "v2");
+    }
+
+    private int order(String id, int fencing, String version) throws Exception {
+        JsonObject order = new JsonObject()
+                .put("orderId", id)
+                .put("fencing", fencing)
+                .put("action", "load-model")
+                .put("model", "layout-large")
+                .put("version", version);
+        return engine.call("POST", "/orders", order.encode()).statusCode();
     }
 
     private JsonArray runs() throws Exception {
