--- a/cli/src/main/java/org/baobabcart/cli/command/FleetCommand.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/FleetCommand.java
@@ -52,6 +52,9 @@
                         status.sheet().generation(),
                         status.members().size(),
                         status.upstreams().size(),
+                        status.orders().fencing(),
+                        status.orders().inFlight().size(),
+                        status.orders().shortfalls().size(),
                         ""))
                 .orElseGet(() -> new Row(
                         router.name(),
@@ -63,12 +66,26 @@
                         0,
                         0,
                         0,
+                        0,
+                        0,
+                        0,
                         router.problem()));
     }
 
     private static Table table(List<Row> rows) {
         Table table = Table.of(
-                "ROUTER", "DATA CENTRE", "ADMIN", "STATE", "PLATFORM", "SHEET", "MEMBERS", "UPSTREAMS", "PROBLEM");
+                "ROUTER",
+                "DATA CENTRE",
+                "ADMIN",
+                "STATE",
+                "PLATFORM",
+                "SHEET",
+                "MEMBERS",
+                "UPSTREAMS",
+                "LEASE",
+                "ORDERS",
+                "SHORT",
+                "PROBLEM");
         rows.forEach(row -> table.row(
                 row.router(),
                 row.dataCentre(),
@@ -78,6 +95,9 @@
                 row.sheetGeneration(),
                 row.members(),
                 row.upstreams(),
+                row.lease(),
+                row.orders(),
+                row.shortfalls(),
                 row.problem()));
         return table;
     }
@@ -102,5 +122,8 @@
             long sheetGeneration,
             int members,
             int upstreams,
+            long lease,
+            int orders,
+            int shortfalls,
             String problem) {}
 }
--- a/cli/src/main/java/org/baobabcart/cli/fleet/RouterStatus.java
+++ b/cli/src/main/java/org/baobabcart/cli/fleet/RouterStatus.java
@@ -16,6 +16,7 @@
  * @param platformReachable whether it reaches the platform
  * @param members the routers that it knows
  * @param upstreams the upstreams that it knows
+ * @param orders what it orders engines to do
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record RouterStatus(
@@ -27,13 +28,15 @@
         RollOutsStatus rollOuts,
         boolean platformReachable,
         List<KnownMember> members,
-        List<JsonNode> upstreams) {
+        List<JsonNode> upstreams,
+        OrdersStatus orders) {
     /** Replaces missing parts. */
     public RouterStatus {
         sheet = sheet == null ? new SheetStatus(0, "", 0) : sheet;
         rollOuts = rollOuts == null ? new RollOutsStatus(0) : rollOuts;
         members = members == null ? List.of() : List.copyOf(members);
         upstreams = upstreams == null ? List.of() : List.copyOf(upstreams);
+        orders = orders == null ? new OrdersStatus(0, List.of(), List.of()) : orders;
     }
 
     /**
@@ -54,6 +57,22 @@
     @JsonIgnoreProperties(ignoreUnknown = true)
     public record RollOutsStatus(long generation) {}
 
+    /**
+     * What a router orders engines to do. Immutable.
+     *
+     * @param fencing the number of the lease that it holds, zero where it holds none
+     * @param inFlight orders whose engines do not serve the version yet
+     * @param shortfalls versions that lack engines which cannot be had now
+     */
+    @JsonIgnoreProperties(ignoreUnknown = true)
+    public record OrdersStatus(long fencing, List<JsonNode> inFlight, List<JsonNode> shortfalls) {
+        /** Replaces missing parts. */
+        public OrdersStatus {
+            inFlight = inFlight == null ? List.of() : List.copyOf(inFlight);
+            shortfalls = shortfalls == null ? List.of() : List.copyOf(shortfalls);
+        }
+    }
+
     /**
      * A router that another one knows. Immutable.
      *
--- a/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.matchesPattern;
 import static org.hamcrest.Matchers.not;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -73,6 +74,18 @@
                         not(containsString("  a: "))));
     }
 
+    @Test
+    void theFleetShowsWhoHoldsTheLeaseOnOrders() {
+        fleet.router("a", 1);
+        fleet.router("b", 1);
+        fleet.holdsLease("b", 7, 2);
+        run("fleet");
+        List<String> lines = results().lines().toList();
+        assertThat(lines.get(0), matchesPattern(".* UPSTREAMS +LEASE +ORDERS +SHORT +PROBLEM *"));
+        assertThat(lines.get(1), matchesPattern("a .* 0 +0 +0 +0 *"));
+        assertThat(lines.get(2), matchesPattern("b .* 0 +7 +2 +0 *"));
+    }
+
     @Test
     void aLostAnswerIsSettledByReadingBack() {
         fleet.router("a", 1);
--- a/cli/src/test/java/org/baobabcart/cli/FakeFleet.java
+++ b/cli/src/test/java/org/baobabcart/cli/FakeFleet.java
@@ -36,6 +36,15 @@
         statuses.values().forEach(this::listMembers);
     }
 
+    /** The router says that it holds a lease on orders, with this many in flight. */
+    public void holdsLease(String name, long fencing, int inFlight) {
+        ObjectNode orders = statuses.get(name + ":1").putObject("orders").put("fencing", fencing);
+        ArrayNode list = orders.putArray("inFlight");
+        for (int index = 0; index < inFlight; index++) {
+            list.addObject().put("id", "order-" + index);
+        }
+    }
+
     /** Adds a router to the list of VMs. */
     public void listed(String name) {
         machines.addObject()
--- a/policy/src/main/java/org/baobabcart/policy/placement/LoadFailures.java
+++ b/policy/src/main/java/org/baobabcart/policy/placement/LoadFailures.java
@@ -8,24 +8,35 @@
  *
  * @param count how many failed
  * @param engines the engines on which they failed
+ * @param inDoubt those of them that may still be loading
  * @param lastNanos when this node learnt of the last failure, on its monotonic clock
  */
-public record LoadFailures(int count, Set<String> engines, long lastNanos) {
-    /** Copies the set. */
+public record LoadFailures(int count, Set<String> engines, Set<String> inDoubt, long lastNanos) {
+    /** Copies the sets. */
     public LoadFailures {
         engines = Set.copyOf(engines);
+        inDoubt = Set.copyOf(inDoubt);
     }
 
     /** No failures. */
     public static LoadFailures none() {
-        return new LoadFailures(0, Set.of(), 0);
+        return new LoadFailures(0, Set.of(), Set.of(), 0);
     }
 
-    /** One failure more. */
-    public LoadFailures with(String engine, long nowNanos) {
+    /** One failure more on an engine that may still be loading. */
+    LoadFailures withDoubtful(String engine, long nowNanos) {
+        return new LoadFailures(count + 1, and(engines, engine), and(inDoubt, engine), nowNanos);
+    }
+
+    /** One failure more on an engine that surely did not begin. */
+    LoadFailures withRefusal(String engine, long nowNanos) {
+        return new LoadFailures(count + 1, and(engines, engine), inDoubt, nowNanos);
+    }
+
+    private static Set<String> and(Set<String> engines, String engine) {
         Set<String> all = new TreeSet<>(engines);
         all.add(engine);
-        return new LoadFailures(count + 1, all, nowNanos);
+        return all;
     }
 
     /** Whether the next load has to wait. */
--- a/policy/src/main/java/org/baobabcart/policy/placement/OrderBook.java
+++ b/policy/src/main/java/org/baobabcart/policy/placement/OrderBook.java
@@ -2,9 +2,11 @@
 
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -38,8 +40,8 @@
                 .map(order -> new OrderInFlight(order, nowNanos))
                 .collect(Collectors.toMap(entry -> entry.order().engine(), Function.identity(), (first, last) -> last));
         Map<ModelVersion, LoadFailures> known = new HashMap<>();
-        failures.forEach(
-                (target, failed) -> known.put(target, new LoadFailures(failed.count(), failed.engines(), nowNanos)));
+        failures.forEach((target, failed) ->
+                known.put(target, new LoadFailures(failed.count(), failed.engines(), failed.inDoubt(), nowNanos)));
         return new OrderBook(inFlight, known, Map.of());
     }
 
@@ -55,14 +57,23 @@
         return new OrderBook(orders, failures, missingSinceNanos);
     }
 
-    /** The book after an order has failed. */
+    /** The book after an order has failed on an engine that may still be loading. */
     public OrderBook failed(LoadOrder order, long nowNanos) {
-        OrderInFlight known = inFlight.get(order.engine());
-        if (known == null || !known.order().id().equals(order.id())) {
+        return failed(order, failures(order.target()).withDoubtful(order.engine(), nowNanos));
+    }
+
+    /** The book after an engine has refused an order. */
+    public OrderBook refused(LoadOrder order, long nowNanos) {
+        return failed(order, failures(order.target()).withRefusal(order.engine(), nowNanos));
+    }
+
+    private OrderBook failed(LoadOrder order, LoadFailures known) {
+        OrderInFlight entry = inFlight.get(order.engine());
+        if (entry == null || !entry.order().id().equals(order.id())) {
             return this;
         }
         Map<ModelVersion, LoadFailures> failed = new HashMap<>(failures);
-        failed.put(order.target(), failures(order.target()).with(order.engine(), nowNanos));
+        failed.put(order.target(), known);
         return without(order).withFailures(failed);
     }
 
@@ -92,9 +103,11 @@
         return failures.getOrDefault(target, LoadFailures.none());
     }
 
-    /** Whether a load on this engine has failed, so that what it serves is in doubt. */
-    boolean doubts(String engine) {
-        return failures.values().stream().anyMatch(failed -> failed.engines().contains(engine));
+    /** Engines that may still be loading, so that what they serve is in doubt. */
+    Set<String> doubted() {
+        Set<String> engines = new HashSet<>();
+        failures.values().forEach(failed -> engines.addAll(failed.inDoubt()));
+        return engines;
     }
 
     /** Engines that serve a version and have no order, and those that load it. */
--- a/policy/src/main/java/org/baobabcart/policy/placement/PlacementDraft.java
+++ b/policy/src/main/java/org/baobabcart/policy/placement/PlacementDraft.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** A plan in the making. Not thread-safe; made for one use. */
 final class PlacementDraft {
@@ -12,7 +15,9 @@
     private final List<ListedEngine> engines;
     private final PlacementSettings settings;
     private final long nowNanos;
+    private final Set<String> doubted;
     private final List<ListedEngine> free = new ArrayList<>();
+    private final Map<ModelVersion, Integer> certain = new HashMap<>();
     private final List<PlacementPlan.Move> moves = new ArrayList<>();
     private final List<Shortfall> shortfalls = new ArrayList<>();
 
@@ -27,9 +32,13 @@
         this.engines = engines;
         this.settings = settings;
         this.nowNanos = nowNanos;
-        engines.stream()
-                .filter(engine -> !book.inFlight().containsKey(engine.name()))
-                .forEach(free::add);
+        this.doubted = book.doubted();
+        for (ListedEngine engine : engines) {
+            if (!book.inFlight().containsKey(engine.name())) {
+                free.add(engine);
+                certain.merge(engine.serves(), isInDoubt(engine) ? 0 : 1, Integer::sum);
+            }
+        }
     }
 
     /** Finds engines for a version. */
@@ -77,7 +86,7 @@
             boolean spare = free.stream().anyMatch(this::isSpare);
             return Optional.of(spare ? Shortfall.Reason.LAST_OF_ITS_VERSION : Shortfall.Reason.NO_SPARE_ENGINE);
         }
-        free.remove(engine.get());
+        take(engine.get());
         moves.add(new PlacementPlan.Move(engine.get().name(), target));
         return Optional.empty();
     }
@@ -101,26 +110,37 @@
         return wanted.withdrawn().contains(serves)
                 || others(engine) > 0
                 || !wanted.wantsModel(serves.model())
-                || free.stream()
-                        .filter(other -> !book.doubts(other.name()))
-                        .map(ListedEngine::serves)
-                        .anyMatch(other -> other.model().equals(serves.model())
-                                && !other.equals(serves)
-                                && wanted.count(other) > 0);
+                || isOtherVersionServed(serves);
+    }
+
+    private boolean isOtherVersionServed(ModelVersion version) {
+        return certain.entrySet().stream()
+                .filter(entry -> entry.getValue() > 0)
+                .map(Map.Entry::getKey)
+                .anyMatch(other ->
+                        other.model().equals(version.model()) && !other.equals(version) && wanted.count(other) > 0);
+    }
+
+    /** Other engines of its version that have no order and are not in doubt. */
+    private int others(ListedEngine engine) {
+        return certain.getOrDefault(engine.serves(), 0) - (isInDoubt(engine) ? 0 : 1);
+    }
+
+    private boolean isInDoubt(ListedEngine engine) {
+        return doubted.contains(engine.name());
     }
 
-    private long others(ListedEngine engine) {
-        return free.stream()
-                .filter(other -> !other.equals(engine))
-                .filter(other -> other.serves().equals(engine.serves()))
-                .filter(other -> !book.doubts(other.name()))
-                .count();
+    private void take(ListedEngine engine) {
+        free.remove(engine);
+        if (!isInDoubt(engine)) {
+            certain.merge(engine.serves(), -1, Integer::sum);
+        }
     }
 
     private Comparator<ListedEngine> preference(ModelVersion target) {
         return Comparator.comparing(
                         (ListedEngine engine) -> book.failures(target).engines().contains(engine.name()))
-                .thenComparing(engine -> book.doubts(engine.name()))
+                .thenComparing(this::isInDoubt)
                 .thenComparing(engine -> !wanted.withdrawn().contains(engine.serves()))
                 .thenComparing(ListedEngine::name);
     }
--- a/router/src/main/java/org/baobabcart/router/ControlPlane.java
+++ b/router/src/main/java/org/baobabcart/router/ControlPlane.java
@@ -19,6 +19,11 @@
 import org.baobabcart.router.member.MembershipController;
 import org.baobabcart.router.member.MembershipParts;
 import org.baobabcart.router.member.MembershipSettings;
+import org.baobabcart.router.order.HttpEngineOrders;
+import org.baobabcart.router.order.LeaseController;
+import org.baobabcart.router.order.OrderController;
+import org.baobabcart.router.order.OrderParts;
+import org.baobabcart.router.order.OrderSettings;
 import org.baobabcart.router.platform.HttpVirtualMachineList;
 import org.baobabcart.router.platform.PlatformSettings;
 import org.baobabcart.router.platform.VirtualMachineController;
@@ -40,6 +45,8 @@
  * @param rollOutControl evidence, stages and stops of roll-outs
  * @param secrets the session keys
  * @param machines the list of VMs
+ * @param leases the lease on orders to engines
+ * @param orders orders to engines
  */
 record ControlPlane(
         MembershipController members,
@@ -48,7 +55,9 @@
         DocumentController<RollOutState> rollOuts,
         RollOutController rollOutControl,
         DocumentController<SessionSecrets> secrets,
-        VirtualMachineController machines) {
+        VirtualMachineController machines,
+        LeaseController leases,
+        OrderController orders) {
     private static final Duration LIST_PERIOD = Duration.ofSeconds(1);
 
     static ControlPlane create(RouterCore core, Member self) {
@@ -80,12 +89,20 @@
                 CrashController.create(core.blackboard(), core.timeline(), members::spread, self.nodeId());
         members.addParticipant(crashes);
         core.feedback().addListener(crashes);
-        return new ControlPlane(members, documents, sheets, rollOuts, rollOutControl, secrets, machines(core));
+        OrderParts orderParts = orderParts(core);
+        LeaseController leases = LeaseController.create(orderParts, self);
+        OrderController orders = OrderController.create(
+                orderParts,
+                leases,
+                HttpEngineOrders.create(core.vertx(), orderParts.settings().sendTimeout()),
+                self.dataCentre());
+        return new ControlPlane(
+                members, documents, sheets, rollOuts, rollOutControl, secrets, machines(core), leases, orders);
     }
 
     /** The controllers in the order of their start. */
     List<Controller> controllers() {
-        return List.of(members, machines, sheets, rollOuts, secrets, rollOutControl);
+        return List.of(members, machines, sheets, rollOuts, secrets, rollOutControl, leases, orders);
     }
 
     private static MembershipController members(RouterCore core, Member self) {
@@ -110,6 +127,17 @@
                 core.timeline());
     }
 
+    private static OrderParts orderParts(RouterCore core) {
+        return new OrderParts(
+                OrderSettings.defaults(),
+                core.blackboard(),
+                core.loop(),
+                core.timers(),
+                core.store(),
+                core.timeline(),
+                core.metrics());
+    }
+
     private static <T> DocumentController<T> document(
             RouterCore core, DocumentKind<T> kind, DocumentParts parts, Section<T> section) {
         return DocumentController.create(
--- a/router/src/main/java/org/baobabcart/router/admin/StatusReport.java
+++ b/router/src/main/java/org/baobabcart/router/admin/StatusReport.java
@@ -51,6 +51,7 @@
                 "rollOuts",
                 MAPPER.createObjectNode()
                         .put("generation", blackboard.read(Sections.ROLL_OUTS).generation()));
+        report.set("orders", MAPPER.valueToTree(blackboard.read(Sections.ORDERS)));
         report.put("platformReachable", blackboard.read(Sections.PLATFORM_REACHABLE));
         report.set("members", MAPPER.valueToTree(members.others()));
         report.set(
--- a/router/src/main/java/org/baobabcart/router/control/Sections.java
+++ b/router/src/main/java/org/baobabcart/router/control/Sections.java
@@ -9,6 +9,8 @@
 import org.baobabcart.router.key.SessionSecrets;
 import org.baobabcart.router.member.Member;
 import org.baobabcart.router.member.Members;
+import org.baobabcart.router.order.OrderLease;
+import org.baobabcart.router.order.OrderStatus;
 
 /** The sections of the blackboard and who writes them. */
 public final class Sections {
@@ -35,6 +37,12 @@
     /** Fingerprints that no upstream gets any more; written by the crash controller. */
     public static final Section<Set<String>> QUARANTINED = Section.named("quarantined", Set.of());
 
+    /** The lease on orders to engines, if this router holds it; written by the lease controller. */
+    public static final Section<Optional<OrderLease>> ORDER_LEASE = Section.named("order-lease", Optional.empty());
+
+    /** Orders to engines; written by the order controller. */
+    public static final Section<OrderStatus> ORDERS = Section.named("orders", OrderStatus.none());
+
     /** Whether a planned stop has begun; written by the process. */
     public static final Section<Boolean> STOPPING = Section.named("stopping", false);
 
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/order/HttpEngineOrders.java
@@ -0,0 +1,69 @@
+package org.baobabcart.router.order;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.router.control.Futures;
+
+/** Orders by {@code POST /orders} with a JSON body. Thread-safe. */
+public final class HttpEngineOrders implements EngineOrders {
+    private static final ObjectMapper MAPPER = JsonMapper.builder().build();
+    private static final String PATH = "/orders";
+    private static final int CONFLICT = 409;
+    private static final int SUCCESS_CLASS = 2;
+
+    private final HttpClient client;
+    private final Duration timeout;
+
+    private HttpEngineOrders(HttpClient client, Duration timeout) {
+        this.client = client;
+        this.timeout = timeout;
+    }
+
+    /** A client that waits this long for the answer of an engine. */
+    public static HttpEngineOrders create(Vertx vertx, Duration timeout) {
+        int connectMillis = (int) timeout.toMillis();
+        HttpClientOptions options =
+                new HttpClientOptions().setConnectTimeout(connectMillis).setKeepAlive(false);
+        return new HttpEngineOrders(vertx.createHttpClient(options), timeout);
+    }
+
+    @Override
+    public Uni<OrderAnswer> send(VirtualMachine engine, EngineOrder order, BooleanSupplier mayAct) {
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setAbsoluteURI(engine.address() + PATH)
+                .setIdleTimeout(timeout.toMillis())
+                .putHeader("Content-Type", "application/json");
+        return Futures.toUni(() -> client.request(options).compose(request -> send(request, order, mayAct)))
+                .onFailure()
+                .recoverWithItem(OrderAnswer.UNKNOWN);
+    }
+
+    private static Future<OrderAnswer> send(HttpClientRequest request, EngineOrder order, BooleanSupplier mayAct) {
+        Buffer body = Buffer.buffer(MAPPER.valueToTree(order).toString());
+        if (!mayAct.getAsBoolean()) {
+            request.reset();
+            return Future.succeededFuture(OrderAnswer.NOT_SENT);
+        }
+        return request.send(body).map(response -> answer(response.statusCode()));
+    }
+
+    private static OrderAnswer answer(int status) {
+        if (status / 100 == SUCCESS_CLASS) {
+            return OrderAnswer.ACCEPTED;
+        }
+        return status == CONFLICT ? OrderAnswer.STALE : OrderAnswer.REFUSED;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/order/OrderJournal.java
@@ -0,0 +1,73 @@
+package org.baobabcart.router.order;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.baobabcart.policy.placement.LoadFailures;
+import org.baobabcart.policy.placement.LoadOrder;
+import org.baobabcart.policy.placement.ModelVersion;
+import org.baobabcart.policy.placement.OrderBook;
+
+/**
+ * What a holder writes down before it sends orders, so that the next holder knows of them. Immutable.
+ *
+ * @param orders orders that may have been sent and whose engines do not serve the target yet
+ * @param failures failed loads
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+public record OrderJournal(List<LoadOrder> orders, List<Failure> failures) {
+    /** Replaces missing lists by empty ones. */
+    public OrderJournal {
+        orders = orders == null ? List.of() : List.copyOf(orders);
+        failures = failures == null ? List.of() : List.copyOf(failures);
+    }
+
+    /**
+     * Failed loads of one version. Immutable.
+     *
+     * @param target the version
+     * @param count how many failed
+     * @param engines where they failed, in the order of their names
+     * @param inDoubt those of them that may still be loading
+     */
+    @JsonIgnoreProperties(ignoreUnknown = true)
+    public record Failure(ModelVersion target, int count, List<String> engines, List<String> inDoubt) {
+        /** Copies the lists. */
+        public Failure {
+            engines = engines == null ? List.of() : List.copyOf(engines);
+            inDoubt = inDoubt == null ? List.of() : List.copyOf(inDoubt);
+        }
+    }
+
+    /** A journal without entries. */
+    public static OrderJournal empty() {
+        return new OrderJournal(List.of(), List.of());
+    }
+
+    /** The journal of a book. */
+    public static OrderJournal of(OrderBook book) {
+        List<Failure> failures = book.failures().entrySet().stream()
+                .map(entry -> new Failure(
+                        entry.getKey(),
+                        entry.getValue().count(),
+                        List.copyOf(new TreeSet<>(entry.getValue().engines())),
+                        List.copyOf(new TreeSet<>(entry.getValue().inDoubt()))))
+                .sorted(Comparator.comparing(failure -> failure.target().toString()))
+                .toList();
+        return new OrderJournal(book.orders(), failures);
+    }
+
+    /** The book of a holder that takes over from this journal. */
+    public OrderBook takenOver(long nowNanos) {
+        Map<ModelVersion, LoadFailures> known = new HashMap<>();
+        failures.forEach(failure -> known.put(
+                failure.target(),
+                new LoadFailures(
+                        failure.count(), Set.copyOf(failure.engines()), Set.copyOf(failure.inDoubt()), nowNanos)));
+        return OrderBook.takenOver(orders, known, nowNanos);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/order/OrderParts.java
@@ -0,0 +1,28 @@
+package org.baobabcart.router.order;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.Executor;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.platform.ObjectStore;
+import org.baobabcart.router.timeline.Timeline;
+
+/**
+ * What leases and orders work with. Immutable.
+ *
+ * @param settings the settings
+ * @param blackboard the blackboard
+ * @param loop runs tasks on the control thread
+ * @param timers the time
+ * @param store the platform's object API
+ * @param timeline the time line
+ * @param metrics metrics of the process
+ */
+public record OrderParts(
+        OrderSettings settings,
+        Blackboard blackboard,
+        Executor loop,
+        TimerService timers,
+        ObjectStore store,
+        Timeline timeline,
+        MetricRegistry metrics) {}
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/order/HttpEngineOrdersTest.java
@@ -0,0 +1,89 @@
+package org.baobabcart.router.order;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class HttpEngineOrdersTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+    private static final EngineOrder ORDER = new EngineOrder("a-1-1", 7, EngineOrder.LOAD_MODEL, "layout", "v2");
+    private static final int SILENT = 0;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final List<String> bodies = new CopyOnWriteArrayList<>();
+    private volatile int status = 200;
+    private HttpServer server;
+
+    @BeforeEach
+    void start() throws Exception {
+        server = vertx.createHttpServer()
+                .requestHandler(this::answer)
+                .listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(10, TimeUnit.SECONDS);
+    }
+
+    @AfterEach
+    void stop() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    @Test
+    void answersOfEnginesAreToldApart() {
+        assertThat(send(200, true), equalTo(OrderAnswer.ACCEPTED));
+        assertThat(send(202, true), equalTo(OrderAnswer.ACCEPTED));
+        assertThat(send(409, true), equalTo(OrderAnswer.STALE));
+        assertThat(send(400, true), equalTo(OrderAnswer.REFUSED));
+        assertThat(send(SILENT, true), equalTo(OrderAnswer.UNKNOWN));
+        assertThat(
+                List.copyOf(bodies).subList(0, 1),
+                contains("{\"orderId\":\"a-1-1\",\"fencing\":7,\"action\":\"load-model\","
+                        + "\"model\":\"layout\",\"version\":\"v2\"}"));
+    }
+
+    @Test
+    void withoutTheLeaseNothingIsWritten() {
+        assertThat(send(200, false), equalTo(OrderAnswer.NOT_SENT));
+        assertThat(bodies, empty());
+    }
+
+    private OrderAnswer send(int newStatus, boolean mayAct) {
+        status = newStatus;
+        VirtualMachine engine = new VirtualMachine(
+                "engine",
+                VirtualMachine.Role.ENGINE,
+                "a",
+                VirtualMachine.State.LIVE,
+                "http://127.0.0.1:" + server.actualPort(),
+                "layout",
+                "v1",
+                "");
+        return HttpEngineOrders.create(vertx, TIMEOUT)
+                .send(engine, ORDER, () -> mayAct)
+                .await()
+                .atMost(Duration.ofSeconds(10));
+    }
+
+    private void answer(HttpServerRequest request) {
+        request.bodyHandler(body -> {
+            bodies.add(body.toString());
+            if (status != SILENT) {
+                request.response().setStatusCode(status).end();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/order/PausableTimers.java
@@ -0,0 +1,46 @@
+package org.baobabcart.router.order;
+
+import java.time.Duration;
+import org.baobabcart.router.control.TimerService;
+
+/** One node's timers; while it is paused its subscribers are not called, and they are called once when it resumes. */
+final class PausableTimers implements TimerService {
+    private final TimerService timers;
+    private boolean paused;
+
+    PausableTimers(TimerService timers) {
+        this.timers = timers;
+    }
+
+    void setPaused(boolean nowPaused) {
+        paused = nowPaused;
+    }
+
+    @Override
+    public long nanoTime() {
+        return timers.nanoTime();
+    }
+
+    @Override
+    public long wallClockMillis() {
+        return timers.wallClockMillis();
+    }
+
+    @Override
+    public Subscription every(String name, Duration period, Runnable subscriber) {
+        return timers.every(name, period, unlessPaused(subscriber));
+    }
+
+    @Override
+    public Subscription after(String name, Duration delay, Runnable subscriber) {
+        return timers.after(name, delay, unlessPaused(subscriber));
+    }
+
+    private Runnable unlessPaused(Runnable subscriber) {
+        return () -> {
+            if (!paused) {
+                subscriber.run();
+            }
+        };
+    }
+}
