Measure orders to engines; look at placements once for all models

Cause: nothing said how long a placement takes, what a dead holder costs, or what a look at 1,100 engines takes.

--- a/bench/src/main/java/org/baobabcart/bench/BenchMain.java
+++ b/bench/src/main/java/org/baobabcart/bench/BenchMain.java
@@ -26,7 +26,8 @@
             new UpstreamChoiceMeasurement(),
             new RankFloodMeasurement(),
             new SmallCallersMeasurement(),
-            new WakeStormMeasurement());
+            new WakeStormMeasurement(),
+            new OrderMeasurement());
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build();
 
--- /dev/null
+++ b/bench/src/main/java/org/baobabcart/bench/PlacementCost.java
@@ -0,0 +1,68 @@
+package org.baobabcart.bench;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.baobabcart.policy.placement.ListedEngine;
+import org.baobabcart.policy.placement.ModelVersion;
+import org.baobabcart.policy.placement.OrderBook;
+import org.baobabcart.policy.placement.PlacementPolicy;
+import org.baobabcart.policy.placement.PlacementSettings;
+import org.baobabcart.policy.placement.WantedPlacements;
+
+/** What one look at the placements of a data centre costs the holder, in a pool that has run out. */
+final class PlacementCost {
+    private static final int ENGINES = 1_100;
+    private static final int VERSIONS = 21;
+    private static final int WARM_UP_ROUNDS = 300;
+    private static final int ROUNDS = 300;
+    private static final double NANOS_PER_MILLISECOND = 1e6;
+
+    private PlacementCost() {}
+
+    /** Milliseconds of processor time for each look, at 1,100 engines and 21 versions that all lack one engine. */
+    static double milliseconds() {
+        looks(WARM_UP_ROUNDS);
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        long begin = threads.getCurrentThreadCpuTime();
+        looks(ROUNDS);
+        return (threads.getCurrentThreadCpuTime() - begin) / NANOS_PER_MILLISECOND / ROUNDS;
+    }
+
+    private static void looks(int rounds) {
+        PlacementPolicy policy = PlacementPolicy.of(PlacementSettings.defaults());
+        List<ListedEngine> engines = engines();
+        WantedPlacements wanted = wanted();
+        OrderBook book = OrderBook.empty();
+        for (int round = 0; round < rounds; round++) {
+            long now = Duration.ofSeconds(round).toNanos();
+            book = policy.observe(book, wanted, engines, now);
+            policy.plan(book, wanted, engines, now);
+        }
+    }
+
+    private static List<ListedEngine> engines() {
+        List<ListedEngine> engines = new ArrayList<>();
+        for (int index = 0; index < ENGINES; index++) {
+            engines.add(new ListedEngine("engine-" + index, version(index % VERSIONS)));
+        }
+        return engines;
+    }
+
+    private static WantedPlacements wanted() {
+        Map<ModelVersion, Integer> counts = new LinkedHashMap<>();
+        for (int index = 0; index < VERSIONS; index++) {
+            counts.put(version(index), ENGINES / VERSIONS + 2);
+        }
+        return new WantedPlacements(counts, Set.of());
+    }
+
+    private static ModelVersion version(int index) {
+        return ModelVersion.of("model-" + index / 2, "v" + index % 2);
+    }
+}
--- a/policy/src/main/java/org/baobabcart/policy/placement/PlacementDraft.java
+++ b/policy/src/main/java/org/baobabcart/policy/placement/PlacementDraft.java
@@ -15,6 +15,7 @@
     private final List<ListedEngine> engines;
     private final PlacementSettings settings;
     private final long nowNanos;
+    private final Set<String> models;
     private final Set<String> doubted;
     private final List<ListedEngine> free = new ArrayList<>();
     private final Map<ModelVersion, Integer> certain = new HashMap<>();
@@ -32,6 +33,7 @@
         this.engines = engines;
         this.settings = settings;
         this.nowNanos = nowNanos;
+        this.models = wanted.models();
         this.doubted = book.doubted();
         for (ListedEngine engine : engines) {
             if (!book.inFlight().containsKey(engine.name())) {
@@ -101,7 +103,7 @@
 
     /** Whether its version has enough engines without it. */
     private boolean isSpare(ListedEngine engine) {
-        return wanted.manages(engine.serves().model()) && others(engine) >= wanted.count(engine.serves());
+        return models.contains(engine.serves().model()) && others(engine) >= wanted.count(engine.serves());
     }
 
     /** Whether callers of its version are served without it. */
--- a/policy/src/main/java/org/baobabcart/policy/placement/WantedPlacements.java
+++ b/policy/src/main/java/org/baobabcart/policy/placement/WantedPlacements.java
@@ -48,17 +48,13 @@
         return withdrawn.contains(target) ? 0 : engines.getOrDefault(target, 0);
     }
 
-    /** Whether engines of this model may be given to other versions. */
-    boolean manages(String model) {
-        return models().contains(model);
-    }
-
     /** Whether any version of the model is wanted. */
     boolean wantsModel(String model) {
         return engines.keySet().stream().anyMatch(target -> target.model().equals(model) && count(target) > 0);
     }
 
-    private Set<String> models() {
+    /** Models whose engines may be given to other versions. */
+    Set<String> models() {
         Set<String> models = new TreeSet<>();
         engines.keySet().forEach(target -> models.add(target.model()));
         return models;
--- a/router/src/test/java/org/baobabcart/router/order/FakeEngines.java
+++ b/router/src/test/java/org/baobabcart/router/order/FakeEngines.java
@@ -15,7 +15,6 @@
 
 /** Engines that load for some seconds, with or without a check of fencing numbers, and ways to them that fail. */
 final class FakeEngines implements EngineOrders {
-    static final Duration LOAD_TIME = Duration.ofSeconds(5);
 
     /** How the way to the engines behaves. */
     enum Way {
@@ -35,6 +34,7 @@
     private final List<Runnable> heldSends = new ArrayList<>();
     final List<Arrival> arrivals = new ArrayList<>();
     private Way way = Way.OPEN;
+    private Duration loadTime = Duration.ofSeconds(5);
     private int attempts;
 
     FakeEngines(ManualTimerService timers) {
@@ -68,6 +68,10 @@
         highest.put(name, fencing);
     }
 
+    void setLoadTime(Duration newLoadTime) {
+        loadTime = newLoadTime;
+    }
+
     void setWay(Way newWay) {
         way = newWay;
     }
@@ -123,7 +127,7 @@
         }
         highest.merge(name, order.fencing(), Math::max);
         if (obeyed.add(order.orderId())) {
-            timers.after("load", LOAD_TIME, () -> serve(name, order.version()));
+            timers.after("load", loadTime, () -> serve(name, order.version()));
         }
         return way == Way.LOSES_ANSWERS ? OrderAnswer.UNKNOWN : OrderAnswer.ACCEPTED;
     }
--- a/router/src/test/java/org/baobabcart/router/order/OrderControllerTest.java
+++ b/router/src/test/java/org/baobabcart/router/order/OrderControllerTest.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import org.baobabcart.policy.lease.LeaseTerms;
@@ -98,7 +99,7 @@
         OrderFleet.Node first = fleet.holder();
         engines.setWay(FakeEngines.Way.OPEN);
         first.timers().setPaused(true);
-        while (!fleet.hasHolder() || fleet.holder() == first) {
+        for (int second = 0; second < UNTIL_TAKEN_OVER_SECONDS && !hasNextHolder(first); second++) {
             fleet.advance(1);
         }
         long takenAt = fleet.timers.nanoTime();
@@ -158,14 +159,17 @@
     }
 
     @Test
-    void theNextHolderRepeatsTheOrdersOfOneThatDiedAndEnginesObeyThemOnce() {
+    void anOrderIsRepeatedUnderItsIdAndTheNextHolderRepeatsThoseOfOneThatDied() {
         engines.setWay(FakeEngines.Way.LOSES_ANSWERS);
+        engines.setLoadTime(Duration.ofSeconds(UNTIL_PLACED_SECONDS));
         fleet.want(2, 2);
-        while (engines.obeyed() < 2) {
-            fleet.advance(1);
-        }
+        fleet.advance(2 * UNTIL_SENT_SECONDS);
+        assertThat(engines.arrivals.size(), greaterThan(2));
+        assertThat(engines.obeyed(), equalTo(2));
         fleet.holder().timers().setPaused(true);
-        fleet.advance(UNTIL_TAKEN_OVER_SECONDS + UNTIL_PLACED_SECONDS);
+        fleet.advance(UNTIL_TAKEN_OVER_SECONDS);
+        assertThat(fleet.holder().blackboard().read(Sections.ORDERS).inFlight().size(), equalTo(2));
+        fleet.advance(2 * UNTIL_PLACED_SECONDS);
         assertThat(engines.obeyed(), equalTo(2));
         assertThat(engines.serving("v2"), equalTo(2L));
     }
@@ -203,6 +207,10 @@
         assertThat(fleet.holder().name(), not(first.name()));
     }
 
+    private boolean hasNextHolder(OrderFleet.Node first) {
+        return fleet.hasHolder() && fleet.holder() != first;
+    }
+
     private OrderStatus status() {
         return fleet.holder().blackboard().read(Sections.ORDERS);
     }
