--- a/bench/src/main/java/org/baobabcart/bench/BenchMain.java
+++ b/bench/src/main/java/org/baobabcart/bench/BenchMain.java
@@ -27,6 +27,7 @@
             new RankFloodMeasurement(),
             new SmallCallersMeasurement(),
             new WakeStormMeasurement(),
+            new BadVersionMeasurement(),
             new OrderMeasurement());
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build();
--- a/bench/src/main/java/org/baobabcart/bench/slope/NodeHost.java
+++ b/bench/src/main/java/org/baobabcart/bench/slope/NodeHost.java
@@ -16,6 +16,7 @@
 import org.baobabcart.router.RouterPorts;
 import org.baobabcart.router.RouterProcess;
 import org.baobabcart.router.settings.RouterSettings;
+import org.baobabcart.router.transport.SecurityFiles;
 
 /**
  * Routers as library objects in this process, before a platform and list of VMs in processes of their own, so that the
@@ -147,6 +148,8 @@
                 0,
                 0,
                 0,
+                "",
+                "",
                 URI.create(fleet.platform().url("http")),
                 URI.create(fleet.virtualMachines().url("http")),
                 Optional.empty(),
@@ -155,7 +158,8 @@
                         .map(opened -> "127.0.0.1:" + opened.peer())
                         .toList(),
                 Duration.ofMillis(1),
-                Duration.ofSeconds(2));
+                Duration.ofSeconds(2),
+                SecurityFiles.none());
     }
 
     private void register(String name, String dataCentre, RouterPorts opened) {
--- a/router/src/main/java/org/baobabcart/router/admin/AdminParts.java
+++ b/router/src/main/java/org/baobabcart/router/admin/AdminParts.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.timeline.RingTimeline;
+import org.baobabcart.router.transport.Transport;
 
 /**
  * The parts that the operators' API works with. Immutable.
@@ -19,6 +20,7 @@
  * @param metrics metrics of the process
  * @param status makes the status report; called on the control thread
  * @param drain begins the planned stop; any thread may call it, more than once
+ * @param transport how connections are made
  */
 public record AdminParts(
         Vertx vertx,
@@ -28,4 +30,5 @@
         RingTimeline timeline,
         MetricRegistry metrics,
         Supplier<JsonNode> status,
-        Runnable drain) {}
+        Runnable drain,
+        Transport transport) {}
