--- a/bench/src/main/java/org/baobabcart/bench/BenchMain.java
+++ b/bench/src/main/java/org/baobabcart/bench/BenchMain.java
@@ -27,7 +27,8 @@
             new RankFloodMeasurement(),
             new SmallCallersMeasurement(),
             new WakeStormMeasurement(),
-            new BadVersionMeasurement());
+            new BadVersionMeasurement(),
+            new OrderMeasurement());
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build();
 
--- a/router/src/main/java/org/baobabcart/router/admin/StatusReport.java
+++ b/router/src/main/java/org/baobabcart/router/admin/StatusReport.java
@@ -61,6 +61,7 @@
                 "rollOuts",
                 MAPPER.createObjectNode()
                         .put("generation", blackboard.read(Sections.ROLL_OUTS).generation()));
+        report.set("orders", MAPPER.valueToTree(blackboard.read(Sections.ORDERS)));
         report.set(
                 "sessionKeys",
                 MAPPER.createObjectNode()
--- a/router/src/test/java/org/baobabcart/router/traffic/UpstreamFailureTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/UpstreamFailureTest.java
@@ -116,7 +116,8 @@
                 sheet.workspaces(),
                 sheet.services(),
                 sheet.rollOuts(),
-                sheet.withdrawals());
+                sheet.withdrawals(),
+                sheet.placements());
     }
 
     @Test
