Claimed bookings wait no longer than their rank's target

Cause: with work waiting until its caller's deadline, a booking that had claimed its key could wait beyond the 10 s after which the grant is void, and would be refused only then.

Ruled out: claiming after the wait (the slot would stand idle for the claim's write).

Change: work has a latest start of its own; a first attempt that may not be repeated keeps its rank's target, as before.

Before: CallerBehaviourTest.claimedBookingDoesNotWaitBeyondItsRanksTarget (new) red: 504 with 1304 in place of 1202. After: it, and all of CallerApiTest, CallerBehaviourTest and UpstreamFailureTest, pass.

A batch booking may still wait 30 s by its rank and outlive its grant; that is as it was.

--- a/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
@@ -72,13 +72,15 @@
     }
 
     private Future<T> attempt(int number, Set<String> failed) {
+        boolean first = number == 1 && !exchange.mayHaveRun();
         Work work = new Work(
                 exchange.requestId(),
                 plan.pool(),
                 context.rankIndex(),
                 context.workspace().name(),
                 context.workspace().weight(),
-                exchange.mayHaveRun() || number > 1 ? context.deadlineNanos() : context.targetNanos(),
+                first ? context.targetNanos() : context.deadlineNanos(),
+                first && !plan.repeatable() ? context.targetNanos() : context.deadlineNanos(),
                 context.deadlineNanos(),
                 plan.size(),
                 plan.affinity(),
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -132,7 +132,7 @@
                 work.workspace(),
                 work.weight(),
                 work.targetNanos(),
-                work.deadlineNanos() - serviceNanos,
+                Math.min(work.latestStartNanos(), work.deadlineNanos() - serviceNanos),
                 waiter);
     }
 
--- a/router/src/main/java/org/baobabcart/router/upstream/Work.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Work.java
@@ -11,6 +11,7 @@
  * @param workspace whose work it is
  * @param weight the workspace's weight
  * @param targetNanos the time until which it starts as its rank promises
+ * @param latestStartNanos the time after which it may not start, whatever its deadline
  * @param deadlineNanos the time until which it has to be finished
  * @param size its size, the most tokens of its answer; zero for services
  * @param affinity a text that like work shares, by which upstreams with a warm cache are found
@@ -23,6 +24,7 @@
         String workspace,
         double weight,
         long targetNanos,
+        long latestStartNanos,
         long deadlineNanos,
         int size,
         String affinity,
--- a/router/src/test/java/org/baobabcart/router/traffic/CallerApiTestBase.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerApiTestBase.java
@@ -22,6 +22,7 @@
 /** Starts the caller API with fakes around it. */
 abstract class CallerApiTestBase {
     static final String KEY = "foo";
+    static final int SERVICE_SLOTS = 16;
     static final Duration BOUND = Duration.ofSeconds(20);
 
     final FakeParts fakes = new FakeParts();
@@ -88,6 +89,18 @@
         return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Sends as many requests as a service gets at once in the beginning, and waits until it has them. */
+    void fillSlots(FakeUpstream service) throws InterruptedException {
+        for (int index = 0; index < SERVICE_SLOTS; index++) {
+            http.sendAsync(
+                    request("/services/orders/notes")
+                            .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+        }
+        await(() -> service.requests().size() == SERVICE_SLOTS);
+    }
+
     static void await(BooleanSupplier condition) throws InterruptedException {
         long deadline = System.nanoTime() + BOUND.toNanos();
         while (!condition.getAsBoolean()) {
--- a/router/src/test/java/org/baobabcart/router/traffic/CallerBehaviourTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerBehaviourTest.java
@@ -212,6 +212,20 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
+    @Test
+    void claimedBookingDoesNotWaitBeyondItsRanksTarget() throws Exception {
+        FakeUpstream service = upstream("s", request -> {});
+        fakes.show(sheet(), service.service("orders"));
+        fillSlots(service);
+        String body = post("/services/orders/bookings", "{}", Headers.IDEMPOTENCY_KEY, "b1", Headers.RANK, "urgent")
+                .body();
+        assertThat(body, containsString("\"code\":1202"));
+        assertThat(body, containsString("\"ran\":\"no\""));
+        await(() -> !fakes.outcomes.isEmpty());
+        assertThat(fakes.outcomes.get(0).kind(), is(ClaimOutcome.Kind.NOT_RUN));
+        assertThat(service.requests(), hasSize(SERVICE_SLOTS));
+    }
+
     private static String readUntil(InputStream stream, String text) throws IOException {
         StringBuilder read = new StringBuilder();
         while (read.indexOf(text) < 0) {
--- a/router/src/test/java/org/baobabcart/router/traffic/UpstreamFailureTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/UpstreamFailureTest.java
@@ -145,20 +145,13 @@
     void bookingRefusedAtItsDeadlineWhileItWaitsIsNeverSent() throws Exception {
         FakeUpstream service = upstream("s", SILENT);
         fakes.show(sheet(), service.service("orders"));
-        for (int index = 0; index < 16; index++) {
-            http.sendAsync(
-                    request("/services/orders/notes")
-                            .POST(HttpRequest.BodyPublishers.ofString("{}"))
-                            .build(),
-                    HttpResponse.BodyHandlers.ofString());
-        }
-        await(() -> service.requests().size() == 16);
+        fillSlots(service);
         HttpResponse<String> answer =
                 post("/services/orders/bookings", "{}", Headers.IDEMPOTENCY_KEY, "b1", Headers.TIMEOUT_MILLIS, "100");
         assertFailed(answer, 503, 1202, "no");
         await(() -> !fakes.outcomes.isEmpty());
         assertThat(fakes.outcomes.get(0).kind(), is(ClaimOutcome.Kind.NOT_RUN));
-        assertThat(service.requests(), hasSize(16));
+        assertThat(service.requests(), hasSize(SERVICE_SLOTS));
     }
 
     @Test
