At a planned stop, refuse waiting work that could wait until the drain ends

Cause: with work waiting until its caller's deadline, a request may wait at a stopping router for longer than the drain, and would be cut off at its end.

Ruled out: refusing all that waits (most of it is done within the drain); a longer drain (VMs are replaced at a set time).

Change: when the drain begins, work whose latest start lies beyond it is refused with 1204 and ran "no".

Before: CallerBehaviourTest.drainRefusesAtOnceWhatMayWaitUntilItsEnd (new) red: no answer within a second. After: it, and all of CallerApiTest, CallerBehaviourTest and UpstreamFailureTest, pass.

Conclusion: a planned stop cuts off nothing that waits; what runs longer than the drain is as before.

--- a/policy/src/main/java/org/baobabcart/policy/admission/AdmissionQueue.java
+++ b/policy/src/main/java/org/baobabcart/policy/admission/AdmissionQueue.java
@@ -115,6 +115,14 @@
         return all;
     }
 
+    /** Takes out what would be of use if it started later than this time. */
+    public List<Entry<T>> takeStartingAfter(long nanos) {
+        List<Entry<T>> taken = new ArrayList<>();
+        ranks.forEach(queue -> taken.addAll(queue.removeIf(entry -> entry.latestStartNanos() > nanos)));
+        noteEmpty();
+        return taken;
+    }
+
     /** Takes out one item, whose caller is gone. */
     public void remove(T item) {
         ranks.forEach(queue -> queue.removeIf(entry -> entry.item() == item));
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -76,12 +76,14 @@
     }
 
     /**
-     * Stops accepting connections, lets running requests end, and closes.
+     * Stops accepting connections, lets running requests end, and closes. Requests that may wait for an upstream until the
+     * time is up are refused at once, so that their callers can go elsewhere.
      *
      * @param timeout after which connections are closed even if requests still run
      */
     public Uni<Void> drain(Duration timeout) {
         runtime.drain().begin();
+        runtime.dispatcher().refuseWaitingBeyond(System.nanoTime() + timeout.toNanos());
         return Futures.toUni(() -> {
             List<Future<Void>> closing = new ArrayList<>();
             verticles.forEach(verticle -> closing.add(verticle.shutdown(timeout)));
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -90,6 +90,17 @@
         return queues.values().stream().mapToInt(AdmissionQueue::size).sum();
     }
 
+    /** Refuses waiting work that could still wait at this time, since the process ends by then. */
+    public void refuseWaitingBeyond(long nanoTime) {
+        run(() -> {
+            BaobabcartException stopping = BaobabcartException.of(ResultCode.STOPPING);
+            return queues.values().stream()
+                    .flatMap(queue -> queue.takeStartingAfter(nanoTime).stream())
+                    .<Runnable>map(entry -> () -> entry.item().refuse(stopping))
+                    .toList();
+        });
+    }
+
     private void tick() {
         run(this::sweep);
     }
--- a/router/src/test/java/org/baobabcart/router/traffic/CallerBehaviourTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerBehaviourTest.java
@@ -15,6 +15,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -226,6 +227,26 @@
         assertThat(service.requests(), hasSize(SERVICE_SLOTS));
     }
 
+    @Test
+    void drainRefusesAtOnceWhatMayWaitUntilItsEnd() throws Exception {
+        FakeUpstream service = upstream("s", request -> {});
+        fakes.show(sheet(), service.service("orders"));
+        fillSlots(service);
+        CompletableFuture<HttpResponse<String>> waiting = http.sendAsync(
+                request("/services/orders/status", Headers.TIMEOUT_MILLIS, "60000")
+                        .GET()
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+        await(() -> waiting() == 1);
+        CompletableFuture<Void> drained = api.drain(BOUND).subscribeAsCompletionStage();
+        assertThat(waiting.get(1, TimeUnit.SECONDS).body(), containsString("\"code\":1204"));
+        assertThat(drained.isDone(), is(false));
+    }
+
+    private int waiting() {
+        return (Integer) fakes.metrics.getGauges().get("dispatcher.waiting").getValue();
+    }
+
     private static String readUntil(InputStream stream, String text) throws IOException {
         StringBuilder read = new StringBuilder();
         while (read.indexOf(text) < 0) {
--- a/router/src/test/java/org/baobabcart/router/traffic/FakeParts.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/FakeParts.java
@@ -38,6 +38,7 @@
     final List<String> versionOutcomes = new CopyOnWriteArrayList<>();
     final List<String> unreachable = new CopyOnWriteArrayList<>();
     final Map<String, StoredReply> stored = new ConcurrentHashMap<>();
+    final MetricRegistry metrics = new MetricRegistry();
     volatile TrafficView view = TrafficView.empty();
     volatile Optional<ResultCode> claimRefusal = Optional.empty();
     volatile boolean dispatchable = true;
@@ -51,7 +52,7 @@
     TrafficParts parts() {
         SessionKey key = new SessionKey("k1", "secret of the test".getBytes(StandardCharsets.UTF_8));
         SessionSigner signer = SessionSigner.of(List.of(key));
-        return new TrafficParts(() -> view, this, this, this, this, new MetricRegistry(), this, () -> signer);
+        return new TrafficParts(() -> view, this, this, this, this, metrics, this, () -> signer);
     }
 
     void show(Sheet sheet, VirtualMachine... upstreams) {
