--- a/router/src/main/java/org/baobabcart/router/RouterProcess.java
+++ b/router/src/main/java/org/baobabcart/router/RouterProcess.java
@@ -44,7 +44,8 @@
     private RouterProcess(RouterSettings settings) {
         this.core = RouterCore.create(settings);
         this.traffic = TrafficEdge.create(core);
-        this.peerServer = PeerServer.create(core.vertx(), PeerSettings.defaults());
+        this.peerServer =
+                PeerServer.create(core.vertx(), PeerSettings.defaults().withTransport(core.transport()));
     }
 
     /** A router that does not listen yet. */
@@ -95,9 +96,10 @@
                 core.loop(),
                 core.timeline(),
                 core.metrics(),
-                () -> StatusReport.create(core.blackboard(), core.timers(), plane.sheets())
+                () -> StatusReport.create(core.blackboard(), core.timers(), plane.sheets(), plane.machines())
                         .write(addresses),
-                this::stop));
+                this::stop,
+                core.transport()));
         return admin;
     }
 
@@ -125,7 +127,9 @@
 
     private Addresses addresses(RouterPorts ports) {
         String host = core.settings().listenAddress();
-        return new Addresses(host + ":" + ports.caller(), host + ":" + ports.admin(), host + ":" + ports.peer());
+        String advertised = core.settings().advertisedPeer();
+        String peer = advertised.isEmpty() ? host + ":" + ports.peer() : advertised;
+        return new Addresses(host + ":" + ports.caller(), host + ":" + ports.admin(), peer);
     }
 
     private void beginStop() {
--- a/router/src/main/java/org/baobabcart/router/settings/Setting.java
+++ b/router/src/main/java/org/baobabcart/router/settings/Setting.java
@@ -17,6 +17,18 @@
     ADMIN_PORT("admin-port", ValueForm.PORT, "0", "the port of the operators' API"),
     /** The port of the other routers. */
     PEER_PORT("peer-port", ValueForm.PORT, "0", "the port that other routers call"),
+    /** The peer port as other routers reach it. */
+    ADVERTISED_PEER(
+            "advertised-peer",
+            ValueForm.OPTIONAL_ADDRESS,
+            "",
+            "the peer port as other routers reach it, behind address translation; empty for the bound one"),
+    /** The source of connections to others. */
+    OUTGOING_ADDRESS(
+            "outgoing-address",
+            ValueForm.OPTIONAL_HOST,
+            "",
+            "the address that connections to routers, upstreams and the platform come from; empty for any"),
     /** The platform's object API. */
     PLATFORM("platform", ValueForm.URL, null, "the platform's object API"),
     /** The platform's list of VMs. */
@@ -36,7 +48,27 @@
             "drain-timeout-millis",
             ValueForm.MILLISECONDS,
             "120000",
-            "how long running requests may take to finish at a planned stop");
+            "how long running requests may take to finish at a planned stop"),
+    /** The own certificate. */
+    TLS_CERTIFICATE(
+            "tls-certificate",
+            ValueForm.OPTIONAL_FILE,
+            "",
+            "the PEM file of the own certificate and its chain; with key and fleet authorities all ports speak TLS"),
+    /** The own private key. */
+    TLS_KEY("tls-key", ValueForm.OPTIONAL_FILE, "", "the PEM file of the private key of the certificate"),
+    /** The authorities of routers and operators. */
+    FLEET_AUTHORITIES(
+            "fleet-authorities",
+            ValueForm.OPTIONAL_FILE,
+            "",
+            "the PEM file of the authorities whose certificates make a client a router or an operator"),
+    /** The authorities of what the router calls. */
+    UPSTREAM_AUTHORITIES(
+            "upstream-authorities",
+            ValueForm.OPTIONAL_FILE,
+            "",
+            "the PEM file of the authorities of https addresses; empty for those of the Java platform");
 
     private static final String ENVIRONMENT_PREFIX = "BAOBABCART_";
 
--- a/wire/src/main/thrift/peer.thrift
+++ b/wire/src/main/thrift/peer.thrift
@@ -25,7 +25,11 @@
 /** The generation of a replicated document that a node holds. */
 struct DocumentVersion {
   1: required string document,
-  2: required i64 generation
+  2: required i64 generation,
+  /** Digest of the content, for documents that several nodes write without a common order. */
+  3: optional i64 digest,
+  /** How long ago some node read the source of this content; absent where none is known to have. */
+  4: optional i64 ageMillis
 }
 
 /** Upstream crashes blamed on one request fingerprint, counted by the node that saw them. */
@@ -45,7 +49,10 @@
   6: required i64 failures,
   7: required i64 ratings,
   8: required double ratingSum,
-  9: required double ratingSquareSum
+  9: required double ratingSquareSum,
+  10: optional i64 timed,
+  11: optional double latencyLossSum,
+  12: optional double latencyLossSquareSum
 }
 
 /** Periodic exchange between two routers. */
@@ -71,6 +78,7 @@
   1: required bool reached
 }
 
+/** Asks for what is newer than a generation; zero asks for the whole. */
 struct DocumentRequest {
   1: required string document,
   2: required i64 haveGeneration
