Send what a new version has no room for to the old one; listen to answers before they come

Change: a request that was only drawn for the new version of a roll-out and is refused for want of room goes to the old version. The other way round it is refused as before, so that a flood never raises the new version's share. The measurement warms its fleet up on the old version first, in both of its parts.

The listener was added by the sending thread, after the answer could have ended. It is now added before the request is sent, and the second loop is back.

Seen to fail: without the change FullVersionTest got 429 beside 200 for the new version. It passes now.

--- a/bench/src/main/java/org/baobabcart/bench/StagedRun.java
+++ b/bench/src/main/java/org/baobabcart/bench/StagedRun.java
@@ -28,6 +28,7 @@
     private static final double TOKEN_MILLIS = 4;
     private static final int ENGINES_PER_DATA_CENTRE = 3;
     private static final int ROUTERS_PER_DATA_CENTRE = 2;
+    private static final Duration WARM_UP = Duration.ofSeconds(4);
     private static final Duration GOOD = Duration.ofSeconds(4);
     private static final Duration UNTIL_KILL = Duration.ofSeconds(1);
     private static final Duration WHOLE = Duration.ofSeconds(StagedSheets.STAGE_SECONDS * StagedSheets.SHARES.size());
@@ -86,6 +87,7 @@
 
     /** Stages moved by the routers; the one that controls them is killed. */
     Result byEvidence() {
+        warmUp();
         fleet.publish(StagedSheets.withRollOut(fleet));
         long deadline = System.nanoTime() + START_TIMEOUT.toNanos();
         while (!status().equals("RUNNING") && System.nanoTime() < deadline) {
@@ -101,6 +103,7 @@
 
     /** Stages moved by the clock alone; one router is killed at the same moment. */
     Result byClock() {
+        warmUp();
         fleet.publish(StagedSheets.withShare(fleet, StagedSheets.SHARES.get(0)));
         return run(fleet.routers().get(0), this::moveByClock);
     }
@@ -111,6 +114,15 @@
         bench.close();
     }
 
+    /** Work for the old version alone, so that no start of a process counts as a loss by the new one. */
+    private void warmUp() {
+        try (LoadGenerator warm = LoadGenerator.create()) {
+            warm.run(LoadSettings.of(bench.callerAddresses(), bench.workspaces(), StagedSheets.MODEL)
+                    .withPatience(0, PATIENCE)
+                    .withRate(Shape.STEADY, RATE, WARM_UP));
+        }
+    }
+
     private Result run(FleetNode killed, LongConsumer stages) {
         List<FleetNode> others =
                 fleet.routers().stream().filter(router -> router != killed).toList();
--- a/load/src/main/java/org/baobabcart/load/LoadGenerator.java
+++ b/load/src/main/java/org/baobabcart/load/LoadGenerator.java
@@ -13,8 +13,7 @@
 /** Sends planned requests at their times and records what becomes of them. Used by one thread. */
 public final class LoadGenerator implements AutoCloseable {
     private static final int MOST_CONNECTIONS = 4_000;
-    /** One, since an answer on a connection of another loop could end before it is listened to. */
-    private static final int EVENT_LOOPS = 1;
+    private static final int EVENT_LOOPS = 2;
 
     private static final int CONNECT_TIMEOUT_MILLIS = 5_000;
     private static final long GRACE_SECONDS = 10;
--- a/load/src/main/java/org/baobabcart/load/RequestRun.java
+++ b/load/src/main/java/org/baobabcart/load/RequestRun.java
@@ -71,6 +71,7 @@
         new RequestRun(vertx, client, settings, request, origin, recorder, onEnd).send();
     }
 
+    /** The listener is there before the request is sent: added by the caller's thread it may miss a short answer. */
     private void send() {
         triesMade++;
         recorder.record(request, GroupRecorder::tried);
@@ -79,8 +80,7 @@
                 .setAbsoluteURI(request.target() + request.path())
                 .setTimeout(leftMillis());
         client.request(options)
-                .compose(this::sendBody)
-                .onSuccess(this::receive)
+                .compose(http -> sendBody(http).onSuccess(this::receive))
                 .onFailure(failure -> end(outcomeOf(failure), failure.getClass().getSimpleName()));
     }
 
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -92,7 +92,7 @@
                         : Future.failedFuture(failure));
     }
 
-    /** Asks another version where the chosen one was withdrawn while the request waited, or none of its engines is there. */
+    /** Asks another version where the chosen one was withdrawn, has no engine within reach, or is new and has no room. */
     private Future<ModelAnswer> askAnother(int index, boolean last, Throwable failure) {
         if (!(failure instanceof BaobabcartException refusal) || exchange.started()) {
             return Future.failedFuture(failure);
@@ -110,6 +110,7 @@
         return switch (code) {
             case VERSION_WITHDRAWN -> Optional.of(versions.select(view, steps.workspace(), steps.step(index)));
             case UPSTREAM_UNREACHABLE, NO_UPSTREAM -> versions.besides(current, view, steps.workspace());
+            case DEADLINE_UNREACHABLE, QUEUE_FULL -> versions.insteadOfNew(current, view, steps.workspace());
             default -> Optional.empty();
         };
     }
--- a/router/src/main/java/org/baobabcart/router/traffic/VersionSelector.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/VersionSelector.java
@@ -86,6 +86,18 @@
                 .map(version -> selected(model.get(), version, false));
     }
 
+    /**
+     * Another version for a request that was drawn for the new version of a roll-out, which has no room for it. The other
+     * way round there is none: what the old version has no room for must not raise the new one's share.
+     */
+    Optional<SelectedVersion> insteadOfNew(SelectedVersion full, TrafficView view, Workspace workspace) {
+        boolean isNew = view.sheet()
+                .flatMap(known -> known.sheet().rollOut(full.model()))
+                .filter(rollOut -> rollOut.to().equals(full.version()))
+                .isPresent();
+        return isNew ? besides(full, view, workspace) : Optional.empty();
+    }
+
     /** Remembers the version that answered, and gives the header for the caller. */
     Optional<String> sign(SelectedVersion version) {
         session = session.withVersion(version.model(), version.version());
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/traffic/FullVersionTest.java
@@ -0,0 +1,95 @@
+package org.baobabcart.router.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+
+import io.vertx.core.http.HttpServerRequest;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.baobabcart.model.rollout.RollOutProgress;
+import org.baobabcart.model.rollout.RollOutState;
+import org.baobabcart.model.rollout.RollOutStatus;
+import org.baobabcart.model.sheet.RollOut;
+import org.baobabcart.model.sheet.RollOutStage;
+import org.baobabcart.model.sheet.Sheet;
+import org.baobabcart.model.sheet.WhenControllerLost;
+import org.baobabcart.policy.upstream.ConcurrencyLimit;
+import org.baobabcart.router.view.TrafficView;
+import org.junit.jupiter.api.Test;
+
+/** A roll-out of which one version has no room, at a router where nothing may wait. */
+class FullVersionTest extends CallerApiTestBase {
+    private static final int FULL = ConcurrencyLimit.initial().whole();
+    private static final int REQUESTS = 40;
+
+    @Override
+    TrafficSettings settings() {
+        TrafficSettings.Limits limits = super.settings().limits();
+        return super.settings()
+                .withLimits(new TrafficSettings.Limits(
+                        limits.bodyBytes(), limits.headerBytes(), limits.answerBytes(), 0, 0, limits.attempts()));
+    }
+
+    @Test
+    void whatTheNewVersionHasNoRoomForGoesToTheOldOne() throws Exception {
+        assertThat(statusesWhileFull("v2"), is(List.of(200)));
+    }
+
+    @Test
+    void whatTheOldVersionHasNoRoomForDoesNotRaiseTheShareOfTheNewOne() throws Exception {
+        assertThat(statusesWhileFull("v1"), hasItem(429));
+    }
+
+    /** The different statuses of requests that name no version while all slots of one version are taken. */
+    private List<Integer> statusesWhileFull(String version) throws Exception {
+        List<HttpServerRequest> held = new ArrayList<>();
+        FakeUpstream full = upstream("full", held::add);
+        FakeUpstream free = upstream("free", FakeUpstream.answering("done"));
+        String other = version.equals("v1") ? "v2" : "v1";
+        fakes.show(withRollOut(sheet()), full.engine("layout-large", version), free.engine("layout-large", other));
+        RollOutProgress progress = new RollOutProgress("layout-large", "v2", RollOutStatus.RUNNING, 0, "");
+        fakes.view = new TrafficView(
+                fakes.view.sheet(),
+                RollOutState.empty().withProgress(progress, "w"),
+                fakes.view.upstreams(),
+                Set.of(),
+                false);
+        List<CompletableFuture<HttpResponse<String>>> holding = new ArrayList<>();
+        for (int slot = 0; slot < FULL; slot++) {
+            String body = "{\"model\":\"layout-large@" + version + "\",\"messages\":[{\"role\":\"user\","
+                    + "\"content\":\"pane " + slot + "\"}]}";
+            holding.add(http.sendAsync(
+                    request("/v1/chat/completions")
+                            .POST(HttpRequest.BodyPublishers.ofString(body))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString()));
+        }
+        await(() -> full.requests().size() == FULL);
+        List<Integer> statuses = new ArrayList<>();
+        for (int index = 0; index < REQUESTS; index++) {
+            statuses.add(chat("layout-large", false).statusCode());
+        }
+        holding.forEach(request -> request.cancel(true));
+        return statuses.stream().distinct().toList();
+    }
+
+    private static Sheet withRollOut(Sheet sheet) {
+        RollOut rollOut = new RollOut(
+                "layout-large", "v1", "v2", List.of(new RollOutStage(0.5, 600, 1_000)), WhenControllerLost.REST);
+        return new Sheet(
+                sheet.name(),
+                sheet.defaultRank(),
+                sheet.ranks(),
+                sheet.models(),
+                sheet.cascades(),
+                sheet.workspaces(),
+                sheet.services(),
+                List.of(rollOut),
+                sheet.withdrawals());
+    }
+}
