Give sheets withers for name, models and roll-outs; orders go out by the router's transport

Tests repeated the sheet's whole constructor to change one field, so that every new section breaks them. Orders to engines were sent without the router's certificates and outgoing address. Change: Sheet.withName, withModels and withRollOuts, used by four tests; HttpEngineOrders takes the transport.

--- a/integration/src/test/java/org/baobabcart/integration/control/ControlFleetTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/control/ControlFleetTest.java
@@ -197,18 +197,7 @@
     }
 
     private Sheet renamed(String name) {
-        Sheet sheet = fleet.defaultSheet().sheet();
-        return new Sheet(
-                name,
-                sheet.defaultRank(),
-                sheet.ranks(),
-                sheet.models(),
-                sheet.cascades(),
-                sheet.workspaces(),
-                sheet.services(),
-                sheet.rollOuts(),
-                sheet.withdrawals(),
-                sheet.placements());
+        return fleet.defaultSheet().sheet().withName(name);
     }
 
     private HttpRequest streamRequest(FleetNode router) {
--- a/model/src/main/java/org/baobabcart/model/sheet/Sheet.java
+++ b/model/src/main/java/org/baobabcart/model/sheet/Sheet.java
@@ -82,6 +82,24 @@
         return withdrawals.contains(new Withdrawal(modelName, versionName));
     }
 
+    /** The same sheet under another name. */
+    public Sheet withName(String newName) {
+        return new Sheet(
+                newName, defaultRank, ranks, models, cascades, workspaces, services, rollOuts, withdrawals, placements);
+    }
+
+    /** The same sheet with other models. */
+    public Sheet withModels(List<Model> newModels) {
+        return new Sheet(
+                name, defaultRank, ranks, newModels, cascades, workspaces, services, rollOuts, withdrawals, placements);
+    }
+
+    /** The same sheet with other roll-outs. */
+    public Sheet withRollOuts(List<RollOut> newRollOuts) {
+        return new Sheet(
+                name, defaultRank, ranks, models, cascades, workspaces, services, newRollOuts, withdrawals, placements);
+    }
+
     /** The same sheet with one more withdrawal. */
     public Sheet withWithdrawal(Withdrawal withdrawal) {
         if (withdrawals.contains(withdrawal)) {
--- a/policy/src/test/java/org/baobabcart/policy/version/VersionPolicyTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/version/VersionPolicyTest.java
@@ -157,17 +157,7 @@
     }
 
     private static Sheet withShares(Sheet sheet, Model model) {
-        return new Sheet(
-                sheet.name(),
-                sheet.defaultRank(),
-                sheet.ranks(),
-                List.of(model),
-                sheet.cascades(),
-                sheet.workspaces(),
-                sheet.services(),
-                sheet.rollOuts(),
-                sheet.withdrawals(),
-                sheet.placements());
+        return sheet.withModels(List.of(model));
     }
 
     private static Situation situation(
--- a/router/src/main/java/org/baobabcart/router/ControlPlane.java
+++ b/router/src/main/java/org/baobabcart/router/ControlPlane.java
@@ -93,7 +93,7 @@
         OrderController orders = OrderController.create(
                 orderParts,
                 leases,
-                HttpEngineOrders.create(core.vertx(), orderParts.settings().sendTimeout()),
+                HttpEngineOrders.create(core.vertx(), orderParts.settings().sendTimeout(), core.transport()),
                 self.dataCentre());
         return new ControlPlane(
                 members, documents, sheets, rollOuts, rollOutControl, secrets, machines, leases, orders);
--- a/router/src/main/java/org/baobabcart/router/order/HttpEngineOrders.java
+++ b/router/src/main/java/org/baobabcart/router/order/HttpEngineOrders.java
@@ -15,6 +15,7 @@
 import java.util.function.BooleanSupplier;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.router.control.Futures;
+import org.baobabcart.router.transport.Transport;
 
 /** Orders by {@code POST /orders} with a JSON body. Thread-safe. */
 public final class HttpEngineOrders implements EngineOrders {
@@ -32,11 +33,11 @@
     }
 
     /** A client that waits this long for the answer of an engine. */
-    public static HttpEngineOrders create(Vertx vertx, Duration timeout) {
+    public static HttpEngineOrders create(Vertx vertx, Duration timeout, Transport transport) {
         int connectMillis = (int) timeout.toMillis();
         HttpClientOptions options =
                 new HttpClientOptions().setConnectTimeout(connectMillis).setKeepAlive(false);
-        return new HttpEngineOrders(vertx.createHttpClient(options), timeout);
+        return new HttpEngineOrders(vertx.createHttpClient(transport.toUpstreams(options)), timeout);
     }
 
     @Override
--- a/router/src/test/java/org/baobabcart/router/order/HttpEngineOrdersTest.java
+++ b/router/src/test/java/org/baobabcart/router/order/HttpEngineOrdersTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.router.transport.Transport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -72,7 +73,7 @@
                 "layout",
                 "v1",
                 "");
-        return HttpEngineOrders.create(vertx, TIMEOUT)
+        return HttpEngineOrders.create(vertx, TIMEOUT, Transport.plain())
                 .send(engine, ORDER, () -> mayAct)
                 .await()
                 .atMost(Duration.ofSeconds(10));
--- a/router/src/test/java/org/baobabcart/router/traffic/FullVersionTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/FullVersionTest.java
@@ -81,15 +81,6 @@
     private static Sheet withRollOut(Sheet sheet) {
         RollOut rollOut = new RollOut(
                 "layout-large", "v1", "v2", List.of(new RollOutStage(0.5, 600, 1_000)), WhenControllerLost.REST);
-        return new Sheet(
-                sheet.name(),
-                sheet.defaultRank(),
-                sheet.ranks(),
-                sheet.models(),
-                sheet.cascades(),
-                sheet.workspaces(),
-                sheet.services(),
-                List.of(rollOut),
-                sheet.withdrawals());
+        return sheet.withRollOuts(List.of(rollOut));
     }
 }
--- a/router/src/test/java/org/baobabcart/router/traffic/UpstreamFailureTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/UpstreamFailureTest.java
@@ -107,17 +107,7 @@
                                         1.0 / model.versions().size()))
                                 .toList()))
                 .toList();
-        return new Sheet(
-                sheet.name(),
-                sheet.defaultRank(),
-                sheet.ranks(),
-                models,
-                sheet.cascades(),
-                sheet.workspaces(),
-                sheet.services(),
-                sheet.rollOuts(),
-                sheet.withdrawals(),
-                sheet.placements());
+        return sheet.withModels(models);
     }
 
     @Test
