--- /dev/null
+++ b/integration/src/test/java/org/baobabcart/integration/cut/CutControlTest.java
@@ -0,0 +1,178 @@
+package org.baobabcart.integration.cut;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasItems;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.baobabcart.integration.support.Await;
+import org.baobabcart.integration.support.Caller;
+import org.baobabcart.integration.support.Load;
+import org.baobabcart.integration.support.Reply;
+import org.baobabcart.launcher.FleetNetwork;
+import org.baobabcart.launcher.FleetNode;
+import org.baobabcart.model.request.Headers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The sheet, model work and sessions while data centres are cut from each other and from the platform. */
+class CutControlTest {
+    /** The longest time until a change is in force everywhere, by the size that is built towards. */
+    private static final Duration IN_FORCE = Duration.ofSeconds(18);
+
+    private static final int CALLERS = 8;
+    private static final int MANY = 60;
+    private static final int TOKENS = 4;
+    private static final int SESSIONS = 16;
+
+    private CutFleet fleet;
+    private Caller caller;
+    private FleetNetwork network;
+
+    @BeforeEach
+    void start() {
+        fleet = CutFleet.start("cut-control");
+        caller = fleet.caller();
+        network = fleet.network();
+    }
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    @Test
+    void bothSidesServeModelWorkWhileTheyAreCutApart() {
+        Load load = load();
+        load.awaitMore(MANY);
+        network.cut(CutFleet.NEAR, CutFleet.FAR);
+        load.awaitMore(MANY);
+        fleet.awaitCutOff();
+        load.awaitMore(MANY);
+        network.heal();
+        fleet.awaitWhole();
+        load.awaitMore(MANY);
+        assertThat(failures(load.end()), empty());
+        fleet.routers().forEach(this::assertGenerationsOnlyGrow);
+    }
+
+    @Test
+    void aSideWithoutPlatformAndPeersKeepsItsSheetAndTakesTheNewerOneWhenTheCutHeals() {
+        fleet.processes().publish(fleet.sheet(0.5, 0.5));
+        fleet.awaitWhole();
+        long before = fleet.sheetGeneration(fleet.routers().get(0));
+        cutOff(CutFleet.NEAR);
+        fleet.awaitCutOff();
+        Load load = load();
+        load.awaitMore(MANY);
+        ObjectNode withdrawing = fleet.sheet(0.5, 0.5);
+        withdrawing
+                .putArray("withdrawals")
+                .addObject()
+                .put("model", CutFleet.MODEL)
+                .put("version", "v2");
+        long newer = fleet.processes().publish(withdrawing);
+        fleet.routers(CutFleet.FAR).forEach(router -> awaitInForce(router, newer));
+        load.awaitMore(MANY);
+        for (FleetNode router : fleet.routers(CutFleet.NEAR)) {
+            assertThat(fleet.sheetGeneration(router), is(before));
+            assertThat(fleet.status(router).path("ready").asBoolean(), is(true));
+        }
+        network.heal();
+        long healed = System.nanoTime();
+        fleet.routers().forEach(router -> awaitInForce(router, newer));
+        assertThat(System.nanoTime() - healed, lessThan(IN_FORCE.toNanos()));
+        long begun = fleet.runsOfVersion("v2");
+        load.awaitMore(MANY);
+        assertThat(failures(load.end()), empty());
+        assertThat(fleet.runsOfVersion("v2"), is(begun));
+        fleet.routers().forEach(this::assertGenerationsOnlyGrow);
+    }
+
+    @Test
+    void whatIsPublishedReachesASideThatOnlyThePlatformReaches() {
+        network.cut(CutFleet.NEAR, CutFleet.FAR);
+        fleet.awaitCutOff();
+        long newer = fleet.processes().publish(fleet.sheet(0.5, 0.5));
+        long published = System.nanoTime();
+        fleet.routers().forEach(router -> awaitInForce(router, newer));
+        assertThat(System.nanoTime() - published, lessThan(IN_FORCE.toNanos()));
+    }
+
+    @Test
+    void whatIsPublishedReachesASideThatOnlyThePeersReach() {
+        network.cut(CutFleet.NEAR, FleetNetwork.PLATFORM);
+        long newer = fleet.processes().publish(fleet.sheet(0.5, 0.5));
+        long published = System.nanoTime();
+        fleet.routers().forEach(router -> awaitInForce(router, newer));
+        assertThat(System.nanoTime() - published, lessThan(IN_FORCE.toNanos()));
+    }
+
+    @Test
+    void sessionsKeepTheirVersionOnTheOtherSideOfACut() {
+        fleet.processes().publish(fleet.sheet(0.5, 0.5));
+        fleet.awaitWhole();
+        List<Reply> begun = IntStream.range(0, SESSIONS)
+                .mapToObj(session -> ask(fleet.routers().get(session % 4), Map.of()))
+                .toList();
+        assertThat(begun.stream().map(Reply::version).collect(Collectors.toSet()), hasItems("v1", "v2"));
+        cutOff(CutFleet.NEAR);
+        fleet.awaitCutOff();
+        fleet.processes().publish(fleet.sheet(0, 1));
+        assertSessionsKeepTheirVersion(begun);
+        network.heal();
+        fleet.awaitWhole();
+        assertSessionsKeepTheirVersion(begun);
+    }
+
+    private void assertSessionsKeepTheirVersion(List<Reply> begun) {
+        for (Reply first : begun) {
+            List<CompletableFuture<Reply>> calls = fleet.routers().stream()
+                    .map(router -> caller.chat(
+                            router, CutFleet.MODEL, "how many", TOKENS, Map.of(Headers.SESSION, first.session())))
+                    .toList();
+            List<String> versions = new ArrayList<>();
+            calls.forEach(call -> versions.add(call.join().version()));
+            assertThat(versions, everyItem(equalTo(first.version())));
+        }
+    }
+
+    private void cutOff(String dataCentre) {
+        network.cut(CutFleet.NEAR, CutFleet.FAR);
+        network.cut(dataCentre, FleetNetwork.PLATFORM);
+    }
+
+    private void awaitInForce(FleetNode router, long generation) {
+        Await.until(router.name() + " has the sheet", () -> fleet.sheetGeneration(router) >= generation);
+    }
+
+    private Load load() {
+        return Load.start(CALLERS, number -> ask(fleet.routers().get(number % 4), Map.of()));
+    }
+
+    private Reply ask(FleetNode router, Map<String, String> headers) {
+        return caller.chat(router, CutFleet.MODEL, "how many panes", TOKENS, headers)
+                .join();
+    }
+
+    private static List<Reply> failures(List<Reply> replies) {
+        return replies.stream().filter(reply -> !reply.succeeded()).toList();
+    }
+
+    private void assertGenerationsOnlyGrow(FleetNode router) {
+        List<Long> applied = fleet.appliedGenerations(router);
+        assertThat(applied, equalTo(applied.stream().distinct().sorted().toList()));
+    }
+}
