Hold the control of roll-outs by a lease in the platform, so that cut-off routers don't fight over it

Cause: routers in data centres that are cut from each other each rank first on their own side. Where both reach the platform each took the control of a running roll-out from the other: CutRollOutTest saw 4 changes of controller in a cut of 30 s with CONTINUE; with REST the roll-out was not done within the minute that the test waits after the cut. No stage went back and no generation was lost, since each write is conditional.

Ruled out: leaving a named controller alone for ever, the state itself as a sign of life, control by the larger side; docs/design/rollouts.md weighs them.

Change: RollOutLease, by policy.lease. The router that ranks first takes the lease, renews it once a second while the sheet declares roll-outs, and gives it back when it no longer ranks first or stops as planned. Only its holder begins, takes over or advances; stops are as before. InMemoryObjectStore counts writes and loses answers by kind: RollOutControllerTest checked the number of all writes (1 and 3) and lost the next answer; lease writes would now be among them, so it checks the same numbers, and loses the same answer, for the state of roll-outs, and bounds lease writes in a test of their own.

The new unit tests were not seen to fail; other tests were not run on this commit.

Left: while the router that ranks first has lost the platform and is still known as alive, stages wait, since nobody else ranks first.

--- a/integration/src/test/java/org/baobabcart/integration/cut/CutBookingTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/cut/CutBookingTest.java
@@ -92,6 +92,12 @@
         bookEverywhereDuringTheCutAndAfterIt("reset", true);
     }
 
+    @Test
+    void theSameKeysWhereOneSideReachesThePlatformOnlyThroughTheOther() {
+        network.cut(CutFleet.NEAR, FleetNetwork.PLATFORM);
+        bookEverywhereDuringTheCutAndAfterIt("through-the-other", false);
+    }
+
     @Test
     void aSideThatIsCutOffFromThePlatformTooRefusesTruly() {
         network.cut(CutFleet.NEAR, CutFleet.FAR);
--- a/router/src/main/java/org/baobabcart/router/rollout/RollOutController.java
+++ b/router/src/main/java/org/baobabcart/router/rollout/RollOutController.java
@@ -38,7 +38,8 @@
  * control thread.
  *
  * <p>Every router judges by the evidence pooled from all and acts on a stop at once for its own traffic; one router of all
- * data centres, chosen by rendezvous hashing, writes stages and stops to the platform. Where that router does not write a
+ * data centres, chosen by rendezvous hashing, writes stages and stops to the platform while it holds a lease there, so
+ * that routers that are cut from each other don't take the control from one another. Where that router does not write a
  * stop in time the others do; while the platform is away, stops hold on each router that has seen the evidence.
  */
 public final class RollOutController implements Controller, FeedbackListener, ExchangeParticipant {
@@ -48,6 +49,7 @@
     private final RollOutParts parts;
     private final RollOutJudge judge;
     private final RollOutWriter writer;
+    private final RollOutLease lease;
     private final String nodeId;
     private final EvidenceCounts counts;
     private final LocalStops stops = new LocalStops();
@@ -66,6 +68,7 @@
         this.writer = RollOutWriter.create(parts, object -> written.accept(object));
         this.nodeId = self.nodeId() + "#" + self.incarnation();
         this.counts = EvidenceCounts.create(nodeId);
+        this.lease = RollOutLease.create(parts, nodeId);
     }
 
     /** A controller that has not started yet; the member is this router at its start. */
@@ -86,10 +89,10 @@
         timer.ifPresent(TimerService.Subscription::cancel);
         boolean controls = published.progress().stream()
                 .anyMatch(progress -> progress.controller().equals(nodeId));
-        if (!controls) {
-            return Uni.createFrom().voidItem();
-        }
-        return writer.write(RollOutProposals.handOver(nodeId));
+        Uni<Void> handedOver = controls
+                ? writer.write(RollOutProposals.handOver(nodeId))
+                : Uni.createFrom().voidItem();
+        return handedOver.emitOn(parts.loop()).flatMap(ignored -> lease.giveBack());
     }
 
     /** Tells a listener, on the control thread, of each object that this router writes to the platform. */
@@ -172,16 +175,20 @@
     }
 
     private Optional<RollOutChange> proposal(Map<ActiveRollOut, RollOutVerdict> verdicts) {
-        boolean controls = controllingSinceNanos.isPresent();
+        boolean chosen = controllingSinceNanos.isPresent();
+        boolean controls = chosen && lease.isHeld();
         Duration patience = controls ? Duration.ZERO : parts.settings().stopWriteDelay();
         Optional<RollOutChange> stop =
                 RollOutProposals.stop(published, stops, parts.timers().nanoTime(), patience);
         if (stop.isPresent()) {
             return stop;
         }
-        if (!controls) {
+        if (!chosen) {
             return RollOutProposals.handOverIfControlled(published, nodeId);
         }
+        if (!controls) {
+            return Optional.empty();
+        }
         Optional<RollOutChange> taken = isSettled()
                 ? sheet().flatMap(sheet -> RollOutProposals.beginOrTakeOver(sheet, published, nodeId))
                 : Optional.empty();
@@ -196,9 +203,15 @@
         boolean chosen = isChosen();
         if (!chosen) {
             controllingSinceNanos = OptionalLong.empty();
-        } else if (controllingSinceNanos.isEmpty()) {
+            lease.giveBack().subscribe().with(ignored -> {});
+            return;
+        }
+        if (controllingSinceNanos.isEmpty()) {
             controllingSinceNanos = OptionalLong.of(parts.timers().nanoTime());
         }
+        if (sheet().filter(sheet -> !sheet.rollOuts().isEmpty()).isPresent()) {
+            lease.want();
+        }
     }
 
     private boolean isChosen() {
--- a/router/src/test/java/org/baobabcart/router/rollout/RollOutControllerTest.java
+++ b/router/src/test/java/org/baobabcart/router/rollout/RollOutControllerTest.java
@@ -3,8 +3,11 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
+import org.baobabcart.model.platform.Kinds;
 import org.baobabcart.model.rollout.RollOutProgress;
 import org.baobabcart.model.rollout.RollOutState;
 import org.baobabcart.model.rollout.RollOutStatus;
@@ -14,20 +17,21 @@
 
 class RollOutControllerTest {
     private static final int SETTLED_SECONDS = 7;
+    private static final int CUT_SECONDS = 60;
 
     private RollOutFleet fleet;
 
     @Test
     void oneRouterBeginsAndAdvancesByTheEvidenceOfAll() {
         begin(WhenControllerLost.REST, "router-1", "router-2", "router-3");
-        assertThat(fleet.store.writes(), equalTo(1));
+        assertThat(fleet.store.writes(Kinds.ROLL_OUTS), equalTo(1));
         fleet.nodes.values().forEach(node -> node.serveWell(10));
         fleet.seconds(15);
         assertThat(fleet.storedProgress().stage(), equalTo(1));
         fleet.nodes.values().forEach(node -> node.serveWell(10));
         fleet.seconds(15);
         assertThat(fleet.storedProgress().status(), equalTo(RollOutStatus.DONE));
-        assertThat(fleet.store.writes(), equalTo(3));
+        assertThat(fleet.store.writes(Kinds.ROLL_OUTS), equalTo(3));
         fleet.nodes.values().forEach(node -> assertThat(node.progress().status(), equalTo(RollOutStatus.DONE)));
     }
 
@@ -73,7 +77,7 @@
         begin(WhenControllerLost.REST, "router-1", "router-2");
         fleet.nodes.values().forEach(node -> node.serveWell(20));
         fleet.seconds(4);
-        fleet.store.loseNextAnswer();
+        fleet.store.loseNextAnswer(Kinds.ROLL_OUTS);
         fleet.seconds(30);
         assertThat(fleet.storedProgress().stage(), equalTo(1));
         assertThat(fleet.storedProgress().epoch(), equalTo(1L));
@@ -113,6 +117,30 @@
         assertThat(fleet.storedProgress().status(), equalTo(RollOutStatus.RUNNING));
     }
 
+    @Test
+    void routersThatLoseSightOfEachOtherLeaveTheControlWhereItIs() {
+        begin(WhenControllerLost.REST, "router-1", "router-2", "router-3");
+        RollOutProgress before = fleet.storedProgress();
+        int leaseWrites = fleet.store.writes(Kinds.LEASES);
+        fleet.cutAllApart();
+        fleet.timers.advance(Duration.ofSeconds(CUT_SECONDS));
+        assertThat(fleet.storedProgress(), equalTo(before));
+        assertThat(fleet.store.writes(Kinds.LEASES) - leaseWrites, lessThanOrEqualTo(CUT_SECONDS + 1));
+        fleet.membersChanged();
+        fleet.seconds(SETTLED_SECONDS);
+        assertThat(fleet.storedProgress(), equalTo(before));
+    }
+
+    @Test
+    void aRouterOnTheOtherSideTakesTheControlOverOnceItsHolderIsGone() {
+        begin(WhenControllerLost.CONTINUE, "router-1", "router-2");
+        RollOutFleet.Node gone = fleet.inControl();
+        fleet.cutAllApart();
+        fleet.kill(gone);
+        fleet.seconds(SETTLED_SECONDS + 3);
+        assertThat(fleet.inControl(), is(not(gone)));
+    }
+
     @Test
     void anOperatorWhoResumesBeginsTheEvidenceAnew() {
         begin(WhenControllerLost.REST, "router-1", "router-2");
--- a/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
+++ b/router/src/test/java/org/baobabcart/router/rollout/RollOutFleet.java
@@ -108,6 +108,11 @@
         }
     }
 
+    /** Lets each router know no other one. */
+    void cutAllApart() {
+        nodes.values().forEach(node -> node.blackboard().write(Sections.MEMBERS, Members.alone(member(node.name()))));
+    }
+
     /** Ends a router without warning. */
     void kill(Node node) {
         nodes.remove(node.name());
--- a/router/src/test/java/org/baobabcart/router/testing/InMemoryObjectStore.java
+++ b/router/src/test/java/org/baobabcart/router/testing/InMemoryObjectStore.java
@@ -4,6 +4,7 @@
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.MultiEmitter;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -30,6 +31,8 @@
     private boolean conflict;
     private int reads;
     private int writes;
+    private final Map<String, Integer> writesByKind = new HashMap<>();
+    private String kindToLose = "";
 
     private InMemoryObjectStore() {}
 
@@ -50,6 +53,10 @@
         loseAnswers = active;
     }
 
+    public synchronized void loseNextAnswer(String kind) {
+        kindToLose = kind;
+    }
+
     public synchronized void loseNextAnswer() {
         answersToLose++;
     }
@@ -66,6 +73,10 @@
         return writes;
     }
 
+    public synchronized int writes(String kind) {
+        return writesByKind.getOrDefault(kind, 0);
+    }
+
     public synchronized int watches() {
         return watchers.size();
     }
@@ -91,7 +102,7 @@
     @Override
     public Uni<StoredObject> create(StoredObject object) {
         return deferred(() -> {
-            beginWrite();
+            beginWrite(object.kind());
             if (objects.containsKey(key(object.kind(), object.name()))) {
                 throw failure(ResultCode.CONFLICT);
             }
@@ -102,7 +113,7 @@
     @Override
     public Uni<StoredObject> update(StoredObject object) {
         return deferred(() -> {
-            beginWrite();
+            beginWrite(object.kind());
             requireSameVersion(object);
             return answered(stored(object, ObjectEvent.Type.MODIFIED));
         });
@@ -111,7 +122,7 @@
     @Override
     public Uni<Void> delete(StoredObject object) {
         return deferred(() -> {
-            beginWrite();
+            beginWrite(object.kind());
             requireSameVersion(object);
             version++;
             objects.remove(key(object.kind(), object.name()));
@@ -156,8 +167,9 @@
         return operation.get();
     }
 
-    private void beginWrite() {
+    private void beginWrite(String kind) {
         writes++;
+        writesByKind.merge(kind, 1, Integer::sum);
         if (conflict) {
             conflict = false;
             throw failure(ResultCode.CONFLICT);
@@ -168,6 +180,10 @@
         if (loseAnswers) {
             throw failure(ResultCode.WRITE_OUTCOME_UNKNOWN);
         }
+        if (object.kind().equals(kindToLose)) {
+            kindToLose = "";
+            throw failure(ResultCode.WRITE_OUTCOME_UNKNOWN);
+        }
         if (answersToLose > 0) {
             answersToLose--;
             throw failure(ResultCode.WRITE_OUTCOME_UNKNOWN);
