--- a/cli/src/main/java/org/baobabcart/cli/fleet/RouterStatus.java
+++ b/cli/src/main/java/org/baobabcart/cli/fleet/RouterStatus.java
@@ -13,9 +13,11 @@
  * @param stopping whether its planned stop has begun
  * @param sheet the sheet in force there
  * @param rollOuts the roll-out state in force there
+ * @param sessionKeys the keys of session tokens known there
  * @param platformReachable whether it reaches the platform
  * @param members the routers that it knows
  * @param upstreams the upstreams that it knows
+ * @param orders what it orders engines to do
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record RouterStatus(
@@ -25,15 +27,19 @@
         boolean stopping,
         SheetStatus sheet,
         RollOutsStatus rollOuts,
+        SessionKeysStatus sessionKeys,
         boolean platformReachable,
         List<KnownMember> members,
-        List<JsonNode> upstreams) {
+        List<JsonNode> upstreams,
+        OrdersStatus orders) {
     /** Replaces missing parts. */
     public RouterStatus {
         sheet = sheet == null ? new SheetStatus(0, "", 0) : sheet;
         rollOuts = rollOuts == null ? new RollOutsStatus(0) : rollOuts;
+        sessionKeys = sessionKeys == null ? new SessionKeysStatus(0) : sessionKeys;
         members = members == null ? List.of() : List.copyOf(members);
         upstreams = upstreams == null ? List.of() : List.copyOf(upstreams);
+        orders = orders == null ? new OrdersStatus(0, List.of(), List.of()) : orders;
     }
 
     /**
@@ -54,6 +60,30 @@
     @JsonIgnoreProperties(ignoreUnknown = true)
     public record RollOutsStatus(long generation) {}
 
+    /**
+     * What a router orders engines to do. Immutable.
+     *
+     * @param fencing the number of the lease that it holds, zero where it holds none
+     * @param inFlight orders whose engines do not serve the version yet
+     * @param shortfalls versions that lack engines which cannot be had now
+     */
+    @JsonIgnoreProperties(ignoreUnknown = true)
+    public record OrdersStatus(long fencing, List<JsonNode> inFlight, List<JsonNode> shortfalls) {
+        /** Replaces missing parts. */
+        public OrdersStatus {
+            inFlight = inFlight == null ? List.of() : List.copyOf(inFlight);
+            shortfalls = shortfalls == null ? List.of() : List.copyOf(shortfalls);
+        }
+    }
+
+    /**
+     * The keys of session tokens at a router. Immutable.
+     *
+     * @param generation their generation, zero before the first keys
+     */
+    @JsonIgnoreProperties(ignoreUnknown = true)
+    public record SessionKeysStatus(long generation) {}
+
     /**
      * A router that another one knows. Immutable.
      *
--- a/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.matchesPattern;
 import static org.hamcrest.Matchers.not;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -73,6 +74,18 @@
                         not(containsString("  a: "))));
     }
 
+    @Test
+    void theFleetShowsWhoHoldsTheLeaseOnOrders() {
+        fleet.router("a", 1);
+        fleet.router("b", 1);
+        fleet.holdsLease("b", 7, 2);
+        run("fleet");
+        List<String> lines = results().lines().toList();
+        assertThat(lines.get(0), matchesPattern(".* UPSTREAMS +LEASE +ORDERS +SHORT +PROBLEM *"));
+        assertThat(lines.get(1), matchesPattern("a .* 0 +0 +0 +0 *"));
+        assertThat(lines.get(2), matchesPattern("b .* 0 +7 +2 +0 *"));
+    }
+
     @Test
     void aLostAnswerIsSettledByReadingBack() {
         fleet.router("a", 1);
@@ -91,6 +104,29 @@
         assertThat(published().generation(), equalTo(2L));
     }
 
+    @Test
+    void aWithdrawalOutlastsASheetThatLeavesItOut() throws IOException {
+        fleet.router("a", 9);
+        Path withdrawing = Files.createTempFile("sheet", ".json");
+        String withdrawal = "\"withdrawals\": [{\"model\": \"layout-large\", \"version\": \"v2\"}]";
+        Files.writeString(withdrawing, Files.readString(Path.of(SHEET)).replace("\"withdrawals\": []", withdrawal));
+        run("sheet", "publish", withdrawing.toString());
+        assertThat(messages(), run("sheet", "publish", SHEET), equalTo(ExitCode.OK));
+        assertThat(published().sheet().withdrawals(), equalTo(List.of(new Withdrawal("layout-large", "v2"))));
+        assertThat(messages(), containsString("kept: layout-large@v2 is withdrawn"));
+        run("sheet", "publish", SHEET, "--reinstate", "layout-large@v2");
+        assertThat(published().sheet().withdrawals(), equalTo(List.of()));
+    }
+
+    @Test
+    void keysAreRotatedOnceAndAwaitedEverywhere() {
+        fleet.router("a", 0);
+        pauses.duringNext(() -> fleet.router("a", 1));
+        assertThat(messages(), run("keys", "rotate"), equalTo(ExitCode.OK));
+        assertThat(results(), containsString("generation 1 is in force on every live router"));
+        assertThat(results() + messages(), not(containsString("secret")));
+    }
+
     @Test
     void withdrawalKeepsWhatAnotherWriterChangedMeanwhile() {
         fleet.router("a", 9);
@@ -140,7 +176,7 @@
         fleet.router("a", 1);
         fleet.router("b", 1);
         assertThat(run("drain", "b"), equalTo(ExitCode.OK));
-        assertThat(fleet.posts(), equalTo(List.of("http://b:1/drain")));
+        assertThat(fleet.posts(), equalTo(List.of("b:1/drain")));
         assertThat(run("drain", "z"), equalTo(ExitCode.FAILED));
     }
 
--- a/cli/src/test/java/org/baobabcart/cli/FakeFleet.java
+++ b/cli/src/test/java/org/baobabcart/cli/FakeFleet.java
@@ -31,11 +31,21 @@
                 .put("name", "s")
                 .put("ageMillis", 5);
         status.putObject("rollOuts").put("generation", sheetGeneration);
+        status.putObject("sessionKeys").put("generation", sheetGeneration);
         status.putArray("members");
         statuses.put(name + ":1", status);
         statuses.values().forEach(this::listMembers);
     }
 
+    /** The router says that it holds a lease on orders, with this many in flight. */
+    public void holdsLease(String name, long fencing, int inFlight) {
+        ObjectNode orders = statuses.get(name + ":1").putObject("orders").put("fencing", fencing);
+        ArrayNode list = orders.putArray("inFlight");
+        for (int index = 0; index < inFlight; index++) {
+            list.addObject().put("id", "order-" + index);
+        }
+    }
+
     /** Adds a router to the list of VMs. */
     public void listed(String name) {
         machines.addObject()
@@ -73,19 +83,24 @@
             list.set("virtualMachines", machines);
             return Uni.createFrom().item(list);
         }
-        String host = address.substring("http://".length(), address.indexOf('/', "http://".length()));
-        JsonNode answer = address.contains("/timeline") ? timelines.get(host) : statuses.get(host);
-        if (answer == null) {
-            return Uni.createFrom()
-                    .failure(BaobabcartException.of(ResultCode.UPSTREAM_UNREACHABLE, "refused")
-                            .withLocation(address));
-        }
-        return Uni.createFrom().item(answer);
+        return refused(address);
+    }
+
+    @Override
+    public Uni<JsonNode> get(String router, String path) {
+        JsonNode answer = path.startsWith("/timeline") ? timelines.get(router) : statuses.get(router);
+        return answer == null ? refused(router) : Uni.createFrom().item(answer);
+    }
+
+    private static Uni<JsonNode> refused(String location) {
+        return Uni.createFrom()
+                .failure(BaobabcartException.of(ResultCode.UPSTREAM_UNREACHABLE, "refused")
+                        .withLocation(location));
     }
 
     @Override
-    public Uni<Void> post(String address) {
-        posts.add(address);
+    public Uni<Void> post(String router, String path) {
+        posts.add(router + path);
         return Uni.createFrom().voidItem();
     }
 
--- a/router/src/main/java/org/baobabcart/router/ControlPlane.java
+++ b/router/src/main/java/org/baobabcart/router/ControlPlane.java
@@ -1,6 +1,5 @@
 package org.baobabcart.router;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.baobabcart.model.rollout.RollOutState;
@@ -15,13 +14,19 @@
 import org.baobabcart.router.document.DocumentSettings;
 import org.baobabcart.router.key.SessionSecretDocument;
 import org.baobabcart.router.key.SessionSecrets;
+import org.baobabcart.router.machine.MachineListController;
+import org.baobabcart.router.machine.MachineListSettings;
 import org.baobabcart.router.member.Member;
 import org.baobabcart.router.member.MembershipController;
 import org.baobabcart.router.member.MembershipParts;
 import org.baobabcart.router.member.MembershipSettings;
+import org.baobabcart.router.order.HttpEngineOrders;
+import org.baobabcart.router.order.LeaseController;
+import org.baobabcart.router.order.OrderController;
+import org.baobabcart.router.order.OrderParts;
+import org.baobabcart.router.order.OrderSettings;
 import org.baobabcart.router.platform.HttpVirtualMachineList;
 import org.baobabcart.router.platform.PlatformSettings;
-import org.baobabcart.router.platform.VirtualMachineController;
 import org.baobabcart.router.platform.VirtualMachineList;
 import org.baobabcart.router.rollout.RollOutControlSettings;
 import org.baobabcart.router.rollout.RollOutController;
@@ -40,6 +45,8 @@
  * @param rollOutControl evidence, stages and stops of roll-outs
  * @param secrets the session keys
  * @param machines the list of VMs
+ * @param leases the lease on orders to engines
+ * @param orders orders to engines
  */
 record ControlPlane(
         MembershipController members,
@@ -48,9 +55,9 @@
         DocumentController<RollOutState> rollOuts,
         RollOutController rollOutControl,
         DocumentController<SessionSecrets> secrets,
-        VirtualMachineController machines) {
-    private static final Duration LIST_PERIOD = Duration.ofSeconds(1);
-
+        MachineListController machines,
+        LeaseController leases,
+        OrderController orders) {
     static ControlPlane create(RouterCore core, Member self) {
         MembershipController members = members(core, self);
         DocumentParts parts = new DocumentParts(
@@ -72,7 +79,8 @@
         DocumentController<SessionSecrets> secrets =
                 document(core, SessionSecretDocument.kind(), parts, Sections.SESSION_SECRETS);
         DocumentRegistry documents = DocumentRegistry.create(core.loop());
-        List.of(sheets, rollOuts, secrets).forEach(documents::add);
+        MachineListController machines = machines(core, parts);
+        List.of(sheets, rollOuts, secrets, machines).forEach(documents::add);
         members.addParticipant(documents);
         members.addParticipant(rollOutControl);
         core.feedback().addListener(rollOutControl);
@@ -80,12 +88,20 @@
                 CrashController.create(core.blackboard(), core.timeline(), members::spread, self.nodeId());
         members.addParticipant(crashes);
         core.feedback().addListener(crashes);
-        return new ControlPlane(members, documents, sheets, rollOuts, rollOutControl, secrets, machines(core));
+        OrderParts orderParts = orderParts(core);
+        LeaseController leases = LeaseController.create(orderParts, self);
+        OrderController orders = OrderController.create(
+                orderParts,
+                leases,
+                HttpEngineOrders.create(core.vertx(), orderParts.settings().sendTimeout()),
+                self.dataCentre());
+        return new ControlPlane(
+                members, documents, sheets, rollOuts, rollOutControl, secrets, machines, leases, orders);
     }
 
     /** The controllers in the order of their start. */
     List<Controller> controllers() {
-        return List.of(members, machines, sheets, rollOuts, secrets, rollOutControl);
+        return List.of(members, machines, sheets, rollOuts, secrets, rollOutControl, leases, orders);
     }
 
     private static MembershipController members(RouterCore core, Member self) {
@@ -110,16 +126,28 @@
                 core.timeline());
     }
 
+    private static OrderParts orderParts(RouterCore core) {
+        return new OrderParts(
+                OrderSettings.defaults(),
+                core.blackboard(),
+                core.loop(),
+                core.timers(),
+                core.store(),
+                core.timeline(),
+                core.metrics());
+    }
+
     private static <T> DocumentController<T> document(
             RouterCore core, DocumentKind<T> kind, DocumentParts parts, Section<T> section) {
         return DocumentController.create(
                 kind, parts, document -> core.blackboard().write(section, document));
     }
 
-    private static VirtualMachineController machines(RouterCore core) {
+    private static MachineListController machines(RouterCore core, DocumentParts parts) {
         VirtualMachineList list = HttpVirtualMachineList.create(
-                core.vertx(), core.settings().virtualMachines(), PlatformSettings.defaults());
-        return VirtualMachineController.create(
-                list, core.blackboard(), core.loop(), core.timers(), core.timeline(), LIST_PERIOD);
+                core.vertx(),
+                core.settings().virtualMachines(),
+                PlatformSettings.defaults().withTransport(core.transport()));
+        return MachineListController.create(list, parts, MachineListSettings.defaults());
     }
 }
--- a/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/AttemptRunner.java
@@ -72,13 +72,17 @@
     }
 
     private Future<T> attempt(int number, Set<String> failed) {
+        boolean first = number == 1 && !exchange.mayHaveRun();
         Work work = new Work(
                 exchange.requestId(),
                 plan.pool(),
                 context.rankIndex(),
                 context.workspace().name(),
                 context.workspace().weight(),
-                exchange.mayHaveRun() || number > 1 ? context.deadlineNanos() : context.latestStartNanos(),
+                first ? context.targetNanos() : context.deadlineNanos(),
+                first && !plan.repeatable() ? context.targetNanos() : context.deadlineNanos(),
+                context.deadlineNanos(),
+                plan.size(),
                 plan.affinity(),
                 failed);
         if (isQuarantined(runtime.parts().views().current())) {
@@ -110,6 +114,7 @@
                     return consumer.apply(answer);
                 })
                 .onSuccess(ignored -> {
+                    slot.finished(System.nanoTime() - begun);
                     slot.release(Optional.empty());
                     pass.ended();
                 })
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -146,6 +146,7 @@
         AttemptPlan plan = new AttemptPlan(
                 version.pool(),
                 true,
+                request.maximumTokens(),
                 request.affinity(),
                 Optional.of(request.fingerprint()),
                 RequestIds::next,
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -22,6 +22,7 @@
 import org.baobabcart.policy.admission.AdmissionQueue;
 import org.baobabcart.policy.admission.Entry;
 import org.baobabcart.policy.admission.Rejection;
+import org.baobabcart.policy.admission.ServiceTime;
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.policy.upstream.Candidate;
 import org.baobabcart.policy.upstream.LoadReport;
@@ -48,6 +49,7 @@
     private final PoolIndex index = new PoolIndex();
     private final Map<String, UpstreamState> upstreams = new HashMap<>();
     private final Map<Pool, AdmissionQueue<Waiter>> queues = new HashMap<>();
+    private final Map<Pool, ServiceTime> serviceTimes = new HashMap<>();
 
     private Dispatcher(Vertx vertx, DispatcherSettings settings, TrafficViewSource views, UpstreamHealth health) {
         this.vertx = vertx;
@@ -88,6 +90,17 @@
         return queues.values().stream().mapToInt(AdmissionQueue::size).sum();
     }
 
+    /** Refuses waiting work that could still wait at this time, since the process ends by then. */
+    public void refuseWaitingBeyond(long nanoTime) {
+        run(() -> {
+            BaobabcartException stopping = BaobabcartException.of(ResultCode.STOPPING);
+            return queues.values().stream()
+                    .flatMap(queue -> queue.takeStartingAfter(nanoTime).stream())
+                    .<Runnable>map(entry -> () -> entry.item().refuse(stopping))
+                    .toList();
+        });
+    }
+
     private void tick() {
         run(this::sweep);
     }
@@ -106,21 +119,34 @@
         if (members(view, pool).isEmpty()) {
             return List.of(() -> waiter.refuse(BaobabcartException.of(ResultCode.NO_UPSTREAM)));
         }
-        AdmissionQueue<Waiter> queue = queues.computeIfAbsent(pool, ignored -> AdmissionQueue.create(settings.queue()));
+        AdmissionQueue<Waiter> queue =
+                queues.computeIfAbsent(pool, ignored -> AdmissionQueue.create(settings.queue(), random::nextDouble));
         if (queue.size() == 0) {
             Optional<Slot> slot = choose(view, waiter.work);
             if (slot.isPresent()) {
                 return List.of(() -> waiter.grant(slot.get()));
             }
         }
-        Work work = waiter.work;
-        Entry<Waiter> entry =
-                new Entry<>(work.rank(), work.workspace(), work.weight(), work.latestStartNanos(), waiter);
         List<Runnable> actions = new ArrayList<>();
-        queue.offer(entry, System.nanoTime()).forEach(rejection -> actions.add(refusing(rejection)));
+        queue.offer(entry(waiter), System.nanoTime()).forEach(rejection -> actions.add(refusing(rejection)));
         return actions;
     }
 
+    private Entry<Waiter> entry(Waiter waiter) {
+        Work work = waiter.work;
+        long serviceNanos = serviceTimes
+                .computeIfAbsent(work.pool(), ignored -> ServiceTime.create())
+                .expected(work.size())
+                .toNanos();
+        return new Entry<>(
+                work.rank(),
+                work.workspace(),
+                work.weight(),
+                work.targetNanos(),
+                Math.min(work.latestStartNanos(), work.deadlineNanos() - serviceNanos),
+                waiter);
+    }
+
     private List<Runnable> abandon(Waiter waiter) {
         AdmissionQueue<Waiter> queue = queues.get(waiter.work.pool());
         if (queue != null) {
@@ -148,6 +174,7 @@
             actions.addAll(pump(view, entry.getKey(), queue));
         }
         queues.keySet().removeIf(pool -> members(view, pool).isEmpty());
+        serviceTimes.keySet().removeIf(pool -> members(view, pool).isEmpty());
         forgetUnlisted(view);
         return actions;
     }
@@ -181,7 +208,7 @@
                     .filter(member -> member.name().equals(chosen.name()))
                     .findFirst()
                     .orElseThrow();
-            return new CountedSlot(upstream, work.pool());
+            return new CountedSlot(upstream, work.pool(), work.size());
         });
     }
 
@@ -242,6 +269,10 @@
         state(upstream).observed(latencyNanos, report, System.nanoTime());
     }
 
+    private synchronized void learned(Pool pool, int size, long nanos) {
+        serviceTimes.computeIfAbsent(pool, ignored -> ServiceTime.create()).observe(size, nanos);
+    }
+
     private List<Runnable> released(CountedSlot slot, Optional<FailureKind> failure) {
         state(slot.upstream).ended(failure);
         AdmissionQueue<Waiter> queue = queues.get(slot.pool);
@@ -281,11 +312,13 @@
     private final class CountedSlot implements Slot {
         private final VirtualMachine upstream;
         private final Pool pool;
+        private final int size;
         private final AtomicBoolean open = new AtomicBoolean(true);
 
-        private CountedSlot(VirtualMachine upstream, Pool pool) {
+        private CountedSlot(VirtualMachine upstream, Pool pool, int size) {
             this.upstream = upstream;
             this.pool = pool;
+            this.size = size;
         }
 
         @Override
@@ -298,6 +331,11 @@
             observed(upstream, latencyNanos, load.flatMap(LoadReport::parse));
         }
 
+        @Override
+        public void finished(long nanos) {
+            learned(pool, size, nanos);
+        }
+
         @Override
         public void release(Optional<FailureKind> failure) {
             if (open.compareAndSet(true, false)) {
