--- a/router/src/test/java/org/baobabcart/router/traffic/FullVersionTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/FullVersionTest.java
@@ -90,6 +90,7 @@
                 sheet.workspaces(),
                 sheet.services(),
                 List.of(rollOut),
-                sheet.withdrawals());
+                sheet.withdrawals(),
+                sheet.placements());
     }
 }
