Judge bad-version by both counts of exposures

Cause: the measurement's bound was read on a count that was widened after figures of the narrower one were known. Ruled out: the narrow count alone, which a slow or crashed engine limits by itself in the baseline.

--- a/bench/src/main/java/org/baobabcart/bench/BadVersionMeasurement.java
+++ b/bench/src/main/java/org/baobabcart/bench/BadVersionMeasurement.java
@@ -41,6 +41,10 @@
                     "exposures to a version that turns bad (" + fault.text() + ") against the clock alone",
                     (double) evidence.exposures() / clock.exposures(),
                     MOST_EXPOSURE_RATIO));
+            bounds.add(Bound.atMost(
+                    "of these begun by its engines (" + fault.text() + ") against the clock alone",
+                    (double) evidence.begunByEngines() / clock.begunByEngines(),
+                    MOST_EXPOSURE_RATIO));
         }
         return new MeasurementResult(name(), seed, figures, bounds);
     }
