--- a/integration/src/test/java/org/baobabcart/integration/claims/BookingProcessTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/claims/BookingProcessTest.java
@@ -8,12 +8,10 @@
 import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.stream.IntStream;
 import org.baobabcart.integration.support.Await;
+import org.baobabcart.integration.support.BookingEndings;
 import org.baobabcart.integration.support.Caller;
 import org.baobabcart.integration.support.Reply;
 import org.baobabcart.launcher.FleetNode;
@@ -32,7 +30,7 @@
     private static ClaimFleet fleet;
 
     private final Caller caller = fleet.caller();
-    private final List<Reply> endings = new ArrayList<>();
+    private final BookingEndings endings = BookingEndings.create();
 
     @BeforeAll
     static void start() {
@@ -48,28 +46,16 @@
     void noKeyRanTwiceAndNotRunIsTrue() {
         fleet.platformFault("{\"outage\":false,\"lose-answers-after-write\":false,\"slow\":0}");
         fleet.serviceFault("{\"slow\":1}");
-        assertThat(
-                fleet.runsByKey().entrySet().stream()
-                        .filter(entry -> entry.getValue() > 1)
-                        .toList(),
-                empty());
-        Set<String> run = fleet.requestsRun();
-        List<String> notRun =
-                endings.stream().filter(Reply::saysNotRun).map(Reply::requestId).toList();
-        assertThat(notRun.stream().filter(run::contains).toList(), empty());
-        List<Reply> dishonest = endings.stream()
-                .filter(ending -> !ending.booked() && !ending.saysNotRun() && !ending.saysUnknown())
-                .toList();
-        assertThat(dishonest, empty());
+        endings.assertHonest(fleet.runsByKey(), fleet.requestsRun());
     }
 
     @Test
     void theSameKeyAtSeveralRoutersAtOnceRunsOnceAndIsReplayedAtAll() {
-        List<String> keys = keys("at-once");
-        keys.forEach(key -> all(
+        List<String> keys = BookingEndings.keys("at-once", KEYS);
+        keys.forEach(key -> endings.all(
                 fleet.routers().stream().map(router -> caller.book(router, key)).toList()));
         for (String key : keys) {
-            List<Reply> again = all(fleet.routers().stream()
+            List<Reply> again = endings.all(fleet.routers().stream()
                     .map(router -> caller.book(router, key))
                     .toList());
             assertThat(again.stream().map(Reply::booked).toList(), everyItem(is(true)));
@@ -81,29 +67,29 @@
     @Test
     void aKilledHolderLeavesAnHonestUnknown() {
         FleetNode victim = fleet.routers().get(0);
-        List<String> keys = keys("killed");
+        List<String> keys = BookingEndings.keys("killed", KEYS);
         fleet.serviceFault("{\"slow\":400}");
         List<CompletableFuture<Reply>> cut =
                 keys.stream().map(key -> caller.book(victim, key)).toList();
         Await.until("every booking runs", () -> fleet.runsByKey().keySet().containsAll(keys));
         victim.process().kill();
-        all(cut);
+        endings.all(cut);
         for (String key : keys) {
             for (FleetNode router : fleet.routers().subList(1, 4)) {
-                assertThat(one(caller.book(router, key)).code(), equalTo(ResultCode.OUTCOME_UNKNOWN.number()));
+                assertThat(endings.one(caller.book(router, key)).code(), equalTo(ResultCode.OUTCOME_UNKNOWN.number()));
             }
         }
         victim.process().restart();
         fleet.awaitWhole();
         for (String key : keys) {
-            assertThat(one(caller.book(victim, key)).code(), equalTo(ResultCode.OUTCOME_UNKNOWN.number()));
+            assertThat(endings.one(caller.book(victim, key)).code(), equalTo(ResultCode.OUTCOME_UNKNOWN.number()));
         }
     }
 
     @Test
     void aPausedHolderNeverSendsWhatAnotherMayHaveSent() {
         FleetNode paused = fleet.routers().get(1);
-        List<String> keys = keys("paused");
+        List<String> keys = BookingEndings.keys("paused", KEYS);
         fleet.platformFault("{\"slow\":300}");
         List<CompletableFuture<Reply>> begun =
                 keys.stream().map(key -> caller.book(paused, key)).toList();
@@ -111,63 +97,51 @@
         paused.process().pause();
         fleet.platformFault("{\"slow\":0}");
         FleetNode other = fleet.routers().get(2);
-        all(keys.stream().map(key -> caller.book(other, key)).toList());
+        endings.all(keys.stream().map(key -> caller.book(other, key)).toList());
         Await.lasting(PAST_EVERY_TIMEOUT);
-        all(keys.stream().map(key -> caller.book(other, key)).toList());
+        endings.all(keys.stream().map(key -> caller.book(other, key)).toList());
         paused.process().resume();
-        all(begun);
+        endings.all(begun);
         fleet.awaitWhole();
-        all(keys.stream().map(key -> caller.book(other, key)).toList());
+        endings.all(keys.stream().map(key -> caller.book(other, key)).toList());
     }
 
     @Test
     void anOutageOfThePlatformRefusesTrulyAndLeavesTheKeysFree() {
-        List<String> keys = keys("outage");
+        List<String> keys = BookingEndings.keys("outage", KEYS);
         String finished = "finished-before-the-outage";
-        assertThat(one(caller.book(fleet.routers().get(0), finished)).booked(), is(true));
+        assertThat(endings.one(caller.book(fleet.routers().get(0), finished)).booked(), is(true));
         fleet.platformFault("{\"outage\":true}");
         for (String key : keys) {
-            Reply refused = one(caller.book(fleet.routers().get(3), key));
+            Reply refused = endings.one(caller.book(fleet.routers().get(3), key));
             assertThat(refused.code(), equalTo(ResultCode.CLAIM_UNAVAILABLE.number()));
         }
-        Reply replayed = one(caller.book(fleet.routers().get(0), finished));
+        Reply replayed = endings.one(caller.book(fleet.routers().get(0), finished));
         assertThat(replayed.toString(), replayed.booked(), is(true));
         fleet.platformFault("{\"outage\":false}");
         for (String key : keys) {
             Await.until(
                     key + " is booked",
-                    () -> one(caller.book(fleet.routers().get(0), key)).booked());
+                    () -> endings.one(caller.book(fleet.routers().get(0), key)).booked());
         }
     }
 
     @Test
     void lostAnswersOfThePlatformDoubleNothing() {
-        List<String> keys = keys("lost-answers");
+        List<String> keys = BookingEndings.keys("lost-answers", KEYS);
         fleet.platformFault("{\"lose-answers-after-write\":true}");
         for (String key : keys) {
-            all(fleet.routers().stream().map(router -> caller.book(router, key)).toList());
+            endings.all(fleet.routers().stream()
+                    .map(router -> caller.book(router, key))
+                    .toList());
         }
         fleet.platformFault("{\"lose-answers-after-write\":false}");
         for (String key : keys) {
             Await.until(key + " has an outcome", () -> {
-                Reply ending = one(caller.book(fleet.routers().get(2), key));
+                Reply ending = endings.one(caller.book(fleet.routers().get(2), key));
                 return ending.booked() || ending.code() == ResultCode.OUTCOME_UNKNOWN.number();
             });
         }
         assertThat(fleet.runsByKey().keySet().stream().filter(keys::contains).toList(), not(empty()));
     }
-
-    private List<Reply> all(List<CompletableFuture<Reply>> calls) {
-        return calls.stream().map(this::one).toList();
-    }
-
-    private Reply one(CompletableFuture<Reply> call) {
-        Reply ending = call.join();
-        endings.add(ending);
-        return ending;
-    }
-
-    private static List<String> keys(String name) {
-        return IntStream.range(0, KEYS).mapToObj(index -> name + "-" + index).toList();
-    }
 }
--- a/integration/src/test/java/org/baobabcart/integration/cut/CutBookingTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/cut/CutBookingTest.java
@@ -1,7 +1,6 @@
 package org.baobabcart.integration.cut;
 
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.everyItem;
 
@@ -11,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import org.baobabcart.integration.support.Await;
+import org.baobabcart.integration.support.BookingEndings;
 import org.baobabcart.integration.support.Caller;
 import org.baobabcart.integration.support.Reply;
 import org.baobabcart.launcher.FleetNetwork;
@@ -28,7 +28,7 @@
 
     private final Caller caller = fleet.caller();
     private final FleetNetwork network = fleet.network();
-    private final List<Reply> endings = new ArrayList<>();
+    private final BookingEndings endings = BookingEndings.create();
 
     @BeforeAll
     static void start() {
@@ -44,24 +44,7 @@
     void noKeyRanTwiceAndEveryCallerEndedHonestly() {
         network.heal();
         fleet.awaitWhole();
-        assertThat(
-                fleet.runsByKey().entrySet().stream()
-                        .filter(entry -> entry.getValue() > 1)
-                        .toList(),
-                empty());
-        Set<String> run = fleet.requestsRun();
-        assertThat(
-                endings.stream()
-                        .filter(Reply::saysNotRun)
-                        .map(Reply::requestId)
-                        .filter(run::contains)
-                        .toList(),
-                empty());
-        assertThat(
-                endings.stream()
-                        .filter(ending -> !ending.booked() && !ending.saysNotRun() && !ending.saysUnknown())
-                        .toList(),
-                empty());
+        endings.assertHonest(fleet.runsByKey(), fleet.requestsRun());
     }
 
     @Test
@@ -102,9 +85,9 @@
     void aSideThatIsCutOffFromThePlatformTooRefusesTruly() {
         network.cut(CutFleet.NEAR, CutFleet.FAR);
         network.cut(CutFleet.NEAR, FleetNetwork.PLATFORM);
-        List<String> keys = keys("cut-off");
+        List<String> keys = BookingEndings.keys("cut-off", KEYS);
         for (FleetNode router : fleet.routers(CutFleet.NEAR)) {
-            List<Reply> refused = all(keys.stream()
+            List<Reply> refused = endings.all(keys.stream()
                     .map(key -> caller.book(router, key + router.name()))
                     .toList());
             assertThat(
@@ -116,10 +99,10 @@
 
     /** Books at all routers at once, and again after the cut; the keys then have one end, the same at each router. */
     private void bookEverywhereDuringTheCutAndAfterIt(String name, boolean bookableNear) {
-        List<String> keys = keys(name);
+        List<String> keys = BookingEndings.keys(name, KEYS);
         List<CompletableFuture<Reply>> calls = new ArrayList<>();
         keys.forEach(key -> fleet.routers().forEach(router -> calls.add(caller.book(router, key))));
-        all(calls);
+        endings.all(calls);
         List<String> sides = bookableNear ? List.of(CutFleet.NEAR, CutFleet.FAR) : List.of(CutFleet.FAR);
         sides.forEach(side -> awaitNewBooking(fleet.routers(side).get(0), name + "-" + side));
         network.heal();
@@ -136,31 +119,17 @@
         var next = more.iterator();
         Await.until(
                 router.name() + " books",
-                () -> one(caller.book(router, next.next())).booked());
+                () -> endings.one(caller.book(router, next.next())).booked());
     }
 
     /** The ends of a key as each router tells them: a booking, or that nobody knows. */
     private Set<String> ends(String key) {
         Set<String> ends = new java.util.HashSet<>();
-        for (Reply reply : all(
+        for (Reply reply : endings.all(
                 fleet.routers().stream().map(router -> caller.book(router, key)).toList())) {
             boolean unknown = reply.code() == ResultCode.OUTCOME_UNKNOWN.number();
             ends.add(reply.booked() ? reply.booking() : unknown ? "unknown" : "not yet " + reply.requestId());
         }
         return ends;
     }
-
-    private List<Reply> all(List<CompletableFuture<Reply>> calls) {
-        return calls.stream().map(this::one).toList();
-    }
-
-    private Reply one(CompletableFuture<Reply> call) {
-        Reply ending = call.join();
-        endings.add(ending);
-        return ending;
-    }
-
-    private static List<String> keys(String name) {
-        return IntStream.range(0, KEYS).mapToObj(index -> name + "-" + index).toList();
-    }
 }
