Keep the table of fleet readable with 100 columns

Cause: three columns for orders made the table too wide, so that data centres and admin addresses were cut to a few letters, in a held demo seen as "DATA ~" and "127.~". Change: one column, NOTES, says what is wrong with a router, or lease, orders and shortfalls of the one that holds the lease. JSON is as before.

--- a/cli/src/main/java/org/baobabcart/cli/command/FleetCommand.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/FleetCommand.java
@@ -74,18 +74,7 @@
 
     private static Table table(List<Row> rows) {
         Table table = Table.of(
-                "ROUTER",
-                "DATA CENTRE",
-                "ADMIN",
-                "STATE",
-                "PLATFORM",
-                "SHEET",
-                "MEMBERS",
-                "UPSTREAMS",
-                "LEASE",
-                "ORDERS",
-                "SHORT",
-                "PROBLEM");
+                "ROUTER", "DATA CENTRE", "ADMIN", "STATE", "PLATFORM", "SHEET", "MEMBERS", "UPSTREAMS", "NOTES");
         rows.forEach(row -> table.row(
                 row.router(),
                 row.dataCentre(),
@@ -95,13 +84,18 @@
                 row.sheetGeneration(),
                 row.members(),
                 row.upstreams(),
-                row.lease(),
-                row.orders(),
-                row.shortfalls(),
-                row.problem()));
+                notes(row)));
         return table;
     }
 
+    /** What is wrong with a router, or what the holder of the lease on orders to engines has under way. */
+    private static String notes(Row row) {
+        if (row.lease() == 0) {
+            return row.problem();
+        }
+        return "lease " + row.lease() + ": " + row.orders() + " orders, " + row.shortfalls() + " short";
+    }
+
     private static String state(Row row) {
         if (row.stopping()) {
             return "stopping";
