Make changed load settings in one place, and take out methods that nothing calls

Cause: LoadSettings repeated its constructor of 18 arguments in each of 12 with… methods, so that a new field had to be added 13 times. Seven public methods had no caller: SecurityFiles.given, LocalFleet.startService and removeVirtualMachine, JsonCalls.delete, CascadeSettings.withExplorationShare, CascadeChooser.needsRating and Member.withState.

Ruled out: taking out UpstreamClient.keepOnly, which has no caller either: it should have one, and calling it changes behaviour.

Change: each with… method changes a draft from which the settings are built. No behaviour changes.

Before and after: LoadSettings 357 and 229 lines. `mvn verify` of all modules but integration passes (before the removal of JsonCalls.delete, after which LocalFleetTest, the formatter and the linter of all modules were run); process tests were not run.

--- a/launcher/src/main/java/org/baobabcart/launcher/JsonCalls.java
+++ b/launcher/src/main/java/org/baobabcart/launcher/JsonCalls.java
@@ -57,11 +57,6 @@
         return send(HttpRequest.newBuilder(URI.create(url)).PUT(publisher(body)));
     }
 
-    /** Removes something. */
-    public Answer delete(String url) {
-        return send(HttpRequest.newBuilder(URI.create(url)).DELETE());
-    }
-
     private Answer send(HttpRequest.Builder request) {
         try {
             HttpResponse<String> response = client.send(
--- a/launcher/src/main/java/org/baobabcart/launcher/LocalFleet.java
+++ b/launcher/src/main/java/org/baobabcart/launcher/LocalFleet.java
@@ -132,12 +132,6 @@
     public FleetNode startEngine(String name, String dataCentre, EngineSettings engine) {
         return launchAll(List.of(plannedEngine(name, dataCentre, engine))).get(0);
     }
-
-    /** Starts one more upstream of a plain service. */
-    public FleetNode startService(String name, String dataCentre, String service) {
-        return launchAll(List.of(plannedService(name, dataCentre, service))).get(0);
-    }
-
     /** Starts a fault proxy before a port of this fleet; its ports are {@code http} for faults and {@code proxy}. */
     public ManagedProcess startProxy(String name, int targetPort) {
         return launch(processes.proxy(name, targetPort));
@@ -147,12 +141,6 @@
     public void putVirtualMachine(VirtualMachine machine) {
         calls.put(virtualMachines.url(HTTP) + "/vms/" + machine.name(), mapper.valueToTree(machine));
     }
-
-    /** Removes an entry of the list of VMs. */
-    public void removeVirtualMachine(String name) {
-        calls.delete(virtualMachines.url(HTTP) + "/vms/" + name);
-    }
-
     /** What a check needs to drive the fleet from outside. */
     public JsonNode describe() {
         return FleetDescription.of(this);
--- a/load/src/main/java/org/baobabcart/load/LoadSettings.java
+++ b/load/src/main/java/org/baobabcart/load/LoadSettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * What load is sent. Immutable.
@@ -81,277 +82,148 @@
 
     /** The same load on other targets. */
     public LoadSettings withTargets(List<String> newTargets) {
-        return new LoadSettings(
-                newTargets,
-                shape,
-                ratePerSecond,
-                duration,
-                mostRequests,
-                workspaces,
-                ranks,
-                model,
-                stream,
-                tokens,
-                prompts,
-                promptCharacters,
-                retries,
-                timeout,
-                bookingService,
-                choice,
-                fixedRetry,
-                seed);
+        return changed(draft -> draft.targets = newTargets);
     }
 
     /** The same load in another shape, rate and time. */
     public LoadSettings withRate(Shape newShape, double newRatePerSecond, Duration newDuration) {
-        return new LoadSettings(
-                targets,
-                newShape,
-                newRatePerSecond,
-                newDuration,
-                mostRequests,
-                workspaces,
-                ranks,
-                model,
-                stream,
-                tokens,
-                prompts,
-                promptCharacters,
-                retries,
-                timeout,
-                bookingService,
-                choice,
-                fixedRetry,
-                seed);
+        return changed(draft -> {
+            draft.shape = newShape;
+            draft.ratePerSecond = newRatePerSecond;
+            draft.duration = newDuration;
+        });
     }
 
     /** The same load with a bound on its count. */
     public LoadSettings withMostRequests(int newMost) {
-        return new LoadSettings(
-                targets,
-                shape,
-                ratePerSecond,
-                duration,
-                newMost,
-                workspaces,
-                ranks,
-                model,
-                stream,
-                tokens,
-                prompts,
-                promptCharacters,
-                retries,
-                timeout,
-                bookingService,
-                choice,
-                fixedRetry,
-                seed);
+        return changed(draft -> draft.mostRequests = newMost);
     }
 
     /** The same load from other workspaces. */
     public LoadSettings withWorkspaces(List<LoadWorkspace> newWorkspaces) {
-        return new LoadSettings(
-                targets,
-                shape,
-                ratePerSecond,
-                duration,
-                mostRequests,
-                newWorkspaces,
-                ranks,
-                model,
-                stream,
-                tokens,
-                prompts,
-                promptCharacters,
-                retries,
-                timeout,
-                bookingService,
-                choice,
-                fixedRetry,
-                seed);
+        return changed(draft -> draft.workspaces = newWorkspaces);
     }
 
     /** The same load with other ranks. */
     public LoadSettings withRanks(List<RankShare> newRanks) {
-        return new LoadSettings(
-                targets,
-                shape,
-                ratePerSecond,
-                duration,
-                mostRequests,
-                workspaces,
-                newRanks,
-                model,
-                stream,
-                tokens,
-                prompts,
-                promptCharacters,
-                retries,
-                timeout,
-                bookingService,
-                choice,
-                fixedRetry,
-                seed);
+        return changed(draft -> draft.ranks = newRanks);
     }
 
     /** The same load with other answers. */
     public LoadSettings withAnswers(boolean newStream, int newTokens) {
-        return new LoadSettings(
-                targets,
-                shape,
-                ratePerSecond,
-                duration,
-                mostRequests,
-                workspaces,
-                ranks,
-                model,
-                newStream,
-                newTokens,
-                prompts,
-                promptCharacters,
-                retries,
-                timeout,
-                bookingService,
-                choice,
-                fixedRetry,
-                seed);
+        return changed(draft -> {
+            draft.stream = newStream;
+            draft.tokens = newTokens;
+        });
     }
 
     /** The same load with other prompts. */
     public LoadSettings withPrompts(int newPrompts, int newCharacters) {
-        return new LoadSettings(
-                targets,
-                shape,
-                ratePerSecond,
-                duration,
-                mostRequests,
-                workspaces,
-                ranks,
-                model,
-                stream,
-                tokens,
-                newPrompts,
-                newCharacters,
-                retries,
-                timeout,
-                bookingService,
-                choice,
-                fixedRetry,
-                seed);
+        return changed(draft -> {
+            draft.prompts = newPrompts;
+            draft.promptCharacters = newCharacters;
+        });
     }
 
     /** The same load with other patience. */
     public LoadSettings withPatience(int newRetries, Duration newTimeout) {
-        return new LoadSettings(
-                targets,
-                shape,
-                ratePerSecond,
-                duration,
-                mostRequests,
-                workspaces,
-                ranks,
-                model,
-                stream,
-                tokens,
-                prompts,
-                promptCharacters,
-                newRetries,
-                newTimeout,
-                bookingService,
-                choice,
-                fixedRetry,
-                seed);
+        return changed(draft -> {
+            draft.retries = newRetries;
+            draft.timeout = newTimeout;
+        });
     }
 
     /** Bookings of a service, each with a key of its own, in place of model requests. */
     public LoadSettings withBookings(String service) {
-        return new LoadSettings(
-                targets,
-                shape,
-                ratePerSecond,
-                duration,
-                mostRequests,
-                workspaces,
-                ranks,
-                model,
-                false,
-                tokens,
-                prompts,
-                promptCharacters,
-                retries,
-                timeout,
-                service,
-                choice,
-                fixedRetry,
-                seed);
+        return changed(draft -> {
+            draft.stream = false;
+            draft.bookingService = service;
+        });
     }
 
     /** The same load with another choice of targets. */
     public LoadSettings withChoice(TargetChoice newChoice) {
-        return new LoadSettings(
-                targets,
-                shape,
-                ratePerSecond,
-                duration,
-                mostRequests,
-                workspaces,
-                ranks,
-                model,
-                stream,
-                tokens,
-                prompts,
-                promptCharacters,
-                retries,
-                timeout,
-                bookingService,
-                newChoice,
-                fixedRetry,
-                seed);
+        return changed(draft -> draft.choice = newChoice);
     }
 
     /** The same load whose refused requests come back after a fixed time, whatever the refusal says. */
     public LoadSettings withFixedRetry(Duration newFixedRetry) {
-        return new LoadSettings(
-                targets,
-                shape,
-                ratePerSecond,
-                duration,
-                mostRequests,
-                workspaces,
-                ranks,
-                model,
-                stream,
-                tokens,
-                prompts,
-                promptCharacters,
-                retries,
-                timeout,
-                bookingService,
-                choice,
-                newFixedRetry,
-                seed);
+        return changed(draft -> draft.fixedRetry = newFixedRetry);
     }
 
     /** The same load with another seed. */
     public LoadSettings withSeed(long newSeed) {
-        return new LoadSettings(
-                targets,
-                shape,
-                ratePerSecond,
-                duration,
-                mostRequests,
-                workspaces,
-                ranks,
-                model,
-                stream,
-                tokens,
-                prompts,
-                promptCharacters,
-                retries,
-                timeout,
-                bookingService,
-                choice,
-                fixedRetry,
-                newSeed);
+        return changed(draft -> draft.seed = newSeed);
+    }
+
+    private LoadSettings changed(Consumer<Draft> change) {
+        Draft draft = new Draft(this);
+        change.accept(draft);
+        return draft.settings();
+    }
+
+    /** Settings of which some are being changed. */
+    private static final class Draft {
+        private List<String> targets;
+        private Shape shape;
+        private double ratePerSecond;
+        private Duration duration;
+        private int mostRequests;
+        private List<LoadWorkspace> workspaces;
+        private List<RankShare> ranks;
+        private String model;
+        private boolean stream;
+        private int tokens;
+        private int prompts;
+        private int promptCharacters;
+        private int retries;
+        private Duration timeout;
+        private String bookingService;
+        private TargetChoice choice;
+        private Duration fixedRetry;
+        private long seed;
+
+        private Draft(LoadSettings settings) {
+            targets = settings.targets;
+            shape = settings.shape;
+            ratePerSecond = settings.ratePerSecond;
+            duration = settings.duration;
+            mostRequests = settings.mostRequests;
+            workspaces = settings.workspaces;
+            ranks = settings.ranks;
+            model = settings.model;
+            stream = settings.stream;
+            tokens = settings.tokens;
+            prompts = settings.prompts;
+            promptCharacters = settings.promptCharacters;
+            retries = settings.retries;
+            timeout = settings.timeout;
+            bookingService = settings.bookingService;
+            choice = settings.choice;
+            fixedRetry = settings.fixedRetry;
+            seed = settings.seed;
+        }
+
+        private LoadSettings settings() {
+            return new LoadSettings(
+                    targets,
+                    shape,
+                    ratePerSecond,
+                    duration,
+                    mostRequests,
+                    workspaces,
+                    ranks,
+                    model,
+                    stream,
+                    tokens,
+                    prompts,
+                    promptCharacters,
+                    retries,
+                    timeout,
+                    bookingService,
+                    choice,
+                    fixedRetry,
+                    seed);
+        }
     }
 }
--- a/policy/src/main/java/org/baobabcart/policy/cascade/CascadeSettings.java
+++ b/policy/src/main/java/org/baobabcart/policy/cascade/CascadeSettings.java
@@ -21,9 +21,4 @@
     public static CascadeSettings defaults() {
         return new CascadeSettings(MEMORY_RATINGS, PRIOR_RATINGS, STANDARD_ERRORS, EXPLORATION_SHARE, MAXIMUM_KINDS);
     }
-
-    /** The same settings with another share of exploration. */
-    public CascadeSettings withExplorationShare(double newExplorationShare) {
-        return new CascadeSettings(memory, priorWeight, standardErrors, newExplorationShare, maximumKinds);
-    }
 }
--- a/router/src/main/java/org/baobabcart/router/cascade/CascadeChooser.java
+++ b/router/src/main/java/org/baobabcart/router/cascade/CascadeChooser.java
@@ -45,12 +45,6 @@
         boolean available = health.getAndUpdate(before -> before.started(now)).isAvailable(now);
         return policy.firstStep(plan, kind, knowledge.get(), available, random.getAsDouble());
     }
-
-    /** Whether an answer of this step is only passed on after a rating. */
-    public boolean needsRating(CascadePlan plan, int step) {
-        return step < plan.last();
-    }
-
     /**
      * What follows an answer that was to be rated.
      *
--- a/router/src/main/java/org/baobabcart/router/member/Member.java
+++ b/router/src/main/java/org/baobabcart/router/member/Member.java
@@ -30,12 +30,6 @@
             return eligible;
         }
     }
-
-    /** The same member in another state. */
-    public Member withState(State newState) {
-        return new Member(nodeId, incarnation, newState, dataCentre, peerAddress, adminAddress);
-    }
-
     /** The same member at another incarnation. */
     public Member withIncarnation(long newIncarnation) {
         return new Member(nodeId, newIncarnation, state, dataCentre, peerAddress, adminAddress);
--- a/router/src/main/java/org/baobabcart/router/transport/SecurityFiles.java
+++ b/router/src/main/java/org/baobabcart/router/transport/SecurityFiles.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.Stream;
 
 /**
  * The PEM files of transport security. Immutable.
@@ -36,13 +35,6 @@
         return own().stream().allMatch(Optional::isPresent);
     }
 
-    /** All files that are given. */
-    public List<String> given() {
-        return Stream.concat(own().stream(), Stream.of(upstreamAuthorities))
-                .flatMap(Optional::stream)
-                .toList();
-    }
-
     private List<Optional<String>> own() {
         return List.of(certificate, key, fleetAuthorities);
     }
