--- /dev/null
+++ b/model/src/main/java/org/baobabcart/model/gateway/VersionOrder.java
@@ -0,0 +1,44 @@
+package org.baobabcart.model.gateway;
+
+import java.time.Duration;
+
+/**
+ * The operator's order to move a service to another version. Immutable.
+ *
+ * @param service the service
+ * @param target the version to move to
+ * @param duration the time in which the move has to be done
+ * @param state how far it has come, as last written to the platform
+ * @param resourceVersion the platform's version of the order
+ * @param created the platform's mark of the order's creation, by which a new order of the same name is told apart
+ */
+public record VersionOrder(
+        String service, String target, Duration duration, State state, String resourceVersion, String created) {
+    /** The same order in another state. */
+    public VersionOrder withState(State newState) {
+        return new VersionOrder(service, target, duration, newState, resourceVersion, created);
+    }
+
+    /** How far an order has come. */
+    public enum State {
+        /** Nobody has taken it up. */
+        ORDERED(false),
+        /** Traffic is being moved. */
+        MOVING(false),
+        /** All traffic is on the target. */
+        COMPLETED(true),
+        /** All traffic is back on the versions before. */
+        WITHDRAWN(true);
+
+        private final boolean ended;
+
+        State(boolean ended) {
+            this.ended = ended;
+        }
+
+        /** Whether the order needs no more work. */
+        public boolean ended() {
+            return ended;
+        }
+    }
+}
--- a/model/src/main/java/org/baobabcart/model/platform/StoredObject.java
+++ b/model/src/main/java/org/baobabcart/model/platform/StoredObject.java
@@ -1,6 +1,7 @@
 package org.baobabcart.model.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 
 /**
  * An object of the platform's versioned API. Immutable as long as nobody changes the specification's tree.
@@ -9,8 +10,16 @@
  * @param name the name within the collection
  * @param resourceVersion the platform's version; empty for an object that is to be created
  * @param spec the content
+ * @param status what the system says of the object; missing where the platform keeps none
+ * @param created the platform's mark of the creation, by which an object made anew is told apart; may be empty
  */
-public record StoredObject(String kind, String name, String resourceVersion, JsonNode spec) {
+public record StoredObject(
+        String kind, String name, String resourceVersion, JsonNode spec, JsonNode status, String created) {
+    /** An object without a status. */
+    public StoredObject(String kind, String name, String resourceVersion, JsonNode spec) {
+        this(kind, name, resourceVersion, spec, MissingNode.getInstance(), "");
+    }
+
     /** An object that is to be created. */
     public static StoredObject fresh(String kind, String name, JsonNode spec) {
         return new StoredObject(kind, name, "", spec);
@@ -18,6 +27,11 @@
 
     /** The same object with other content, to be written against the version that was read. */
     public StoredObject withSpec(JsonNode newSpec) {
-        return new StoredObject(kind, name, resourceVersion, newSpec);
+        return new StoredObject(kind, name, resourceVersion, newSpec, status, created);
+    }
+
+    /** The same object with another status, to be written against the version that was read. */
+    public StoredObject withStatus(JsonNode newStatus) {
+        return new StoredObject(kind, name, resourceVersion, spec, newStatus, created);
     }
 }
--- a/model/src/main/java/org/baobabcart/model/result/ResultCode.java
+++ b/model/src/main/java/org/baobabcart/model/result/ResultCode.java
@@ -50,7 +50,7 @@
     /** No upstream serves the model, version or service. */
     NO_UPSTREAM(1301, 503, Ran.NO, "No upstream serves this for now"),
     /** No upstream could be reached. */
-    UPSTREAM_UNREACHABLE(1302, 502, Ran.NO, "The upstream could not be reached"),
+    UPSTREAM_UNREACHABLE(1302, 503, Ran.NO, "The upstream could not be reached"),
     /** The upstream failed after it had received the request. */
     UPSTREAM_FAILED(1303, 502, Ran.UNKNOWN, "The upstream failed while it ran the request"),
     /** The upstream made no progress in time. */
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/cascade/Escalation.java
@@ -0,0 +1,43 @@
+package org.baobabcart.policy.cascade;
+
+import org.baobabcart.model.gateway.ModelSize;
+
+/**
+ * When the answer of a small model is dropped for one of a larger model, as the small model's own confidence tells before
+ * the first token is passed on. Immutable and thread-safe.
+ *
+ * <p>The load that it answers: most requests are easy, some are too hard for a small model, and which is known only once it
+ * has begun to answer. The larger model pays where the chance that the small one does not suffice, times what a
+ * sufficient answer is worth, is above the larger one's price.
+ *
+ * @param answerWorth what a sufficient answer is worth, in the unit of the models' prices
+ */
+public record Escalation(double answerWorth) {
+    /** A few times the price of an answer of a few hundred tokens by a large model. */
+    private static final double DEFAULT_ANSWER_WORTH = 2;
+
+    private static final double MOST_CONFIDENCE = 100;
+    private static final double TOKENS_PER_PRICE = 1000;
+    /** Prompt tokens are priced at a quarter of generated ones. */
+    private static final double PROMPT_PART = 0.25;
+
+    /** An escalation for ordinary prices. */
+    public static Escalation defaults() {
+        return new Escalation(DEFAULT_ANSWER_WORTH);
+    }
+
+    /**
+     * Whether a larger model pays.
+     *
+     * @param confidence the small model's confidence in its answer, from 0 to 100
+     * @param larger the larger model
+     * @param promptTokens the length of the prompt
+     * @param outputTokens the most tokens of the answer
+     */
+    public boolean pays(int confidence, ModelSize larger, int promptTokens, int outputTokens) {
+        double doubt = 1 - Math.min(1, confidence / MOST_CONFIDENCE);
+        double tokens = outputTokens + promptTokens * PROMPT_PART;
+        double price = larger.costPerThousandTokens() * tokens / TOKENS_PER_PRICE;
+        return doubt * answerWorth > price;
+    }
+}
--- a/policy/src/main/java/org/baobabcart/policy/hash/RendezvousHash.java
+++ b/policy/src/main/java/org/baobabcart/policy/hash/RendezvousHash.java
@@ -14,6 +14,11 @@
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
+    /** A double keeps 53 of 64 bits. */
+    private static final int UNUSED_BITS = 11;
+
+    private static final double DOUBLE_UNIT = 0x1.0p-53;
+
     private RendezvousHash() {}
 
     /** The nodes of the greatest weights for a duty, at most as many as asked for, the greatest first. */
@@ -37,6 +42,11 @@
         return mix(hash(FNV_OFFSET, duty) ^ mix(hash(FNV_OFFSET, nodeId)));
     }
 
+    /** A text's point from 0 (inclusive) to 1 (exclusive), the same at every node. */
+    public static double point(String text) {
+        return (weight("", text) >>> UNUSED_BITS) * DOUBLE_UNIT;
+    }
+
     private static long hash(long start, String text) {
         long hash = start;
         for (int index = 0; index < text.length(); index++) {
--- a/policy/src/main/java/org/baobabcart/policy/retry/FailureKind.java
+++ b/policy/src/main/java/org/baobabcart/policy/retry/FailureKind.java
@@ -19,6 +19,8 @@
     CROSSED(ResultCode.UPSTREAM_FAILED, Ran.UNKNOWN),
     /** The answer ended without its closing mark or is longer than the router keeps. */
     INCOMPLETE(ResultCode.ANSWER_INCOMPLETE, Ran.UNKNOWN),
+    /** This side gave the answer up for one of a larger model, before any of it was passed on. */
+    ESCALATED(ResultCode.UPSTREAM_FAILED, Ran.UNKNOWN),
     /** The answer ran past the request's own deadline. */
     DEADLINE(ResultCode.UPSTREAM_TIMEOUT, Ran.UNKNOWN);
 
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/version/FollowedOrder.java
@@ -0,0 +1,28 @@
+package org.baobabcart.policy.version;
+
+import java.util.concurrent.TimeUnit;
+import org.baobabcart.model.gateway.VersionOrder;
+
+/**
+ * An order to move a service to another version, as one router follows it. Immutable.
+ *
+ * @param order the order with its present state
+ * @param seenNanos when this router learnt of the order, on its monotonic clock
+ */
+public record FollowedOrder(VersionOrder order, long seenNanos) {
+    /** The part of the order's time that has passed, from 0; above 1 after its deadline. */
+    public double progress(long nowNanos) {
+        long duration = Math.max(1, order.duration().toNanos());
+        return Math.max(0, nowNanos - seenNanos) / (double) duration;
+    }
+
+    /** The time since the order was seen, in milliseconds. */
+    public long ageMillis(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - seenNanos));
+    }
+
+    /** The same order in another state. */
+    public FollowedOrder withState(VersionOrder.State state) {
+        return new FollowedOrder(order.withState(state), seenNanos);
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/admin/PrometheusText.java
+++ b/router/src/main/java/org/baobabcart/router/admin/PrometheusText.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Metrics in Prometheus' text format 0.0.4. Confined to the thread that writes. */
-final class PrometheusText {
+public final class PrometheusText {
     private static final String PREFIX = "baobabcart_";
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
@@ -19,7 +19,8 @@
 
     private PrometheusText() {}
 
-    static String of(MetricRegistry metrics) {
+    /** All metrics of a registry. */
+    public static String of(MetricRegistry metrics) {
         PrometheusText writer = new PrometheusText();
         metrics.getGauges().forEach(writer::gauge);
         metrics.getCounters().forEach(writer::counter);
--- a/router/src/main/java/org/baobabcart/router/control/Sections.java
+++ b/router/src/main/java/org/baobabcart/router/control/Sections.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.baobabcart.model.gateway.RouteTable;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.rollout.RollOutState;
 import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.policy.version.FollowedOrder;
 import org.baobabcart.router.key.SessionSecrets;
 import org.baobabcart.router.member.Member;
 import org.baobabcart.router.member.Members;
@@ -49,5 +51,11 @@
     /** Whether requests are refused because the planned stop has come that far; written by the process. */
     public static final Section<Boolean> DRAINING = Section.named("draining", false);
 
+    /** The routes of the opaque request path in force; written by the gateway's controller. */
+    public static final Section<Optional<RouteTable>> ROUTES = Section.named("routes", Optional.empty());
+
+    /** Orders to move services to other versions; written by the gateway's roll-out controller. */
+    public static final Section<List<FollowedOrder>> VERSION_ORDERS = Section.named("version-orders", List.of());
+
     private Sections() {}
 }
--- a/router/src/main/java/org/baobabcart/router/traffic/BodyReader.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/BodyReader.java
@@ -1,4 +1,4 @@
-package org.baobabcart.router.traffic;
+package org.baobabcart.router.exchange;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -10,11 +10,11 @@
 import org.baobabcart.model.result.ResultCode;
 
 /** Reads request bodies within a size and a time. */
-final class BodyReader {
+public final class BodyReader {
     private BodyReader() {}
 
     /** The whole body, or {@code BODY_TOO_LARGE} or {@code REQUEST_TIMEOUT}, after which the connection is unusable. */
-    static Future<Buffer> read(Vertx vertx, HttpServerRequest request, int limitBytes, Duration timeout) {
+    public static Future<Buffer> read(Vertx vertx, HttpServerRequest request, int limitBytes, Duration timeout) {
         Promise<Buffer> result = Promise.promise();
         Buffer whole = Buffer.buffer();
         long timer = vertx.setTimer(
--- a/router/src/main/java/org/baobabcart/router/traffic/ConnectionGuard.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/ConnectionGuard.java
@@ -1,44 +1,55 @@
-package org.baobabcart.router.traffic;
+package org.baobabcart.router.exchange;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import java.time.Duration;
 import java.util.IdentityHashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.baobabcart.router.upstream.Connections;
 
 /**
  * Closes connections on which no request arrives, among them those on which half a head arrived. Confined to one event
  * loop.
  */
-final class ConnectionGuard {
+public final class ConnectionGuard {
     private final Vertx vertx;
-    private final Duration firstRequest;
-    private final Duration nextRequest;
+    private final Supplier<Duration> firstRequest;
+    private final Supplier<Duration> nextRequest;
     private final Map<HttpConnection, Long> timers = new IdentityHashMap<>();
 
-    private ConnectionGuard(Vertx vertx, Duration firstRequest, Duration nextRequest) {
+    private ConnectionGuard(Vertx vertx, Supplier<Duration> firstRequest, Supplier<Duration> nextRequest) {
         this.vertx = vertx;
         this.firstRequest = firstRequest;
         this.nextRequest = nextRequest;
     }
 
-    static ConnectionGuard create(Vertx vertx, Duration firstRequest, Duration nextRequest) {
+    /** A guard with the time to the first request and to each further one. */
+    public static ConnectionGuard create(Vertx vertx, Duration firstRequest, Duration nextRequest) {
+        return new ConnectionGuard(vertx, () -> firstRequest, () -> nextRequest);
+    }
+
+    /** A guard whose times may change; each connection is held to the times in force when it begins to wait. */
+    public static ConnectionGuard create(
+            Vertx vertx, Supplier<Duration> firstRequest, Supplier<Duration> nextRequest) {
         return new ConnectionGuard(vertx, firstRequest, nextRequest);
     }
 
-    void opened(HttpConnection connection) {
+    /** A connection was opened. */
+    public void opened(HttpConnection connection) {
         connection.closeHandler(ignored -> disarm(connection));
-        arm(connection, firstRequest);
+        arm(connection, firstRequest.get());
     }
 
-    void requestBegan(HttpConnection connection) {
+    /** A request began on it. */
+    public void requestBegan(HttpConnection connection) {
         disarm(connection);
     }
 
-    void requestEnded(HttpConnection connection) {
+    /** The request on it has ended. */
+    public void requestEnded(HttpConnection connection) {
         disarm(connection);
-        arm(connection, nextRequest);
+        arm(connection, nextRequest.get());
     }
 
     private void arm(HttpConnection connection, Duration limit) {
--- a/router/src/main/java/org/baobabcart/router/traffic/Drain.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/Drain.java
@@ -1,30 +1,35 @@
-package org.baobabcart.router.traffic;
+package org.baobabcart.router.exchange;
 
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Counts running requests and tells whether the process is draining. Thread-safe. */
-final class Drain {
+public final class Drain {
     private final AtomicBoolean draining = new AtomicBoolean();
     private final AtomicInteger running = new AtomicInteger();
 
-    void begin() {
+    /** Begins the planned stop. */
+    public void begin() {
         draining.set(true);
     }
 
-    boolean isDraining() {
+    /** Whether the planned stop has begun. */
+    public boolean isDraining() {
         return draining.get();
     }
 
-    void requestBegan() {
+    /** A request began. */
+    public void requestBegan() {
         running.incrementAndGet();
     }
 
-    void requestEnded() {
+    /** A request ended. */
+    public void requestEnded() {
         running.decrementAndGet();
     }
 
-    int running() {
+    /** The number of running requests. */
+    public int running() {
         return running.get();
     }
 }
--- a/router/src/main/java/org/baobabcart/router/traffic/Refusal.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/Refusal.java
@@ -1,4 +1,4 @@
-package org.baobabcart.router.traffic;
+package org.baobabcart.router.exchange;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -18,7 +18,7 @@
  * @param ran whether an upstream may have received the request
  * @param retryAfterMillis when a retry may help
  */
-record Refusal(ResultCode code, String message, Ran ran, OptionalLong retryAfterMillis) {
+public record Refusal(ResultCode code, String message, Ran ran, OptionalLong retryAfterMillis) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Duration RETRY_AFTER_DEFAULT = Duration.ofSeconds(1);
     private static final long MILLIS_PER_SECOND = 1000;
@@ -29,7 +29,7 @@
      *
      * @param mayHaveRun whether any byte of the request was sent to an upstream
      */
-    static Refusal of(Throwable failure, boolean mayHaveRun) {
+    public static Refusal of(Throwable failure, boolean mayHaveRun) {
         BaobabcartException exception = failure instanceof BaobabcartException known
                 ? known
                 : BaobabcartException.of(ResultCode.INTERNAL).withCause(failure);
@@ -40,7 +40,7 @@
     }
 
     /** The JSON text {@code {"error": {...}}}. */
-    String toJson() {
+    public String toJson() {
         ObjectNode error = JsonNodeFactory.instance.objectNode();
         error.put("code", code.number());
         error.put("name", code.name());
@@ -53,7 +53,7 @@
     }
 
     /** The value of the {@code Retry-After} header in whole seconds, rounded up. */
-    OptionalLong retryAfterSeconds() {
+    public OptionalLong retryAfterSeconds() {
         if (retryAfterMillis.isEmpty()) {
             return OptionalLong.empty();
         }
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/gateway/AnswerRelay.java
@@ -0,0 +1,65 @@
+package org.baobabcart.router.gateway;
+
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import java.util.Optional;
+import org.baobabcart.router.upstream.UpstreamAnswer;
+
+/**
+ * Reads an answer that is no stream of events. Confined to the event loop of the caller's connection.
+ *
+ * <p>A small answer is read whole first, so that a broken one can still be replaced; a larger one is passed on as it comes.
+ */
+final class AnswerRelay {
+    private final GatewayRuntime runtime;
+    private final GatewayExchange exchange;
+    private final UpstreamAnswer answer;
+    private final MultiMap headers;
+    private final Buffer collected = Buffer.buffer();
+    private boolean passing;
+
+    private AnswerRelay(
+            GatewayRuntime runtime, GatewayExchange exchange, UpstreamAnswer answer, MultiMap headers) {
+        this.runtime = runtime;
+        this.exchange = exchange;
+        this.answer = answer;
+        this.headers = headers;
+    }
+
+    static AnswerRelay create(
+            GatewayRuntime runtime, GatewayExchange exchange, UpstreamAnswer answer, MultiMap headers) {
+        return new AnswerRelay(runtime, exchange, answer, headers);
+    }
+
+    /** The whole body, or nothing where it was passed on while it came. */
+    Future<Optional<Buffer>> run() {
+        return answer.forEachPart(this::read).map(ignored -> {
+            if (passing) {
+                exchange.end();
+                return Optional.empty();
+            }
+            return Optional.of(collected);
+        });
+    }
+
+    private void read(Buffer part) {
+        if (passing) {
+            write(part);
+            return;
+        }
+        collected.appendBuffer(part);
+        if (collected.length() > runtime.settings().collectedAnswerBytes()) {
+            passing = true;
+            exchange.beginChunked(answer.status(), headers);
+            write(collected);
+        }
+    }
+
+    private void write(Buffer part) {
+        if (!exchange.write(part)) {
+            answer.pause();
+            exchange.whenWritable(answer::resume);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/gateway/EventRelay.java
@@ -0,0 +1,83 @@
+package org.baobabcart.router.gateway;
+
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import java.util.OptionalLong;
+import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.router.upstream.AttemptException;
+import org.baobabcart.router.upstream.EventReader;
+import org.baobabcart.router.upstream.UpstreamAnswer;
+
+/**
+ * Passes the events of a stream on, whole events only, over one attempt or several. Confined to the event loop of the caller's
+ * connection.
+ *
+ * <p>The head goes out with the first event, so that an attempt without one can be replaced. A stream that goes on at another
+ * upstream keeps the head of the first; events that the caller has are not passed on again.
+ */
+final class EventRelay {
+    private final GatewayExchange exchange;
+    private final OptionalLong askedAfter;
+    private OptionalLong lastPassed = OptionalLong.empty();
+    private long passed;
+
+    private EventRelay(GatewayExchange exchange, OptionalLong askedAfter) {
+        this.exchange = exchange;
+        this.askedAfter = askedAfter;
+    }
+
+    /**
+     * A relay to a caller.
+     *
+     * @param askedAfter the last event that the caller has from an earlier request of its own
+     */
+    static EventRelay create(GatewayExchange exchange, OptionalLong askedAfter) {
+        return new EventRelay(exchange, askedAfter);
+    }
+
+    /** The event after which the next attempt has to begin; empty for the beginning of the stream. */
+    OptionalLong resumeAfter() {
+        return lastPassed.isPresent() ? lastPassed : askedAfter;
+    }
+
+    /** The number of events passed on. */
+    long passed() {
+        return passed;
+    }
+
+    /** Passes on the events of an attempt; completes when the stream is whole, and fails where it breaks off. */
+    Future<Void> run(UpstreamAnswer answer, MultiMap headers) {
+        EventReader reader = EventReader.create(event -> pass(answer, headers, event));
+        return answer.forEachPart(reader::read).compose(ignored -> {
+            if (reader.pendingBytes() > 0) {
+                return Future.failedFuture(
+                        AttemptException.of(FailureKind.INCOMPLETE, answer.upstream(), "the last event is not whole"));
+            }
+            if (passed == 0 && !exchange.started()) {
+                exchange.beginChunked(answer.status(), headers);
+            }
+            exchange.end();
+            return Future.succeededFuture();
+        });
+    }
+
+    private void pass(UpstreamAnswer answer, MultiMap headers, Buffer event) {
+        OptionalLong id = EventReader.id(event);
+        OptionalLong before = resumeAfter();
+        if (id.isPresent() && before.isPresent() && id.getAsLong() <= before.getAsLong()) {
+            return;
+        }
+        if (!exchange.started()) {
+            exchange.beginChunked(answer.status(), headers);
+        }
+        if (id.isPresent()) {
+            lastPassed = id;
+        }
+        passed++;
+        if (!exchange.write(event)) {
+            answer.pause();
+            exchange.whenWritable(answer::resume);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -0,0 +1,194 @@
+package org.baobabcart.router.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
+import org.baobabcart.policy.version.VersionEvidence;
+import org.baobabcart.router.admin.PrometheusText;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.ControlLoop;
+import org.baobabcart.router.control.Controller;
+import org.baobabcart.router.control.Futures;
+import org.baobabcart.router.control.SystemTimerService;
+import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.exchange.Drain;
+import org.baobabcart.router.platform.ObjectFollower;
+import org.baobabcart.router.platform.ObjectStore;
+import org.baobabcart.router.platform.PlatformHealth;
+import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.timeline.Timeline;
+import org.baobabcart.router.transport.Transport;
+import org.baobabcart.router.upstream.Dispatcher;
+import org.baobabcart.router.upstream.DispatcherSettings;
+import org.baobabcart.router.upstream.UpstreamClient;
+import org.baobabcart.router.upstream.UpstreamClientSettings;
+import org.baobabcart.router.upstream.UpstreamHealth;
+import org.baobabcart.router.view.ViewPublisher;
+
+/**
+ * A router of the opaque request path as a library object: made from its parts, started once and stopped once. Thread-safe.
+ *
+ * <p>A planned stop turns the router not ready, goes on serving until the balancer has noticed, refuses what is new, lets running
+ * requests end, and closes.
+ */
+public final class GatewayProcess {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    /** Looked at so often whether the last request has ended. */
+    private static final Duration IDLE_POLL = Duration.ofMillis(50);
+
+    private final GatewayParts parts;
+    private final ControlLoop loop = ControlLoop.create("control");
+    private final TimerService timers = SystemTimerService.on(loop);
+    private final Blackboard blackboard = Blackboard.create();
+    private final MetricRegistry metrics;
+    private final Drain drain = new Drain();
+    private final ViewPublisher views = ViewPublisher.create(blackboard);
+    private final GatewayServer server;
+    private final UpstreamController upstreams;
+    private final List<Controller> controllers;
+    private final AtomicBoolean stopBegun = new AtomicBoolean();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+
+    private GatewayProcess(GatewayParts parts) {
+        this.parts = parts;
+        this.metrics = parts.metrics();
+        Timeline timeline = parts.timeline();
+        ObjectStore store = PlatformHealth.observing(parts.store(), blackboard, loop, timeline);
+        VersionEvidence evidence = VersionEvidence.create();
+        GatewayRuntime runtime = runtime(evidence);
+        this.server = GatewayServer.create(runtime, drain);
+        ObjectFollower.Parts following =
+                new ObjectFollower.Parts(store, loop, timers, RandomGenerator.getDefault());
+        this.upstreams = UpstreamController.create(parts.objects(), following, blackboard, timeline);
+        this.controllers = List.of(
+                views,
+                RouteController.create(parts.objects(), following, blackboard, timeline),
+                upstreams,
+                VersionOrderController.create(
+                        parts.objects(),
+                        following,
+                        blackboard,
+                        timeline,
+                        parts.settings().move(),
+                        evidence));
+    }
+
+    /** A router that does not listen yet. */
+    public static GatewayProcess create(GatewayParts parts) {
+        return new GatewayProcess(parts);
+    }
+
+    private GatewayRuntime runtime(VersionEvidence evidence) {
+        Vertx vertx = parts.vertx();
+        GatewaySettings settings = parts.settings();
+        UpstreamClient client = UpstreamClient.create(
+                vertx,
+                UpstreamClientSettings.of(settings.connectTimeout(), Transport.plain())
+                        .withRules(parts.codec().answerRules())
+                        .withIdleTimeout(settings.idleConnection()));
+        UpstreamHealth health = UpstreamHealth.create(vertx, client, views);
+        Dispatcher dispatcher = Dispatcher.create(
+                vertx,
+                new DispatcherSettings(settings.name(), settings.dataCentre(), settings.queue()).withAffinityAcross(),
+                views,
+                health);
+        BufferBudget buffers = BufferBudget.of(settings.bufferedBytes());
+        metrics.gauge("gateway.running", () -> drain::running);
+        metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
+        metrics.gauge("gateway.buffered-bytes", () -> buffers::used);
+        return new GatewayRuntime(
+                vertx,
+                settings,
+                parts.codec(),
+                views,
+                dispatcher,
+                client,
+                health,
+                ServiceRetries.create(settings.retries()),
+                evidence,
+                buffers,
+                parts.timeline(),
+                metrics);
+    }
+
+    /** Opens the ports and starts the controllers. */
+    public Uni<Void> start() {
+        GatewayPorts ports = parts.ports();
+        loop.execute(() -> controllers.forEach(Controller::start));
+        parts.timeline().record(EventType.PROCESS_STARTED, "name=" + parts.settings().name());
+        return Futures.toUni(() -> listenReadiness(ports.readinessHost(), ports.readinessPort())
+                .compose(ignored -> server.listen(ports.callerHost(), ports.callerPort()))
+                .mapEmpty());
+    }
+
+    /** Begins the planned stop if it has not begun, and completes when the process may exit. */
+    public Uni<Void> stop() {
+        if (stopBegun.compareAndSet(false, true)) {
+            parts.timeline().record(EventType.PROCESS_STOPPING, "running=" + drain.running());
+            LOGGER.atInfo().log("event=stop_begun name=%s", parts.settings().name());
+            drain.begin();
+            GatewayStopTimes times = parts.stopTimes();
+            parts.vertx()
+                    .timer(times.balancerDelay().toMillis(), TimeUnit.MILLISECONDS)
+                    .compose(ignored -> finish(times))
+                    .onComplete(ignored -> stopped.complete(null));
+        }
+        return stopped();
+    }
+
+    /** Completes when a planned stop has ended. */
+    public Uni<Void> stopped() {
+        return Uni.createFrom().completionStage(stopped);
+    }
+
+    private Future<Void> finish(GatewayStopTimes times) {
+        server.refuseNew();
+        long deadline = System.nanoTime() + times.drain().toNanos();
+        return untilIdle(deadline)
+                .compose(ignored -> server.shutdown(times.close()))
+                .otherwiseEmpty()
+                .onComplete(ignored -> {
+                    parts.timeline().record(EventType.PROCESS_STOPPED, "running=" + drain.running());
+                    loop.execute(() -> controllers.forEach(controller -> controller.stop().subscribe().asCompletionStage()));
+                    loop.close();
+                });
+    }
+
+    private Future<Void> untilIdle(long deadline) {
+        if (drain.running() == 0 || System.nanoTime() - deadline >= 0) {
+            return Future.succeededFuture();
+        }
+        return parts.vertx()
+                .timer(IDLE_POLL.toMillis(), TimeUnit.MILLISECONDS)
+                .compose(ignored -> untilIdle(deadline));
+    }
+
+    private Future<HttpServer> listenReadiness(String host, int port) {
+        return parts.vertx().createHttpServer().requestHandler(this::answerOperator).listen(port, host);
+    }
+
+    private void answerOperator(HttpServerRequest request) {
+        if (request.path().equals(parts.ports().metricsPath())) {
+            request.response().putHeader("Content-Type", "text/plain; version=0.0.4").end(PrometheusText.of(metrics));
+            return;
+        }
+        request.response().setStatusCode(isReady() ? OK : UNAVAILABLE).end();
+    }
+
+    /** A router takes requests once it has a table of routes and the list of upstreams, until it stops. */
+    private boolean isReady() {
+        return !drain.isDraining() && views.current().routes().isPresent() && upstreams.isKnown();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -0,0 +1,187 @@
+package org.baobabcart.router.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.baobabcart.model.gateway.CallerLimits;
+import org.baobabcart.model.gateway.RouteTable;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.exchange.BodyReader;
+import org.baobabcart.router.exchange.ConnectionGuard;
+import org.baobabcart.router.exchange.Drain;
+import org.baobabcart.router.timeline.EventType;
+
+/**
+ * The port for callers of the opaque request path. Its handlers are confined to one event loop.
+ *
+ * <p>A request whose body is framed in chunks is the last of its connection: where a head gives a length as well, the parser
+ * drops that length, and what follows the last chunk could be taken for a request that the caller never made.
+ */
+final class GatewayServer {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int REQUEST_LINE_BYTES = 8 * 1024;
+    /** The parser's own bound, above any that an operator sets; the operator's is checked after it. */
+    private static final int PARSER_HEADER_BYTES = 64 * 1024;
+    /** Bytes between the name and the value of a header and at its end. */
+    private static final int HEADER_FRAMING_BYTES = 4;
+
+    private static final int LISTEN_BACKLOG = 1024;
+    private static final String CHUNKED = "chunked";
+    /** Limits before the first table is known. */
+    private static final CallerLimits DEFAULT_LIMITS =
+            new CallerLimits(16 * 1024, 4 * 1024 * 1024, Duration.ofSeconds(3), Duration.ofSeconds(15));
+
+    private final GatewayRuntime runtime;
+    private final Drain drain;
+    private final ConnectionGuard guard;
+    private HttpServer server;
+    private boolean refusing;
+
+    private GatewayServer(GatewayRuntime runtime, Drain drain) {
+        this.runtime = runtime;
+        this.drain = drain;
+        this.guard = ConnectionGuard.create(
+                runtime.vertx(), () -> limits().headerTimeout(), () -> limits().idleTimeout());
+    }
+
+    static GatewayServer create(GatewayRuntime runtime, Drain drain) {
+        return new GatewayServer(runtime, drain);
+    }
+
+    Future<Integer> listen(String host, int port) {
+        HttpServerOptions options = new HttpServerOptions()
+                .setMaxHeaderSize(PARSER_HEADER_BYTES)
+                .setMaxInitialLineLength(REQUEST_LINE_BYTES)
+                .setHttp2ClearTextEnabled(false)
+                .setHandle100ContinueAutomatically(true)
+                .setAcceptBacklog(LISTEN_BACKLOG)
+                .setTcpNoDelay(true)
+                .setTcpKeepAlive(true);
+        server = runtime.vertx()
+                .createHttpServer(options)
+                .connectionHandler(guard::opened)
+                .invalidRequestHandler(this::refuseInvalid)
+                .requestHandler(this::handle);
+        return server.listen(port, host).map(HttpServer::actualPort);
+    }
+
+    /** Refuses what arrives from now on. */
+    void refuseNew() {
+        refusing = true;
+    }
+
+    /** Stops accepting connections and waits until the open ones are closed. */
+    Future<Void> shutdown(Duration timeout) {
+        return server.shutdown(timeout.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private CallerLimits limits() {
+        return runtime.views().current().routes().map(RouteTable::limits).orElse(DEFAULT_LIMITS);
+    }
+
+    private void handle(HttpServerRequest request) {
+        guard.requestBegan(request.connection());
+        drain.requestBegan();
+        boolean chunked = request.headers().contains(HttpHeaders.TRANSFER_ENCODING);
+        GatewayExchange exchange =
+                GatewayExchange.create(runtime, request, () -> chunked || drain.isDraining(), () -> ended(request));
+        try {
+            begin(exchange, request);
+        } catch (BaobabcartException refusal) {
+            exchange.refuseUnread(refusal);
+        } catch (RuntimeException failure) {
+            LOGGER.atSevere().withCause(failure).log("event=request_failed request=%s", exchange.requestId());
+            exchange.refuseUnread(BaobabcartException.of(ResultCode.INTERNAL).withCause(failure));
+        }
+    }
+
+    private void ended(HttpServerRequest request) {
+        drain.requestEnded();
+        guard.requestEnded(request.connection());
+    }
+
+    private void begin(GatewayExchange exchange, HttpServerRequest request) {
+        checkHead(request);
+        RequestHead head = runtime.codec().decode(request);
+        exchange.identify(head.id());
+        exchange.record(EventType.REQUEST_RECEIVED, head.method() + " " + head.target());
+        if (refusing) {
+            throw BaobabcartException.of(ResultCode.STOPPING);
+        }
+        Admission admission = Admission.of(runtime.views().current(), head);
+        Duration timeout = admission.route().timeout();
+        Duration wait = head.deadline().filter(own -> own.compareTo(timeout) < 0).orElse(timeout);
+        long deadlineNanos = exchange.begunNanos() + wait.toNanos();
+        int limit = limits().bodyBytes();
+        long announced = announcedLength(request);
+        if (announced > limit) {
+            throw BaobabcartException.of(ResultCode.BODY_TOO_LARGE, "at most " + limit + " bytes");
+        }
+        BodyReader.read(runtime.vertx(), request, limit, wait)
+                .onSuccess(body -> run(exchange, head, body, deadlineNanos))
+                .onFailure(failure -> exchange.refuseUnread(refusal(failure)));
+    }
+
+    private void run(GatewayExchange exchange, RequestHead head, Buffer body, long deadlineNanos) {
+        if (exchange.isEnded()) {
+            return;
+        }
+        if (!runtime.buffers().tryTake(body.length())) {
+            exchange.refuse(BaobabcartException.of(ResultCode.QUEUE_FULL, "no room for the body"));
+            return;
+        }
+        exchange.whenEnded(() -> runtime.buffers().giveBack(body.length()));
+        try {
+            Admission admission = Admission.of(runtime.views().current(), head);
+            GatewayRun.create(runtime, exchange, head, admission, body, deadlineNanos)
+                    .start();
+        } catch (BaobabcartException refusal) {
+            exchange.refuse(refusal);
+        }
+    }
+
+    private static BaobabcartException refusal(Throwable failure) {
+        return failure instanceof BaobabcartException exception
+                ? exception
+                : BaobabcartException.of(ResultCode.INTERNAL).withCause(failure);
+    }
+
+    private void checkHead(HttpServerRequest request) {
+        String encoding = request.getHeader(HttpHeaders.TRANSFER_ENCODING);
+        if (encoding != null && !CHUNKED.equalsIgnoreCase(encoding.strip())) {
+            throw BaobabcartException.of(ResultCode.BAD_HEADER, "only the transfer encoding chunked is understood");
+        }
+        int bytes = request.uri().length();
+        for (Map.Entry<String, String> header : request.headers()) {
+            bytes += header.getKey().length() + header.getValue().length() + HEADER_FRAMING_BYTES;
+        }
+        if (bytes > limits().headerBytes()) {
+            throw BaobabcartException.of(ResultCode.HEADERS_TOO_LARGE);
+        }
+    }
+
+    private static long announcedLength(HttpServerRequest request) {
+        String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+        return length != null && length.matches("[0-9]{1,18}") ? Long.parseLong(length) : 0;
+    }
+
+    /** Answers a request that the parser refused, whose connection cannot be used further. */
+    private void refuseInvalid(HttpServerRequest request) {
+        Throwable cause = request.decoderResult().cause();
+        boolean tooLong = cause != null && cause.getClass().getSimpleName().startsWith("TooLong");
+        ResultCode code = tooLong ? ResultCode.HEADERS_TOO_LARGE : ResultCode.BAD_REQUEST;
+        request.response()
+                .setStatusCode(code.httpStatus())
+                .putHeader(HttpHeaders.CONNECTION, "close")
+                .end()
+                .onComplete(ignored -> request.connection().close());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/gateway/RouteController.java
@@ -0,0 +1,80 @@
+package org.baobabcart.router.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
+import java.util.Map;
+import java.util.Optional;
+import org.baobabcart.model.gateway.RouteTable;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.Controller;
+import org.baobabcart.router.control.Sections;
+import org.baobabcart.router.platform.FollowerSettings;
+import org.baobabcart.router.platform.ObjectFollower;
+import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.timeline.Timeline;
+
+/**
+ * Puts the operator's newest table of routes in force. Confined to the control thread.
+ *
+ * <p>A table of a lower version, or one that cannot be read, is put aside: the last good one stays in force.
+ */
+final class RouteController implements Controller {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final GatewayObjects meaning;
+    private final Blackboard blackboard;
+    private final Timeline timeline;
+    private final ObjectFollower follower;
+
+    private RouteController(
+            GatewayObjects meaning, ObjectFollower.Parts parts, Blackboard blackboard, Timeline timeline) {
+        this.meaning = meaning;
+        this.blackboard = blackboard;
+        this.timeline = timeline;
+        this.follower = ObjectFollower.create(
+                meaning.configurationKind(), parts, FollowerSettings.defaults(), this::changed);
+    }
+
+    static RouteController create(
+            GatewayObjects meaning, ObjectFollower.Parts parts, Blackboard blackboard, Timeline timeline) {
+        return new RouteController(meaning, parts, blackboard, timeline);
+    }
+
+    @Override
+    public void start() {
+        follower.start();
+    }
+
+    @Override
+    public Uni<Void> stop() {
+        follower.stop();
+        return Uni.createFrom().voidItem();
+    }
+
+    private void changed(Map<String, StoredObject> objects) {
+        objects.values().forEach(this::consider);
+    }
+
+    private void consider(StoredObject object) {
+        try {
+            meaning.routeTable(object).ifPresent(this::apply);
+        } catch (BaobabcartException fault) {
+            LOGGER.atWarning().log(
+                    "event=configuration_put_aside name=%s version=%s cause=%s",
+                    object.name(), object.resourceVersion(), fault.getMessage());
+        }
+    }
+
+    private void apply(RouteTable table) {
+        long inForce = blackboard.read(Sections.ROUTES).map(RouteTable::version).orElse(Long.MIN_VALUE);
+        if (table.version() <= inForce) {
+            return;
+        }
+        blackboard.write(Sections.ROUTES, Optional.of(table));
+        timeline.record(
+                EventType.SHEET_APPLIED,
+                "generation=" + table.version() + " routes=" + table.routes().size());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/gateway/ServicePool.java
@@ -0,0 +1,39 @@
+package org.baobabcart.router.gateway;
+
+import java.util.Optional;
+import org.baobabcart.model.gateway.VersionOrder;
+import org.baobabcart.policy.version.FollowedOrder;
+import org.baobabcart.policy.version.VersionMove;
+import org.baobabcart.router.upstream.Pool;
+import org.baobabcart.router.view.TrafficView;
+
+/** Which versions of a service a request may run on. Stateless. */
+final class ServicePool {
+    private ServicePool() {}
+
+    /**
+     * The pool for a request.
+     *
+     * @param point a number from 0 (inclusive) to 1 (exclusive), the same for all requests of a session
+     */
+    static Pool of(TrafficView view, VersionMove move, String service, double point, long nowNanos) {
+        Pool all = Pool.ofService(service);
+        Optional<FollowedOrder> followed = view.versionOrder(service);
+        if (followed.isEmpty()) {
+            return all;
+        }
+        VersionOrder order = followed.get().order();
+        Pool target = all.withVersion(order.target());
+        Pool others = all.withoutVersion(order.target());
+        boolean onTarget = point < move.share(followed.get(), nowNanos);
+        if (order.state() == VersionOrder.State.WITHDRAWN) {
+            return others;
+        }
+        Pool chosen = onTarget ? target : others;
+        return hasMember(view, chosen) ? chosen : all;
+    }
+
+    private static boolean hasMember(TrafficView view, Pool pool) {
+        return view.upstreams().stream().anyMatch(pool::includes);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/gateway/UpstreamController.java
@@ -0,0 +1,92 @@
+package org.baobabcart.router.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.Controller;
+import org.baobabcart.router.control.Sections;
+import org.baobabcart.router.platform.FollowerSettings;
+import org.baobabcart.router.platform.ObjectFollower;
+import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.timeline.Timeline;
+
+/** Keeps the list of upstreams as they register themselves in the platform. Confined to the control thread. */
+final class UpstreamController implements Controller {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    /** Upstreams whose entries lapsed while the platform was away write them again within this time of its return. */
+    private static final Duration RETURN_GRACE = Duration.ofMillis(2_200);
+
+    private final GatewayObjects meaning;
+    private final Blackboard blackboard;
+    private final Timeline timeline;
+    private final ObjectFollower follower;
+    private final Map<String, VirtualMachine> known = new HashMap<>();
+
+    private UpstreamController(
+            GatewayObjects meaning, ObjectFollower.Parts parts, Blackboard blackboard, Timeline timeline) {
+        this.meaning = meaning;
+        this.blackboard = blackboard;
+        this.timeline = timeline;
+        this.follower = ObjectFollower.create(
+                meaning.upstreamKind(),
+                parts,
+                FollowerSettings.defaults().withReturnGrace(RETURN_GRACE),
+                this::changed);
+    }
+
+    static UpstreamController create(
+            GatewayObjects meaning, ObjectFollower.Parts parts, Blackboard blackboard, Timeline timeline) {
+        return new UpstreamController(meaning, parts, blackboard, timeline);
+    }
+
+    @Override
+    public void start() {
+        follower.start();
+    }
+
+    @Override
+    public Uni<Void> stop() {
+        follower.stop();
+        return Uni.createFrom().voidItem();
+    }
+
+    /** Whether the list was read. */
+    boolean isKnown() {
+        return follower.isKnown();
+    }
+
+    private void changed(Map<String, StoredObject> objects) {
+        List<VirtualMachine> machines = new ArrayList<>();
+        objects.values().forEach(object -> read(object, machines));
+        known.keySet().retainAll(machines.stream().map(VirtualMachine::name).toList());
+        machines.forEach(this::note);
+        blackboard.write(Sections.VIRTUAL_MACHINES, List.copyOf(machines));
+    }
+
+    private void read(StoredObject object, List<VirtualMachine> machines) {
+        try {
+            meaning.upstream(object).ifPresent(machines::add);
+        } catch (BaobabcartException fault) {
+            LOGGER.atInfo().log(
+                    "event=upstream_entry_ignored name=%s version=%s cause=%s",
+                    object.name(), object.resourceVersion(), fault.getMessage());
+        }
+    }
+
+    private void note(VirtualMachine machine) {
+        VirtualMachine before = known.put(machine.name(), machine);
+        if (!machine.equals(before)) {
+            timeline.record(
+                    EventType.UPSTREAM_CHANGED,
+                    machine.name() + " " + machine.state() + " " + machine.service() + " " + machine.version());
+        }
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/platform/CallEffect.java
+++ b/router/src/main/java/org/baobabcart/router/platform/CallEffect.java
@@ -9,7 +9,7 @@
 import org.baobabcart.model.result.ResultCode;
 
 /** Whether a call may change the platform, and what its failures mean therefore. Thread-safe. */
-enum CallEffect {
+public enum CallEffect {
     /** The call changes nothing, so that no failure leaves a doubt. */
     NONE(ResultCode.PLATFORM_UNAVAILABLE),
     /** The call writes; once a byte may have been sent, the write may have taken effect. */
@@ -22,7 +22,7 @@
     }
 
     /** The failure of a call that got no answer. */
-    Throwable failure(Throwable cause) {
+    public Throwable failure(Throwable cause) {
         if (cause instanceof BaobabcartException) {
             return cause;
         }
@@ -31,7 +31,7 @@
     }
 
     /** The failure of a call that was answered with an error status. */
-    BaobabcartException refusal(int status, String message, String retryAfterSeconds) {
+    public BaobabcartException refusal(int status, String message, String retryAfterSeconds) {
         ResultCode code = code(status);
         BaobabcartException failure = BaobabcartException.of(code, status + " " + message);
         return retryAfter(retryAfterSeconds).map(failure::withRetryAfter).orElse(failure);
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectFollower.java
@@ -0,0 +1,212 @@
+package org.baobabcart.router.platform;
+
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.subscription.Cancellable;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.ObjectSnapshot;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.control.TimerService;
+
+/**
+ * Keeps all objects of a kind as the platform has them: a snapshot, then a watch from its version, then another snapshot where
+ * the platform no longer keeps the changes between. Confined to the control thread.
+ *
+ * <p>What was known stays known while the platform is out of reach. Objects that lapsed meanwhile are kept for a grace after
+ * its return, since their owners write them again.
+ */
+public final class ObjectFollower {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final String kind;
+    private final Parts parts;
+    private final FollowerSettings settings;
+    private final Consumer<Map<String, StoredObject>> listener;
+    private final Map<String, StoredObject> objects = new HashMap<>();
+    private final Map<String, Long> lapsing = new HashMap<>();
+    private Optional<Cancellable> open = Optional.empty();
+    private String version = "";
+    private long round;
+    private long regainedNanos;
+    private int failures;
+    private boolean known;
+    private boolean stopped;
+
+    /**
+     * What a follower works with. Immutable.
+     *
+     * @param store the platform
+     * @param loop the control thread
+     * @param timers time
+     * @param random spreads the retries of several routers
+     */
+    public record Parts(ObjectStore store, Executor loop, TimerService timers, RandomGenerator random) {}
+
+    private ObjectFollower(
+            String kind, Parts parts, FollowerSettings settings, Consumer<Map<String, StoredObject>> listener) {
+        this.kind = kind;
+        this.parts = parts;
+        this.settings = settings;
+        this.listener = listener;
+        this.regainedNanos = parts.timers().nanoTime() - settings.returnGrace().toNanos();
+    }
+
+    /**
+     * A follower that does nothing yet.
+     *
+     * @param listener gets all objects by name after each change, and once after the first snapshot
+     */
+    public static ObjectFollower create(
+            String kind, Parts parts, FollowerSettings settings, Consumer<Map<String, StoredObject>> listener) {
+        return new ObjectFollower(kind, parts, settings, listener);
+    }
+
+    /** Begins with a snapshot. */
+    public void start() {
+        readAll();
+    }
+
+    /** Ends the watch. */
+    public void stop() {
+        stopped = true;
+        endRound();
+    }
+
+    /** Whether a snapshot was read. */
+    public boolean isKnown() {
+        return known;
+    }
+
+    private void readAll() {
+        long current = ++round;
+        parts.store()
+                .snapshot(kind)
+                .emitOn(parts.loop())
+                .subscribe()
+                .with(
+                        snapshot -> inRound(current, () -> take(snapshot)),
+                        failure -> inRound(current, () -> failed(failure)));
+    }
+
+    private void take(ObjectSnapshot snapshot) {
+        regained();
+        Map<String, StoredObject> before = Map.copyOf(objects);
+        objects.clear();
+        snapshot.objects().forEach(object -> objects.put(object.name(), object));
+        lapsing.keySet().removeAll(objects.keySet());
+        before.forEach((name, object) -> {
+            if (!objects.containsKey(name)) {
+                objects.put(name, object);
+                remove(name);
+            }
+        });
+        version = snapshot.resourceVersion();
+        known = true;
+        publish();
+        watch();
+    }
+
+    private void watch() {
+        long current = ++round;
+        open = Optional.of(parts.store()
+                .watch(kind, version)
+                .emitOn(parts.loop())
+                .subscribe()
+                .with(
+                        event -> inRound(current, () -> changed(event)),
+                        failure -> inRound(current, () -> failed(failure)),
+                        () -> inRound(current, this::watch)));
+    }
+
+    private void changed(ObjectEvent event) {
+        regained();
+        StoredObject object = event.object();
+        switch (event.type()) {
+            case BOOKMARK -> version = object.resourceVersion();
+            case DELETED -> {
+                remove(object.name());
+                publish();
+            }
+            case ADDED, MODIFIED -> {
+                objects.put(object.name(), object);
+                lapsing.remove(object.name());
+                publish();
+            }
+            default -> throw new IllegalStateException("unknown event " + event.type());
+        }
+    }
+
+    /** Removes an object, later where its owner may still write it again. */
+    private void remove(String name) {
+        long graceEnd = regainedNanos + settings.returnGrace().toNanos();
+        long wait = graceEnd - parts.timers().nanoTime();
+        if (wait <= 0) {
+            objects.remove(name);
+            lapsing.remove(name);
+            return;
+        }
+        lapsing.put(name, graceEnd);
+        parts.timers().after("lapse-" + kind, Duration.ofNanos(wait), () -> lapse(name, graceEnd));
+    }
+
+    private void lapse(String name, long graceEnd) {
+        if (lapsing.remove(name, graceEnd)) {
+            objects.remove(name);
+            publish();
+        }
+    }
+
+    private void regained() {
+        if (failures > 0) {
+            regainedNanos = parts.timers().nanoTime();
+            LOGGER.atInfo().log("event=dependency_regained kind=%s failures=%d", kind, failures);
+        }
+        failures = 0;
+    }
+
+    private void failed(Throwable failure) {
+        endRound();
+        if (failure instanceof BaobabcartException exception && exception.code() == ResultCode.WATCH_EXPIRED) {
+            LOGGER.atInfo().log("event=watch_expired kind=%s version=%s", kind, version);
+            readAll();
+            return;
+        }
+        failures++;
+        if (failures == 1) {
+            LOGGER.atWarning().log("event=dependency_lost kind=%s cause=%s", kind, failure.getMessage());
+        }
+        long current = round;
+        parts.timers().after("follow-" + kind, backoff(), () -> inRound(current, known ? this::watch : this::readAll));
+    }
+
+    private void endRound() {
+        round++;
+        open.ifPresent(Cancellable::cancel);
+        open = Optional.empty();
+    }
+
+    private void inRound(long expected, Runnable step) {
+        if (round == expected && !stopped) {
+            step.run();
+        }
+    }
+
+    private void publish() {
+        listener.accept(Map.copyOf(objects));
+    }
+
+    private Duration backoff() {
+        long first = settings.firstRetry().toMillis();
+        long longest = settings.longestRetry().toMillis();
+        long bound = Math.min(longest, first << Math.min(failures - 1, Byte.SIZE));
+        return Duration.ofMillis(bound / 2 + parts.random().nextLong(bound / 2 + 1));
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectStore.java
@@ -4,7 +4,10 @@
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.ObjectSnapshot;
 import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
 
 /**
  * The platform's versioned object API. Thread-safe.
@@ -20,12 +23,23 @@
     /** Reads all objects of a kind. */
     Uni<List<StoredObject>> list(String kind);
 
+    /** Reads all objects of a kind with the version from which a watch goes on. */
+    default Uni<ObjectSnapshot> snapshot(String kind) {
+        return list(kind).map(objects -> new ObjectSnapshot(objects, ""));
+    }
+
     /** Creates an object; fails with {@code CONFLICT} if it exists. */
     Uni<StoredObject> create(StoredObject object);
 
     /** Replaces an object if its version is still the one that was read; fails with {@code CONFLICT} otherwise. */
     Uni<StoredObject> update(StoredObject object);
 
+    /** Replaces the status of an object if its version is still the one that was read. */
+    default Uni<StoredObject> updateStatus(StoredObject object) {
+        return Uni.createFrom()
+                .failure(BaobabcartException.of(ResultCode.INTERNAL, "this platform keeps no status of objects"));
+    }
+
     /** Removes an object if its version is still the one that was read. */
     Uni<Void> delete(StoredObject object);
 
--- a/router/src/main/java/org/baobabcart/router/platform/PlatformHealth.java
+++ b/router/src/main/java/org/baobabcart/router/platform/PlatformHealth.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.Executor;
 import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.ObjectSnapshot;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
@@ -46,6 +47,16 @@
         return observed(store.list(kind));
     }
 
+    @Override
+    public Uni<ObjectSnapshot> snapshot(String kind) {
+        return observed(store.snapshot(kind));
+    }
+
+    @Override
+    public Uni<StoredObject> updateStatus(StoredObject object) {
+        return observed(store.updateStatus(object));
+    }
+
     @Override
     public Uni<StoredObject> create(StoredObject object) {
         return observed(store.create(object));
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -1,5 +1,6 @@
 package org.baobabcart.router.traffic;
 
+import org.baobabcart.router.exchange.Drain;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
@@ -16,6 +17,7 @@
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.DispatcherSettings;
 import org.baobabcart.router.upstream.UpstreamClient;
+import org.baobabcart.router.upstream.UpstreamClientSettings;
 import org.baobabcart.router.upstream.UpstreamHealth;
 
 /**
@@ -40,7 +42,8 @@
     /** An API that does not listen yet. */
     public static CallerApi create(Vertx vertx, TrafficParts parts, TrafficSettings settings) {
         UpstreamClient upstreams =
-                UpstreamClient.create(vertx, settings.timeouts().connect(), settings.transport());
+                UpstreamClient.create(
+                vertx, UpstreamClientSettings.of(settings.timeouts().connect(), settings.transport()));
         UpstreamHealth health = UpstreamHealth.create(vertx, upstreams, parts.views());
         DispatcherSettings dispatching = new DispatcherSettings(
                 settings.node().name(),
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerExchange.java
@@ -1,5 +1,6 @@
 package org.baobabcart.router.traffic;
 
+import org.baobabcart.router.exchange.Refusal;
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -1,5 +1,7 @@
 package org.baobabcart.router.traffic;
 
+import org.baobabcart.router.exchange.ConnectionGuard;
+import org.baobabcart.router.exchange.BodyReader;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
--- a/router/src/main/java/org/baobabcart/router/traffic/StreamRelay.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/StreamRelay.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.router.upstream.AttemptException;
+import org.baobabcart.router.upstream.EventReader;
 import org.baobabcart.router.upstream.UpstreamAnswer;
 
 /**
--- a/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
@@ -1,5 +1,6 @@
 package org.baobabcart.router.traffic;
 
+import org.baobabcart.router.exchange.Drain;
 import io.vertx.core.Vertx;
 import org.baobabcart.router.cascade.CascadeChooser;
 import org.baobabcart.router.upstream.Dispatcher;
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -182,14 +182,14 @@
     private List<Runnable> pump(TrafficView view, Pool pool, AdmissionQueue<Waiter> queue) {
         List<Runnable> actions = new ArrayList<>();
         List<Double> floors = floors(view);
-        while (queue.size() > 0 && candidates(view, pool, Set.of()).stream().anyMatch(Candidate::hasRoom)) {
+        while (queue.size() > 0 && candidates(view, pool, Set.of(), "").stream().anyMatch(Candidate::hasRoom)) {
             Optional<Entry<Waiter>> next = queue.poll(floors, System.nanoTime());
             if (next.isEmpty()) {
                 break;
             }
             Waiter waiter = next.get().item();
             Optional<Slot> slot = choose(view, waiter.work)
-                    .or(() -> chooseAmong(view, waiter.work, candidates(view, pool, Set.of())));
+                    .or(() -> chooseAmong(view, waiter.work, candidates(view, pool, Set.of(), waiter.work.affinity())));
             BaobabcartException none = BaobabcartException.of(ResultCode.NO_UPSTREAM);
             actions.add(
                     slot.<Runnable>map(granted -> () -> waiter.grant(granted)).orElse(() -> waiter.refuse(none)));
@@ -198,7 +198,7 @@
     }
 
     private Optional<Slot> choose(TrafficView view, Work work) {
-        return chooseAmong(view, work, candidates(view, work.pool(), work.avoid()));
+        return chooseAmong(view, work, candidates(view, work.pool(), work.avoid(), work.affinity()));
     }
 
     private Optional<Slot> chooseAmong(TrafficView view, Work work, List<Candidate> candidates) {
@@ -212,7 +212,8 @@
         });
     }
 
-    private List<Candidate> candidates(TrafficView view, Pool pool, Set<String> avoid) {
+    private List<Candidate> candidates(TrafficView view, Pool pool, Set<String> avoid, String affinity) {
+        boolean across = settings.affinityAcross() && !affinity.isEmpty();
         List<VirtualMachine> members = members(view, pool);
         List<VirtualMachine> sound = members.stream()
                 .filter(member -> !health.isDoubtful(member.name()))
@@ -223,7 +224,8 @@
                 .toList();
         long now = System.nanoTime();
         return subset(untried.isEmpty() ? preferred : untried).stream()
-                .map(member -> state(member).candidate(member, settings.dataCentre(), now))
+                .map(member ->
+                        state(member).candidate(member, across ? member.dataCentre() : settings.dataCentre(), now))
                 .toList();
     }
 
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/upstream/OwnAnswerRules.java
@@ -0,0 +1,31 @@
+package org.baobabcart.router.upstream;
+
+import io.vertx.core.MultiMap;
+import java.util.Optional;
+import org.baobabcart.model.request.Headers;
+import org.baobabcart.policy.retry.FailureKind;
+
+/** The rules of the product's own engines and plain services. Thread-safe. */
+final class OwnAnswerRules implements AnswerRules {
+    private static final int STATUS_CONFLICT = 409;
+    private static final int STATUS_UNAVAILABLE = 503;
+    private static final String NOT_RUN_HEADER = "Baobabcart-Not-Run";
+
+    @Override
+    public Optional<FailureKind> failureOf(UpstreamRequest request, int status, MultiMap headers) {
+        String echoed = headers.get(Headers.ATTEMPT_ID);
+        boolean missing = echoed == null && request.echoRequired();
+        boolean other = echoed != null && !echoed.equals(request.attemptId());
+        if (missing || other) {
+            return Optional.of(FailureKind.CROSSED);
+        }
+        boolean saidNotRun = status == STATUS_UNAVAILABLE && Boolean.parseBoolean(headers.get(NOT_RUN_HEADER));
+        boolean refusedByEngine = status == STATUS_CONFLICT && request.echoRequired();
+        return saidNotRun || refusedByEngine ? Optional.of(FailureKind.NOT_RUN) : Optional.empty();
+    }
+
+    @Override
+    public String healthPath() {
+        return "/health";
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -12,13 +12,12 @@
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.platform.VirtualMachine;
-import org.baobabcart.model.request.Headers;
 import org.baobabcart.policy.retry.FailureKind;
-import org.baobabcart.router.transport.Transport;
 
 /**
  * Sends attempts to upstreams over HTTP. Thread-safe; callbacks run on the caller's event loop.
@@ -30,26 +29,21 @@
     private static final int CONNECTIONS_PER_UPSTREAM = 4096;
     private static final Duration RETIREMENT = Duration.ofMinutes(10);
     private static final int STATUS_OK = 200;
-    private static final int STATUS_CONFLICT = 409;
-    private static final int STATUS_UNAVAILABLE = 503;
-    private static final String NOT_RUN_HEADER = "Baobabcart-Not-Run";
 
     private final Vertx vertx;
-    private final Duration connectTimeout;
-    private final Transport transport;
+    private final UpstreamClientSettings settings;
     private final HttpClient freshConnections;
     private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
 
-    private UpstreamClient(Vertx vertx, Duration connectTimeout, Transport transport) {
+    private UpstreamClient(Vertx vertx, UpstreamClientSettings settings) {
         this.vertx = vertx;
-        this.connectTimeout = connectTimeout;
-        this.transport = transport;
+        this.settings = settings;
         this.freshConnections = newClient(false);
     }
 
     /** A client without connections. */
-    public static UpstreamClient create(Vertx vertx, Duration connectTimeout, Transport transport) {
-        return new UpstreamClient(vertx, connectTimeout, transport);
+    public static UpstreamClient create(Vertx vertx, UpstreamClientSettings settings) {
+        return new UpstreamClient(vertx, settings);
     }
 
     /**
@@ -64,7 +58,7 @@
         RequestOptions options = new RequestOptions()
                 .setAbsoluteURI(upstream.address() + request.path())
                 .setMethod(request.method())
-                .setConnectTimeout(connectTimeout.toMillis());
+                .setConnectTimeout(settings.connectTimeout().toMillis());
         request.headers().forEach(options::putHeader);
         HttpClient client = request.freshConnection() ? freshConnections : clientOf(upstream.name());
         return client.request(options)
@@ -77,7 +71,7 @@
     /** Whether the upstream's host answers on a new connection. */
     public Future<Boolean> isHostAlive(VirtualMachine upstream, Duration timeout) {
         RequestOptions options = new RequestOptions()
-                .setAbsoluteURI(upstream.address() + "/health")
+                .setAbsoluteURI(upstream.address() + settings.rules().healthPath())
                 .setMethod(HttpMethod.GET)
                 .setConnectTimeout(timeout.toMillis())
                 .setTimeout(timeout.toMillis());
@@ -138,31 +132,16 @@
         return attempt.result.future();
     }
 
-    private static void accept(UpstreamRequest request, HttpClientResponse response, Attempt attempt) {
-        FailureKind failure = failureOf(request, response);
-        if (failure == null) {
+    private void accept(UpstreamRequest request, HttpClientResponse response, Attempt attempt) {
+        Optional<FailureKind> failure =
+                settings.rules().failureOf(request, response.statusCode(), response.headers());
+        if (failure.isEmpty()) {
             attempt.result.tryComplete(attempt.answer);
         } else {
-            attempt.fail(AttemptException.of(failure, attempt.upstream, "status " + response.statusCode()));
+            attempt.fail(AttemptException.of(failure.get(), attempt.upstream, "status " + response.statusCode()));
         }
     }
 
-    private static FailureKind failureOf(UpstreamRequest request, HttpClientResponse response) {
-        String echoed = response.getHeader(Headers.ATTEMPT_ID);
-        boolean missing = echoed == null && request.echoRequired();
-        boolean other = echoed != null && !echoed.equals(request.attemptId());
-        if (missing || other) {
-            return FailureKind.CROSSED;
-        }
-        if (response.statusCode() == STATUS_UNAVAILABLE && Boolean.parseBoolean(response.getHeader(NOT_RUN_HEADER))) {
-            return FailureKind.NOT_RUN;
-        }
-        if (response.statusCode() == STATUS_CONFLICT && request.echoRequired()) {
-            return FailureKind.NOT_RUN;
-        }
-        return null;
-    }
-
     private HttpClient clientOf(String upstream) {
         return clients.computeIfAbsent(upstream, ignored -> newClient(true));
     }
@@ -170,11 +149,12 @@
     private HttpClient newClient(boolean keepAlive) {
         HttpClientOptions options = new HttpClientOptions()
                 .setKeepAlive(keepAlive)
+                .setKeepAliveTimeout((int) settings.idleTimeout().toSeconds())
                 .setTcpKeepAlive(true)
                 .setTcpNoDelay(true)
-                .setConnectTimeout((int) connectTimeout.toMillis());
+                .setConnectTimeout((int) settings.connectTimeout().toMillis());
         return vertx.createHttpClient(
-                transport.toUpstreams(options), new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_UPSTREAM));
+                settings.transport().toUpstreams(options), new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_UPSTREAM));
     }
 
     /** An attempt between its first byte out and the head of its answer. Confined to one event loop. */
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamState.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamState.java
@@ -25,12 +25,17 @@
         return new UpstreamState(reports ? ConcurrencyLimit.initial() : ConcurrencyLimit.initialWithoutReports());
     }
 
+    /** How many requests this router may keep there: what the upstream states, or else what was learnt. */
+    private int limitOf(VirtualMachine upstream) {
+        return upstream.slots() > 0 ? upstream.slots() : limit.whole();
+    }
+
     Candidate candidate(VirtualMachine upstream, String dataCentre, long nowNanos) {
         return new Candidate(
                 upstream.name(),
                 upstream.dataCentre().equals(dataCentre),
                 inFlight,
-                limit.whole(),
+                limitOf(upstream),
                 report,
                 nowNanos - reportedAt,
                 inFlightAtReport);
--- a/router/src/main/java/org/baobabcart/router/view/TrafficView.java
+++ b/router/src/main/java/org/baobabcart/router/view/TrafficView.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.baobabcart.model.gateway.RouteTable;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.rollout.RollOutState;
 import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.policy.version.FollowedOrder;
 
 /**
  * What the traffic threads know of the control state. Immutable; the control thread publishes a new one after each
@@ -16,17 +18,39 @@
  * @param upstreams engines and services that may get new work
  * @param quarantined fingerprints of requests that crash upstreams
  * @param stopping whether the process takes no more requests
+ * @param routes the routes of the opaque request path; empty before the first ones, and where it is not used
+ * @param versionOrders orders to move services to other versions, with the time since each was seen first
  */
 public record TrafficView(
         Optional<PublishedSheet> sheet,
         RollOutState rollOuts,
         List<VirtualMachine> upstreams,
         Set<String> quarantined,
-        boolean stopping) {
+        boolean stopping,
+        Optional<RouteTable> routes,
+        List<FollowedOrder> versionOrders) {
     /** Copies the collections. */
     public TrafficView {
         upstreams = List.copyOf(upstreams);
         quarantined = Set.copyOf(quarantined);
+        versionOrders = List.copyOf(versionOrders);
+    }
+
+    /** A view of a process that does not use the opaque request path. */
+    public TrafficView(
+            Optional<PublishedSheet> sheet,
+            RollOutState rollOuts,
+            List<VirtualMachine> upstreams,
+            Set<String> quarantined,
+            boolean stopping) {
+        this(sheet, rollOuts, upstreams, quarantined, stopping, Optional.empty(), List.of());
+    }
+
+    /** The order that moves a service to another version, ended or not. */
+    public Optional<FollowedOrder> versionOrder(String service) {
+        return versionOrders.stream()
+                .filter(followed -> followed.order().service().equals(service))
+                .findFirst();
     }
 
     /** The view of a process that knows nothing yet. */
--- a/router/src/main/java/org/baobabcart/router/view/ViewPublisher.java
+++ b/router/src/main/java/org/baobabcart/router/view/ViewPublisher.java
@@ -33,6 +33,8 @@
         blackboard.subscribe(Sections.VIRTUAL_MACHINES, ignored -> publish());
         blackboard.subscribe(Sections.QUARANTINED, ignored -> publish());
         blackboard.subscribe(Sections.DRAINING, ignored -> publish());
+        blackboard.subscribe(Sections.ROUTES, ignored -> publish());
+        blackboard.subscribe(Sections.VERSION_ORDERS, ignored -> publish());
         publish();
     }
 
@@ -52,7 +54,9 @@
                 blackboard.read(Sections.ROLL_OUTS),
                 liveUpstreams(blackboard.read(Sections.VIRTUAL_MACHINES)),
                 blackboard.read(Sections.QUARANTINED),
-                blackboard.read(Sections.DRAINING));
+                blackboard.read(Sections.DRAINING),
+                blackboard.read(Sections.ROUTES),
+                blackboard.read(Sections.VERSION_ORDERS));
     }
 
     private static List<VirtualMachine> liveUpstreams(List<VirtualMachine> machines) {
