--- a/model/src/main/java/org/baobabcart/model/gateway/Route.java
+++ b/model/src/main/java/org/baobabcart/model/gateway/Route.java
@@ -59,7 +59,6 @@
 
     /** Whether the operator lets the service run requests of this route. */
     public boolean allows(String service) {
-        return services.stream()
-                .anyMatch(candidate -> candidate.service().equals(service) && candidate.weight() > 0);
+        return services.stream().anyMatch(candidate -> candidate.service().equals(service) && candidate.weight() > 0);
     }
 }
--- a/model/src/main/java/org/baobabcart/model/platform/VirtualMachine.java
+++ b/model/src/main/java/org/baobabcart/model/platform/VirtualMachine.java
@@ -43,17 +43,7 @@
     /** The same VM at another address. */
     public VirtualMachine withAddress(String newAddress) {
         return new VirtualMachine(
-                name,
-                role,
-                dataCentre,
-                state,
-                newAddress,
-                model,
-                version,
-                service,
-                checksFencing,
-                slots,
-                incarnation);
+                name, role, dataCentre, state, newAddress, model, version, service, checksFencing, slots, incarnation);
     }
 
     /** The same VM, known to refuse orders with an old fencing number, or not. */
--- a/policy/src/main/java/org/baobabcart/policy/version/VersionEvidence.java
+++ b/policy/src/main/java/org/baobabcart/policy/version/VersionEvidence.java
@@ -90,8 +90,8 @@
         }
         boolean paced = target.answers() >= LEAST_PACED_ANSWERS && others.answers() >= LEAST_PACED_ANSWERS;
         if (paced && target.pace() > SLOW_FACTOR * others.pace()) {
-            return Optional.of(String.format(
-                    "%s: %.1f ms a unit of work, others %.1f ms", where, target.pace(), others.pace()));
+            return Optional.of(
+                    String.format("%s: %.1f ms a unit of work, others %.1f ms", where, target.pace(), others.pace()));
         }
         return Optional.empty();
     }
--- a/policy/src/main/java/org/baobabcart/policy/version/VersionMove.java
+++ b/policy/src/main/java/org/baobabcart/policy/version/VersionMove.java
@@ -26,8 +26,7 @@
      * @param exposureShare the greatest share of requests that a bad version may get
      */
     public static VersionMove under(double exposureShare) {
-        return new VersionMove(
-                exposureShare * TRIAL_PART_OF_EXPOSURE, DEFAULT_TRIAL_PART, DEFAULT_COMPLETION_PART);
+        return new VersionMove(exposureShare * TRIAL_PART_OF_EXPOSURE, DEFAULT_TRIAL_PART, DEFAULT_COMPLETION_PART);
     }
 
     /** The share of requests that go to the target. */
@@ -41,7 +40,6 @@
 
     /** Whether the order should be reported as completed. */
     public boolean isComplete(FollowedOrder followed, long nowNanos) {
-        return followed.order().state() == VersionOrder.State.MOVING
-                && followed.progress(nowNanos) >= completionPart;
+        return followed.order().state() == VersionOrder.State.MOVING && followed.progress(nowNanos) >= completionPart;
     }
 }
--- a/router/src/main/java/org/baobabcart/router/exchange/ConnectionGuard.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/ConnectionGuard.java
@@ -30,8 +30,7 @@
     }
 
     /** A guard whose times may change; each connection is held to the times in force when it begins to wait. */
-    public static ConnectionGuard create(
-            Vertx vertx, Supplier<Duration> firstRequest, Supplier<Duration> nextRequest) {
+    public static ConnectionGuard create(Vertx vertx, Supplier<Duration> firstRequest, Supplier<Duration> nextRequest) {
         return new ConnectionGuard(vertx, firstRequest, nextRequest);
     }
 
--- a/router/src/main/java/org/baobabcart/router/gateway/Admission.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/Admission.java
@@ -30,9 +30,8 @@
         if (!table.keysRequired() || route.anonymous()) {
             return new Admission(table, route, Optional.empty());
         }
-        KeyHolder holder = head.key()
-                .flatMap(table::holder)
-                .orElseThrow(() -> BaobabcartException.of(ResultCode.UNKNOWN_KEY));
+        KeyHolder holder =
+                head.key().flatMap(table::holder).orElseThrow(() -> BaobabcartException.of(ResultCode.UNKNOWN_KEY));
         return new Admission(table, route, Optional.of(holder));
     }
 
--- a/router/src/main/java/org/baobabcart/router/gateway/AnswerRelay.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/AnswerRelay.java
@@ -19,8 +19,7 @@
     private final Buffer collected = Buffer.buffer();
     private boolean passing;
 
-    private AnswerRelay(
-            GatewayRuntime runtime, GatewayExchange exchange, UpstreamAnswer answer, MultiMap headers) {
+    private AnswerRelay(GatewayRuntime runtime, GatewayExchange exchange, UpstreamAnswer answer, MultiMap headers) {
         this.runtime = runtime;
         this.exchange = exchange;
         this.answer = answer;
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayExchange.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayExchange.java
@@ -122,7 +122,10 @@
             return;
         }
         begin(status, headers);
-        finish(EventType.REQUEST_FINISHED, "status " + status, () -> request.response().end(body));
+        finish(
+                EventType.REQUEST_FINISHED,
+                "status " + status,
+                () -> request.response().end(body));
     }
 
     /** Begins an answer of an upstream whose body follows in parts. */
@@ -131,9 +134,7 @@
         response.setStatusCode(status);
         response.headers().addAll(headers);
         closeIfStopping();
-        runtime.metrics()
-                .timer("gateway.first-byte")
-                .update(System.nanoTime() - begunNanos, TimeUnit.NANOSECONDS);
+        runtime.metrics().timer("gateway.first-byte").update(System.nanoTime() - begunNanos, TimeUnit.NANOSECONDS);
     }
 
     /** Begins an answer of an upstream that is framed in chunks. */
@@ -153,7 +154,8 @@
 
     /** Runs an action once when the caller has read enough of what was written. */
     void whenWritable(Runnable action) {
-        long stall = runtime.vertx().setTimer(runtime.settings().callerStall().toMillis(), ignored -> breakOff("caller stopped reading"));
+        long stall = runtime.vertx()
+                .setTimer(runtime.settings().callerStall().toMillis(), ignored -> breakOff("caller stopped reading"));
         request.response().drainHandler(ignored -> {
             runtime.vertx().cancelTimer(stall);
             action.run();
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -69,8 +69,7 @@
         VersionEvidence evidence = VersionEvidence.create();
         GatewayRuntime runtime = runtime(evidence);
         this.server = GatewayServer.create(runtime, drain);
-        ObjectFollower.Parts following =
-                new ObjectFollower.Parts(store, loop, timers, RandomGenerator.getDefault());
+        ObjectFollower.Parts following = new ObjectFollower.Parts(store, loop, timers, RandomGenerator.getDefault());
         this.upstreams = UpstreamController.create(parts.objects(), following, blackboard, timeline);
         this.controllers = List.of(
                 views,
@@ -127,7 +126,8 @@
     public Uni<Void> start() {
         GatewayPorts ports = parts.ports();
         loop.execute(() -> controllers.forEach(Controller::start));
-        parts.timeline().record(EventType.PROCESS_STARTED, "name=" + parts.settings().name());
+        parts.timeline()
+                .record(EventType.PROCESS_STARTED, "name=" + parts.settings().name());
         return Futures.toUni(() -> listenReadiness(ports.readinessHost(), ports.readinessPort())
                 .compose(ignored -> server.listen(ports.callerHost(), ports.callerPort()))
                 .mapEmpty());
@@ -161,7 +161,8 @@
                 .otherwiseEmpty()
                 .onComplete(ignored -> {
                     parts.timeline().record(EventType.PROCESS_STOPPED, "running=" + drain.running());
-                    loop.execute(() -> controllers.forEach(controller -> controller.stop().subscribe().asCompletionStage()));
+                    loop.execute(() -> controllers.forEach(
+                            controller -> controller.stop().subscribe().asCompletionStage()));
                     loop.close();
                 });
     }
@@ -170,18 +171,21 @@
         if (drain.running() == 0 || System.nanoTime() - deadline >= 0) {
             return Future.succeededFuture();
         }
-        return parts.vertx()
-                .timer(IDLE_POLL.toMillis(), TimeUnit.MILLISECONDS)
-                .compose(ignored -> untilIdle(deadline));
+        return parts.vertx().timer(IDLE_POLL.toMillis(), TimeUnit.MILLISECONDS).compose(ignored -> untilIdle(deadline));
     }
 
     private Future<HttpServer> listenReadiness(String host, int port) {
-        return parts.vertx().createHttpServer().requestHandler(this::answerOperator).listen(port, host);
+        return parts.vertx()
+                .createHttpServer()
+                .requestHandler(this::answerOperator)
+                .listen(port, host);
     }
 
     private void answerOperator(HttpServerRequest request) {
         if (request.path().equals(parts.ports().metricsPath())) {
-            request.response().putHeader("Content-Type", "text/plain; version=0.0.4").end(PrometheusText.of(metrics));
+            request.response()
+                    .putHeader("Content-Type", "text/plain; version=0.0.4")
+                    .end(PrometheusText.of(metrics));
             return;
         }
         request.response().setStatusCode(isReady() ? OK : UNAVAILABLE).end();
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -136,7 +136,8 @@
         if (!admission.route().allows(service)) {
             service = admission.route().serviceAt(servicePoint);
         }
-        List<ModelSize> sizes = head.model().isPresent() ? List.of() : admission.route().sizes();
+        List<ModelSize> sizes =
+                head.model().isPresent() ? List.of() : admission.route().sizes();
         size = sizes.isEmpty() ? Optional.empty() : Optional.of(sizes.get(Math.min(sizeIndex, sizes.size() - 1)));
     }
 
@@ -256,7 +257,11 @@
         ModelSize next = admission.route().sizes().get(largest);
         boolean worthIt = runtime.settings()
                 .escalation()
-                .pays(confidence.getAsInt(), next, head.tokens().prompt(), head.tokens().mostOutput());
+                .pays(
+                        confidence.getAsInt(),
+                        next,
+                        head.tokens().prompt(),
+                        head.tokens().mostOutput());
         exchange.record(
                 EventType.REQUEST_ESCALATED,
                 size.get().name() + " confidence=" + confidence.getAsInt() + " escalated=" + worthIt);
@@ -357,7 +362,8 @@
             return;
         }
         if (kept.isPresent() && !exchange.started()) {
-            exchange.answer(kept.get().status(), kept.get().headers(), kept.get().body());
+            exchange.answer(
+                    kept.get().status(), kept.get().headers(), kept.get().body());
             return;
         }
         exchange.refuse(truthful(result(cause)));
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -48,8 +48,8 @@
     private GatewayServer(GatewayRuntime runtime, Drain drain) {
         this.runtime = runtime;
         this.drain = drain;
-        this.guard = ConnectionGuard.create(
-                runtime.vertx(), () -> limits().headerTimeout(), () -> limits().idleTimeout());
+        this.guard =
+                ConnectionGuard.create(runtime.vertx(), () -> limits().headerTimeout(), () -> limits().idleTimeout());
     }
 
     static GatewayServer create(GatewayRuntime runtime, Drain drain) {
@@ -118,7 +118,8 @@
         }
         Admission admission = Admission.of(runtime.views().current(), head);
         Duration timeout = admission.route().timeout();
-        Duration wait = head.deadline().filter(own -> own.compareTo(timeout) < 0).orElse(timeout);
+        Duration wait =
+                head.deadline().filter(own -> own.compareTo(timeout) < 0).orElse(timeout);
         long deadlineNanos = exchange.begunNanos() + wait.toNanos();
         int limit = limits().bodyBytes();
         long announced = announcedLength(request);
--- a/router/src/main/java/org/baobabcart/router/gateway/RouteController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/RouteController.java
@@ -33,8 +33,8 @@
         this.meaning = meaning;
         this.blackboard = blackboard;
         this.timeline = timeline;
-        this.follower = ObjectFollower.create(
-                meaning.configurationKind(), parts, FollowerSettings.defaults(), this::changed);
+        this.follower =
+                ObjectFollower.create(meaning.configurationKind(), parts, FollowerSettings.defaults(), this::changed);
     }
 
     static RouteController create(
--- a/router/src/main/java/org/baobabcart/router/gateway/SessionPoint.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/SessionPoint.java
@@ -13,6 +13,7 @@
 
     /** The session's point, or a random one for a request without a session. */
     static double of(Optional<String> session) {
-        return session.map(RendezvousHash::point).orElseGet(() -> ThreadLocalRandom.current().nextDouble());
+        return session.map(RendezvousHash::point)
+                .orElseGet(() -> ThreadLocalRandom.current().nextDouble());
     }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
@@ -67,8 +67,7 @@
         this.timeline = timeline;
         this.move = move;
         this.evidence = evidence;
-        this.follower =
-                ObjectFollower.create(meaning.orderKind(), parts, FollowerSettings.defaults(), this::changed);
+        this.follower = ObjectFollower.create(meaning.orderKind(), parts, FollowerSettings.defaults(), this::changed);
     }
 
     static VersionOrderController create(
@@ -213,8 +212,7 @@
 
     private void notWritten(String name, VersionOrder order, Throwable failure) {
         writing.remove(name);
-        boolean conflict =
-                failure instanceof BaobabcartException exception && exception.code() == ResultCode.CONFLICT;
+        boolean conflict = failure instanceof BaobabcartException exception && exception.code() == ResultCode.CONFLICT;
         LOGGER.atInfo().log(
                 "event=version_order_not_written service=%s state=%s conflict=%s cause=%s",
                 order.service(), order.state(), conflict, failure.getMessage());
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -1,6 +1,5 @@
 package org.baobabcart.router.traffic;
 
-import org.baobabcart.router.exchange.Drain;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
@@ -14,6 +13,7 @@
 import org.baobabcart.policy.cascade.CascadeSettings;
 import org.baobabcart.router.cascade.CascadeChooser;
 import org.baobabcart.router.control.Futures;
+import org.baobabcart.router.exchange.Drain;
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.DispatcherSettings;
 import org.baobabcart.router.upstream.UpstreamClient;
@@ -41,8 +41,7 @@
 
     /** An API that does not listen yet. */
     public static CallerApi create(Vertx vertx, TrafficParts parts, TrafficSettings settings) {
-        UpstreamClient upstreams =
-                UpstreamClient.create(
+        UpstreamClient upstreams = UpstreamClient.create(
                 vertx, UpstreamClientSettings.of(settings.timeouts().connect(), settings.transport()));
         UpstreamHealth health = UpstreamHealth.create(vertx, upstreams, parts.views());
         DispatcherSettings dispatching = new DispatcherSettings(
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerExchange.java
@@ -1,6 +1,5 @@
 package org.baobabcart.router.traffic;
 
-import org.baobabcart.router.exchange.Refusal;
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -16,6 +15,7 @@
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.router.exchange.Refusal;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.Connections;
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -1,7 +1,5 @@
 package org.baobabcart.router.traffic;
 
-import org.baobabcart.router.exchange.ConnectionGuard;
-import org.baobabcart.router.exchange.BodyReader;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
@@ -18,6 +16,8 @@
 import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.exchange.BodyReader;
+import org.baobabcart.router.exchange.ConnectionGuard;
 
 /** One event loop of the caller API. */
 final class CallerVerticle extends VerticleBase {
--- a/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
@@ -1,8 +1,8 @@
 package org.baobabcart.router.traffic;
 
-import org.baobabcart.router.exchange.Drain;
 import io.vertx.core.Vertx;
 import org.baobabcart.router.cascade.CascadeChooser;
+import org.baobabcart.router.exchange.Drain;
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.UpstreamClient;
 import org.baobabcart.router.upstream.UpstreamHealth;
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -133,8 +133,7 @@
     }
 
     private void accept(UpstreamRequest request, HttpClientResponse response, Attempt attempt) {
-        Optional<FailureKind> failure =
-                settings.rules().failureOf(request, response.statusCode(), response.headers());
+        Optional<FailureKind> failure = settings.rules().failureOf(request, response.statusCode(), response.headers());
         if (failure.isEmpty()) {
             attempt.result.tryComplete(attempt.answer);
         } else {
