--- /dev/null
+++ b/model/src/test/java/org/baobabcart/model/gateway/RouteTableTest.java
@@ -0,0 +1,69 @@
+package org.baobabcart.model.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class RouteTableTest {
+    private static final CallerLimits LIMITS =
+            new CallerLimits(1024, 1024, Duration.ofSeconds(1), Duration.ofSeconds(1));
+
+    @Test
+    void theLongestPrefixOfTheHostIsTheRoute() {
+        RouteTable table = table(route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"));
+        assertThat(table.route("a.example", "/x/y/z").map(Route::name).orElse(""), is("long"));
+        assertThat(table.route("a.example", "/x/z").map(Route::name).orElse(""), is("short"));
+        assertThat(table.route("b.example", "/x/y/z").isPresent(), is(false));
+        assertThat(table.route("a.example", "/xy/z").isPresent(), is(false));
+    }
+
+    @Test
+    void aSplitRouteSharesByWeight() {
+        Route split = new Route(
+                "split",
+                "a.example",
+                "/x/",
+                List.of(
+                        new WeightedService("most", 90),
+                        new WeightedService("few", 10),
+                        new WeightedService("none", 0)),
+                RepeatRule.ONCE,
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
+                Duration.ZERO,
+                1,
+                0,
+                false,
+                false,
+                List.of());
+        assertThat(split.serviceAt(0.0), is("most"));
+        assertThat(split.serviceAt(0.899), is("most"));
+        assertThat(split.serviceAt(0.901), is("few"));
+        assertThat(split.allows("few"), is(true));
+        assertThat(split.allows("none"), is(false));
+    }
+
+    private static RouteTable table(Route... routes) {
+        return RouteTable.of(1, List.of(routes), List.of(), LIMITS);
+    }
+
+    private static Route route(String name, String host, String prefix) {
+        return new Route(
+                name,
+                host,
+                prefix,
+                List.of(new WeightedService("service", 1)),
+                RepeatRule.REPEATABLE,
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
+                Duration.ZERO,
+                1,
+                0,
+                false,
+                false,
+                List.of());
+    }
+}
--- a/policy/src/main/java/org/baobabcart/policy/version/FollowedOrder.java
+++ b/policy/src/main/java/org/baobabcart/policy/version/FollowedOrder.java
@@ -1,6 +1,5 @@
 package org.baobabcart.policy.version;
 
-import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.gateway.VersionOrder;
 
 /**
@@ -16,11 +15,6 @@
         return Math.max(0, nowNanos - seenNanos) / (double) duration;
     }
 
-    /** The time since the order was seen, in milliseconds. */
-    public long ageMillis(long nowNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - seenNanos));
-    }
-
     /** The same order in another state. */
     public FollowedOrder withState(VersionOrder.State state) {
         return new FollowedOrder(order.withState(state), seenNanos);
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/platform/ObjectFollowerTest.java
@@ -0,0 +1,123 @@
+package org.baobabcart.router.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.router.testing.InMemoryObjectStore;
+import org.baobabcart.router.testing.ManualTimerService;
+import org.junit.jupiter.api.Test;
+
+class ObjectFollowerTest {
+    private static final String KIND = "upstreams";
+    private static final Duration GRACE = Duration.ofSeconds(2);
+    private static final long SEED = 5401;
+
+    private final InMemoryObjectStore store = InMemoryObjectStore.create();
+    private final ManualTimerService timers = ManualTimerService.create();
+    private Map<String, StoredObject> seen = Map.of();
+    private final ObjectFollower follower = ObjectFollower.create(
+            KIND,
+            new ObjectFollower.Parts(store, Runnable::run, timers, new Random(SEED)),
+            FollowerSettings.defaults().withReturnGrace(GRACE),
+            objects -> seen = objects);
+
+    @Test
+    void aSnapshotAndTheChangesAfterItAreFollowed() {
+        create("a");
+        follower.start();
+        create("b");
+        assertThat(names(), containsInAnyOrder("a", "b"));
+        assertThat(follower.isKnown(), is(true));
+    }
+
+    @Test
+    void aRemovalCountsAtOnceWhileThePlatformIsInReach() {
+        create("a");
+        follower.start();
+        remove("a");
+        assertThat(names(), empty());
+    }
+
+    @Test
+    void whatWasKnownStaysKnownWhileThePlatformIsAway() {
+        create("a");
+        follower.start();
+        store.setOutage(true);
+        timers.advance(Duration.ofMinutes(1));
+        assertThat(names(), containsInAnyOrder("a"));
+    }
+
+    @Test
+    void anObjectThatLapsedDuringAnOutageIsGoneOnlyAfterItsGrace() {
+        create("a");
+        create("b");
+        follower.start();
+        store.setOutage(true);
+        timers.advance(Duration.ofSeconds(5));
+        store.lapse(KIND, "a");
+        store.setOutage(false);
+        timers.advance(Duration.ofSeconds(1));
+        store.expireWatches();
+        assertThat(names(), containsInAnyOrder("a", "b"));
+        timers.advance(GRACE);
+        assertThat(names(), containsInAnyOrder("b"));
+    }
+
+    @Test
+    void anObjectThatIsWrittenAgainWithinTheGraceStays() {
+        create("a");
+        follower.start();
+        store.setOutage(true);
+        timers.advance(Duration.ofSeconds(5));
+        store.lapse(KIND, "a");
+        store.setOutage(false);
+        timers.advance(Duration.ofSeconds(1));
+        store.expireWatches();
+        create("a");
+        timers.advance(GRACE.multipliedBy(2));
+        assertThat(names(), containsInAnyOrder("a"));
+    }
+
+    @Test
+    void aWatchWhoseChangesAreNoLongerKeptIsReplacedByASnapshot() {
+        create("a");
+        follower.start();
+        store.lapse(KIND, "a");
+        create("c");
+        assertThat(names(), containsInAnyOrder("c"));
+    }
+
+    @Test
+    void aPlatformThatIsAwayAtTheStartIsAskedAgain() {
+        store.setOutage(true);
+        follower.start();
+        timers.advance(Duration.ofSeconds(3));
+        assertThat(follower.isKnown(), is(false));
+        store.setOutage(false);
+        create("a");
+        timers.advance(Duration.ofSeconds(1));
+        assertThat(names(), containsInAnyOrder("a"));
+    }
+
+    private Set<String> names() {
+        return seen.keySet();
+    }
+
+    private void create(String name) {
+        store.create(StoredObject.fresh(KIND, name, JsonNodeFactory.instance.objectNode()))
+                .await()
+                .indefinitely();
+    }
+
+    private void remove(String name) {
+        store.delete(store.read(KIND, name).await().indefinitely()).await().indefinitely();
+    }
+}
--- a/router/src/test/java/org/baobabcart/router/testing/InMemoryObjectStore.java
+++ b/router/src/test/java/org/baobabcart/router/testing/InMemoryObjectStore.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.ObjectSnapshot;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
@@ -99,6 +100,28 @@
         });
     }
 
+    @Override
+    public Uni<ObjectSnapshot> snapshot(String kind) {
+        return list(kind).map(found -> new ObjectSnapshot(found, Long.toString(version)));
+    }
+
+    @Override
+    public Uni<StoredObject> updateStatus(StoredObject object) {
+        return update(object);
+    }
+
+    /** Removes an object without a word to those who watch, and ends their watches. */
+    public synchronized void lapse(String kind, String name) {
+        version++;
+        objects.remove(key(kind, name));
+        expireWatches();
+    }
+
+    /** Ends all watches, since the changes that they follow are no longer kept. */
+    public synchronized void expireWatches() {
+        List.copyOf(watchers).forEach(watcher -> watcher.emitter().fail(failure(ResultCode.WATCH_EXPIRED)));
+    }
+
     @Override
     public Uni<StoredObject> create(StoredObject object) {
         return deferred(() -> {
@@ -208,7 +231,8 @@
 
     private StoredObject stored(StoredObject object, ObjectEvent.Type type) {
         version++;
-        StoredObject stored = new StoredObject(object.kind(), object.name(), Long.toString(version), object.spec());
+        StoredObject stored = new StoredObject(
+                object.kind(), object.name(), Long.toString(version), object.spec(), object.status(), "");
         objects.put(key(object.kind(), object.name()), stored);
         publish(new ObjectEvent(type, stored));
         return stored;
