--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/retry/WindowBudget.java
@@ -0,0 +1,91 @@
+package org.baobabcart.policy.retry;
+
+/**
+ * Limits repeats to a share of first tries within a sliding window. Not thread-safe.
+ *
+ * <p>The load that it answers: many streams break at one moment, when a data centre is cut off, and each needs one repeat. A
+ * token bucket would have to be as large as that burst; a window lets them all pass as long as the repeats of its whole length
+ * stay below the share. Counts are kept in slots of time, of which one more than the window is counted for repeats, so that no
+ * span of the window's length holds more of them than is allowed.
+ */
+public final class WindowBudget {
+    private static final int SLOTS = 20;
+
+    private final Settings settings;
+    private final long slotNanos;
+    private final long[] firstTries = new long[SLOTS + 1];
+    private final long[] repeats = new long[SLOTS + 1];
+    private long currentSlot;
+
+    /**
+     * Configuration of a budget.
+     *
+     * @param share repeats allowed for each first try
+     * @param allowance repeats allowed in a window whatever the number of first tries
+     * @param windowNanos the length of the window
+     */
+    public record Settings(double share, double allowance, long windowNanos) {
+        private static final double DEFAULT_SHARE = 0.1;
+        private static final double DEFAULT_ALLOWANCE = 10;
+        private static final long DEFAULT_WINDOW_NANOS = 10_000_000_000L;
+
+        /** Settings for ordinary use. */
+        public static Settings defaults() {
+            return new Settings(DEFAULT_SHARE, DEFAULT_ALLOWANCE, DEFAULT_WINDOW_NANOS);
+        }
+    }
+
+    private WindowBudget(Settings settings, long nowNanos) {
+        this.settings = settings;
+        this.slotNanos = Math.max(1, settings.windowNanos() / SLOTS);
+        this.currentSlot = slot(nowNanos);
+    }
+
+    /** A budget that has seen nothing. */
+    public static WindowBudget create(Settings settings, long nowNanos) {
+        return new WindowBudget(settings, nowNanos);
+    }
+
+    /** Counts a first try. */
+    public void firstTry(long nowNanos) {
+        advance(nowNanos);
+        firstTries[index(currentSlot)]++;
+    }
+
+    /** Takes the right to a repeat; false where there is none. */
+    public boolean tryRepeat(long nowNanos) {
+        advance(nowNanos);
+        if (sum(repeats) + 1 > settings.share() * sum(firstTries) + settings.allowance()) {
+            return false;
+        }
+        repeats[index(currentSlot)]++;
+        return true;
+    }
+
+    private void advance(long nowNanos) {
+        long now = slot(nowNanos);
+        long steps = Math.min(now - currentSlot, SLOTS + 1L);
+        for (long step = 1; step <= steps; step++) {
+            int cleared = index(now - steps + step);
+            firstTries[cleared] = 0;
+            repeats[cleared] = 0;
+        }
+        currentSlot = Math.max(currentSlot, now);
+    }
+
+    private long slot(long nowNanos) {
+        return Math.floorDiv(nowNanos, slotNanos);
+    }
+
+    private static int index(long slot) {
+        return (int) Math.floorMod(slot, SLOTS + 1L);
+    }
+
+    private static long sum(long[] counts) {
+        long total = 0;
+        for (long count : counts) {
+            total += count;
+        }
+        return total;
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -13,12 +13,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.policy.version.VersionEvidence;
 import org.baobabcart.router.admin.PrometheusText;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.ControlLoop;
 import org.baobabcart.router.control.Controller;
 import org.baobabcart.router.control.Futures;
+import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.control.SystemTimerService;
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.exchange.Drain;
@@ -56,6 +59,7 @@
     private final Drain drain = new Drain();
     private final ViewPublisher views = ViewPublisher.create(blackboard);
     private final GatewayServer server;
+    private UpstreamClient client;
     private final UpstreamController upstreams;
     private final List<Controller> controllers;
     private final AtomicBoolean stopBegun = new AtomicBoolean();
@@ -92,7 +96,7 @@
     private GatewayRuntime runtime(VersionEvidence evidence) {
         Vertx vertx = parts.vertx();
         GatewaySettings settings = parts.settings();
-        UpstreamClient client = UpstreamClient.create(
+        client = UpstreamClient.create(
                 vertx,
                 UpstreamClientSettings.of(settings.connectTimeout(), Transport.plain())
                         .withRules(parts.codec().answerRules())
@@ -125,7 +129,10 @@
     /** Opens the ports and starts the controllers. */
     public Uni<Void> start() {
         GatewayPorts ports = parts.ports();
-        loop.execute(() -> controllers.forEach(Controller::start));
+        loop.execute(() -> {
+            blackboard.subscribe(Sections.VIRTUAL_MACHINES, this::keepConnections);
+            controllers.forEach(Controller::start);
+        });
         parts.timeline()
                 .record(EventType.PROCESS_STARTED, "name=" + parts.settings().name());
         return Futures.toUni(() -> listenReadiness(ports.readinessHost(), ports.readinessPort())
@@ -133,6 +140,10 @@
                 .mapEmpty());
     }
 
+    private void keepConnections(List<VirtualMachine> machines) {
+        client.keepOnly(machines.stream().map(VirtualMachine::name).collect(Collectors.toSet()));
+    }
+
     /** Begins the planned stop if it has not begun, and completes when the process may exit. */
     public Uni<Void> stop() {
         if (stopBegun.compareAndSet(false, true)) {
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -191,7 +191,7 @@
         return new UpstreamRequest(
                 head.id(),
                 true,
-                !admission.route().repeat().repeatable(),
+                admission.route().repeat().repeatable(),
                 head.method(),
                 head.target(),
                 runtime.codec().attemptHeaders(head, attempt),
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewaySettings.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewaySettings.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import org.baobabcart.policy.admission.AdmissionQueue;
 import org.baobabcart.policy.cascade.Escalation;
-import org.baobabcart.policy.retry.RetryBudget;
+import org.baobabcart.policy.retry.WindowBudget;
 import org.baobabcart.policy.version.VersionMove;
 
 /**
@@ -25,7 +25,7 @@
         String name,
         String dataCentre,
         AdmissionQueue.Settings queue,
-        RetryBudget.Settings retries,
+        WindowBudget.Settings retries,
         VersionMove move,
         Escalation escalation,
         Duration connectTimeout,
@@ -52,7 +52,7 @@
                 name,
                 dataCentre,
                 new AdmissionQueue.Settings(QUEUED, QUEUED_PER_WORKSPACE),
-                RetryBudget.Settings.defaults(),
+                WindowBudget.Settings.defaults(),
                 VersionMove.under(DEFAULT_EXPOSURE),
                 Escalation.defaults(),
                 CONNECT_TIMEOUT,
@@ -63,7 +63,7 @@
     }
 
     /** The same settings with another retry budget. */
-    public GatewaySettings withRetries(RetryBudget.Settings newRetries) {
+    public GatewaySettings withRetries(WindowBudget.Settings newRetries) {
         return new GatewaySettings(
                 name,
                 dataCentre,
--- a/router/src/main/java/org/baobabcart/router/gateway/ServiceRetries.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ServiceRetries.java
@@ -2,24 +2,24 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import org.baobabcart.policy.retry.RetryBudget;
+import org.baobabcart.policy.retry.WindowBudget;
 
 /** A retry budget for each service, shared by all event loops of this router. Thread-safe. */
 final class ServiceRetries {
-    private final RetryBudget.Settings settings;
-    private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+    private final WindowBudget.Settings settings;
+    private final Map<String, WindowBudget> budgets = new ConcurrentHashMap<>();
 
-    private ServiceRetries(RetryBudget.Settings settings) {
+    private ServiceRetries(WindowBudget.Settings settings) {
         this.settings = settings;
     }
 
-    static ServiceRetries create(RetryBudget.Settings settings) {
+    static ServiceRetries create(WindowBudget.Settings settings) {
         return new ServiceRetries(settings);
     }
 
     /** Counts the first attempt of a request. */
     void firstTry(String service) {
-        RetryBudget budget = budget(service);
+        WindowBudget budget = budget(service);
         synchronized (budget) {
             budget.firstTry(System.nanoTime());
         }
@@ -27,13 +27,13 @@
 
     /** Takes the right to one more attempt; false where the budget is spent. */
     boolean tryRetry(String service) {
-        RetryBudget budget = budget(service);
+        WindowBudget budget = budget(service);
         synchronized (budget) {
-            return budget.tryRetry(System.nanoTime());
+            return budget.tryRepeat(System.nanoTime());
         }
     }
 
-    private RetryBudget budget(String service) {
-        return budgets.computeIfAbsent(service, ignored -> RetryBudget.create(settings, System.nanoTime()));
+    private WindowBudget budget(String service) {
+        return budgets.computeIfAbsent(service, ignored -> WindowBudget.create(settings, System.nanoTime()));
     }
 }
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -181,7 +181,7 @@
         return new UpstreamRequest(
                 attemptId,
                 true,
-                false,
+                true,
                 HttpMethod.POST,
                 request.kind().path(),
                 headers,
--- a/router/src/main/java/org/baobabcart/router/traffic/ServiceRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ServiceRun.java
@@ -168,7 +168,7 @@
         return new UpstreamRequest(
                 attemptId,
                 false,
-                !repeatable,
+                repeatable,
                 HttpMethod.valueOf(caller.method().name()),
                 path.path() + query,
                 headers,
--- a/router/src/main/java/org/baobabcart/router/transport/Transport.java
+++ b/router/src/main/java/org/baobabcart/router/transport/Transport.java
@@ -102,6 +102,11 @@
         return from(options);
     }
 
+    /** Options of connections that are only opened to see whether an upstream grants them. */
+    public NetClientOptions toUpstreamPorts(NetClientOptions options) {
+        return from(options);
+    }
+
     private <O extends ClientOptionsBase> O toMembers(O options) {
         if (isSecure()) {
             options.setSsl(true).setKeyCertOptions(ownKey()).setTrustOptions(fleetTrust());
--- a/router/src/main/java/org/baobabcart/router/upstream/ProgressTimer.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/ProgressTimer.java
@@ -14,6 +14,7 @@
     private static final long SMALLEST_DELAY_MILLIS = 1;
 
     private final Vertx vertx;
+    private final SilenceWatch.Entry line;
     private final Runnable action;
     private long limitNanos;
     private long lastProgress;
@@ -21,19 +22,25 @@
     private boolean ended;
     private long timer = -1;
 
-    private ProgressTimer(Vertx vertx, Runnable action) {
+    private ProgressTimer(Vertx vertx, SilenceWatch.Entry line, Runnable action) {
         this.vertx = vertx;
+        this.line = line;
         this.action = action;
     }
 
-    static ProgressTimer create(Vertx vertx, Runnable action) {
-        return new ProgressTimer(vertx, action);
+    /**
+     * A timer that has not started.
+     *
+     * @param line is told of progress and of the end
+     */
+    static ProgressTimer create(Vertx vertx, SilenceWatch.Entry line, Runnable action) {
+        return new ProgressTimer(vertx, line, action);
     }
 
     /** Starts or restarts with a limit. */
     void start(Duration limit) {
         limitNanos = limit.toNanos();
-        progress();
+        lastProgress = System.nanoTime();
         if (timer >= 0) {
             vertx.cancelTimer(timer);
         }
@@ -43,6 +50,7 @@
     /** Marks progress. */
     void progress() {
         lastProgress = System.nanoTime();
+        line.heard();
     }
 
     /** Does not count the time until {@link #resume}. */
@@ -53,12 +61,13 @@
     /** Counts time again. */
     void resume() {
         suspended = false;
-        progress();
+        lastProgress = System.nanoTime();
     }
 
     /** Ends the timer; the action is not run any more. */
     void end() {
         ended = true;
+        line.closed();
         if (timer >= 0) {
             vertx.cancelTimer(timer);
         }
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/upstream/SilenceWatch.java
@@ -0,0 +1,150 @@
+package org.baobabcart.router.upstream;
+
+import io.vertx.core.Future;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.policy.retry.FailureKind;
+
+/**
+ * Finds upstreams of which nothing is heard on any connection while attempts wait there. Thread-safe.
+ *
+ * <p>Such an upstream is asked for a new connection. Where it grants none, all attempts there that may be repeated fail at once,
+ * long before their own deadlines; where it does, they go on waiting, since a busy upstream may be silent for a while.
+ */
+final class SilenceWatch {
+    private final Duration limit;
+    private final Function<VirtualMachine, Future<Boolean>> reachable;
+    private final Map<String, Line> lines = new ConcurrentHashMap<>();
+
+    private SilenceWatch(Duration limit, Function<VirtualMachine, Future<Boolean>> reachable) {
+        this.limit = limit;
+        this.reachable = reachable;
+    }
+
+    /**
+     * A watch that acts when {@link #check} is called.
+     *
+     * @param limit the silence after which an upstream is asked
+     * @param reachable whether an upstream grants a new connection
+     */
+    static SilenceWatch create(Duration limit, Function<VirtualMachine, Future<Boolean>> reachable) {
+        return new SilenceWatch(limit, reachable);
+    }
+
+    /**
+     * An attempt that waits for progress from now on.
+     *
+     * @param fail ends the attempt
+     * @param repeatable whether the attempt is ended when the upstream cannot be reached
+     */
+    Entry opened(VirtualMachine upstream, Consumer<AttemptException> fail, boolean repeatable) {
+        Line line = lines.computeIfAbsent(upstream.name(), ignored -> new Line(upstream));
+        return line.open(fail, repeatable);
+    }
+
+    /** Asks the upstreams that have been silent for too long. */
+    void check(long nowNanos) {
+        lines.values().removeIf(Line::isUnused);
+        lines.values().stream()
+                .filter(line -> line.isSilent(nowNanos, limit.toNanos()))
+                .forEach(this::ask);
+    }
+
+    private void ask(Line line) {
+        line.asked();
+        reachable.apply(line.upstream).onComplete(answer -> {
+            line.answered(System.nanoTime());
+            if (answer.failed() || !answer.result()) {
+                line.failAll();
+            }
+        });
+    }
+
+    /** The open attempts at one upstream. */
+    private static final class Line {
+        private final VirtualMachine upstream;
+        private final Map<Entry, Consumer<AttemptException>> open = new HashMap<>();
+        private long heardNanos;
+        private boolean asking;
+
+        private Line(VirtualMachine upstream) {
+            this.upstream = upstream;
+        }
+
+        private synchronized Entry open(Consumer<AttemptException> fail, boolean repeatable) {
+            Entry entry = new Entry(this, repeatable);
+            if (open.isEmpty()) {
+                heardNanos = System.nanoTime();
+            }
+            open.put(entry, fail);
+            return entry;
+        }
+
+        private synchronized void heard() {
+            heardNanos = System.nanoTime();
+        }
+
+        private synchronized void closed(Entry entry) {
+            open.remove(entry);
+        }
+
+        private synchronized void asked() {
+            asking = true;
+        }
+
+        private synchronized void answered(long nowNanos) {
+            asking = false;
+            heardNanos = nowNanos;
+        }
+
+        private synchronized boolean isUnused() {
+            return open.isEmpty() && !asking;
+        }
+
+        private synchronized boolean isSilent(long nowNanos, long limitNanos) {
+            return !open.isEmpty() && !asking && nowNanos - heardNanos > limitNanos;
+        }
+
+        private void failAll() {
+            AttemptException failure =
+                    AttemptException.of(FailureKind.SILENT, upstream.name(), "the upstream grants no connection");
+            repeatable().forEach(fail -> fail.accept(failure));
+        }
+
+        private synchronized List<Consumer<AttemptException>> repeatable() {
+            Set<Map.Entry<Entry, Consumer<AttemptException>>> entries = open.entrySet();
+            return entries.stream()
+                    .filter(entry -> entry.getKey().repeatable)
+                    .map(Map.Entry::getValue)
+                    .toList();
+        }
+    }
+
+    /** One attempt. Thread-safe. */
+    static final class Entry {
+        private final Line line;
+        private final boolean repeatable;
+
+        private Entry(Line line, boolean repeatable) {
+            this.line = line;
+            this.repeatable = repeatable;
+        }
+
+        /** Something was heard of the upstream. */
+        void heard() {
+            line.heard();
+        }
+
+        /** The attempt has ended. */
+        void closed() {
+            line.closed(this);
+        }
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamAnswer.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamAnswer.java
@@ -126,8 +126,8 @@
     }
 
     private void markPart() {
+        progress.progress();
         if (bodyBegun) {
-            progress.progress();
             return;
         }
         firstPart.run();
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -1,5 +1,6 @@
 package org.baobabcart.router.upstream;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -10,6 +11,10 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import java.net.URI;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -29,16 +34,28 @@
     private static final int CONNECTIONS_PER_UPSTREAM = 4096;
     private static final Duration RETIREMENT = Duration.ofMinutes(10);
     private static final int STATUS_OK = 200;
+    private static final int HTTP_PORT = 80;
+    private static final int HTTPS_PORT = 443;
+    private static final String HTTPS = "https";
+    private static final Duration SILENCE_CHECK = Duration.ofMillis(100);
+    /** Many round trips within a region, since one connection that is granted late would fail many attempts. */
+    private static final Duration REACHABLE_TIMEOUT = Duration.ofMillis(300);
 
     private final Vertx vertx;
     private final UpstreamClientSettings settings;
     private final HttpClient freshConnections;
+    private final NetClient reachability;
+    private final SilenceWatch silence;
     private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
 
     private UpstreamClient(Vertx vertx, UpstreamClientSettings settings) {
         this.vertx = vertx;
         this.settings = settings;
         this.freshConnections = newClient(false);
+        this.reachability = vertx.createNetClient(settings.transport()
+                .toUpstreamPorts(new NetClientOptions().setConnectTimeout((int) REACHABLE_TIMEOUT.toMillis())));
+        this.silence = SilenceWatch.create(settings.silence(), this::isReachable);
+        vertx.setPeriodic(SILENCE_CHECK.toMillis(), ignored -> silence.check(System.nanoTime()));
     }
 
     /** A client without connections. */
@@ -55,19 +72,51 @@
      */
     public Future<UpstreamAnswer> send(
             VirtualMachine upstream, UpstreamRequest request, Runnable gate, Future<AttemptException> abandoned) {
-        RequestOptions options = new RequestOptions()
-                .setAbsoluteURI(upstream.address() + request.path())
-                .setMethod(request.method())
-                .setConnectTimeout(settings.connectTimeout().toMillis());
-        request.headers().forEach(options::putHeader);
-        HttpClient client = request.freshConnection() ? freshConnections : clientOf(upstream.name());
-        return client.request(options)
+        return open(upstream, request)
                 .recover(cause ->
                         Future.failedFuture(AttemptException.of(FailureKind.NOT_CONNECTED, upstream.name(), cause)))
                 .compose(opened -> passGate(opened, gate))
                 .compose(opened -> exchange(upstream, request, opened, abandoned));
     }
 
+    /** A connection with a request that has not been sent. */
+    private Future<HttpClientRequest> open(VirtualMachine upstream, UpstreamRequest request) {
+        URI address = URI.create(upstream.address());
+        RequestOptions options = new RequestOptions()
+                .setHost(address.getHost())
+                .setPort(portOf(address))
+                .setSsl(HTTPS.equals(address.getScheme()))
+                .setURI(request.path())
+                .setMethod(request.method())
+                .setConnectTimeout(settings.connectTimeout().toMillis());
+        request.headers().forEach(options::putHeader);
+        if (!request.repeatable()) {
+            return freshConnections.request(options);
+        }
+        HttpClient client = clientOf(upstream.name());
+        return client.request(options).recover(cause -> {
+            HttpClient renewed = clientOf(upstream.name());
+            // The connections were given up while this request waited for one of them; it had not been sent.
+            return renewed == client ? Future.failedFuture(cause) : renewed.request(options);
+        });
+    }
+
+    private static int portOf(URI address) {
+        if (address.getPort() >= 0) {
+            return address.getPort();
+        }
+        return HTTPS.equals(address.getScheme()) ? HTTPS_PORT : HTTP_PORT;
+    }
+
+    private Future<Boolean> isReachable(VirtualMachine upstream) {
+        URI address = URI.create(upstream.address());
+        return reachability
+                .connect(portOf(address), address.getHost())
+                .compose(NetSocket::close)
+                .map(true)
+                .otherwise(false);
+    }
+
     /** Whether the upstream's host answers on a new connection. */
     public Future<Boolean> isHostAlive(VirtualMachine upstream, Duration timeout) {
         RequestOptions options = new RequestOptions()
@@ -116,7 +165,15 @@
             UpstreamRequest request,
             HttpClientRequest opened,
             Future<AttemptException> abandoned) {
-        Attempt attempt = new Attempt(vertx, upstream.name(), opened);
+        Attempt attempt = new Attempt(upstream.name(), opened);
+        Context context = vertx.getOrCreateContext();
+        SilenceWatch.Entry line = silence.opened(
+                upstream, failure -> context.runOnContext(ignored -> attempt.fail(failure)), request.repeatable());
+        attempt.timer = ProgressTimer.create(
+                vertx,
+                line,
+                () -> attempt.fail(
+                        AttemptException.of(FailureKind.SILENT, upstream.name(), "no progress within the deadline")));
         attempt.timer.start(request.progress().firstByte());
         abandoned.onSuccess(attempt::fail);
         opened.send(request.body()).onComplete(sent -> {
@@ -161,15 +218,12 @@
         private final String upstream;
         private final HttpClientRequest opened;
         private final Promise<UpstreamAnswer> result = Promise.promise();
-        private final ProgressTimer timer;
+        private ProgressTimer timer;
         private UpstreamAnswer answer;
 
-        private Attempt(Vertx vertx, String upstream, HttpClientRequest opened) {
+        private Attempt(String upstream, HttpClientRequest opened) {
             this.upstream = upstream;
             this.opened = opened;
-            this.timer = ProgressTimer.create(
-                    vertx,
-                    () -> fail(AttemptException.of(FailureKind.SILENT, upstream, "no progress within the deadline")));
         }
 
         private void fail(AttemptException failure) {
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamRequest.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamRequest.java
@@ -10,7 +10,8 @@
  *
  * @param attemptId the id that the answer must echo
  * @param echoRequired whether an answer without the id is refused
- * @param freshConnection whether a new connection is made, so that a closed idle connection cannot spoil the attempt
+ * @param repeatable whether the request may be sent again; one that may not goes on a new connection, so that a closed idle
+ *     one cannot spoil it
  * @param method the HTTP method
  * @param path the path and query
  * @param headers the headers
@@ -20,7 +21,7 @@
 public record UpstreamRequest(
         String attemptId,
         boolean echoRequired,
-        boolean freshConnection,
+        boolean repeatable,
         HttpMethod method,
         String path,
         Map<String, String> headers,
