--- a/policy/src/main/java/org/baobabcart/policy/cascade/Escalation.java
+++ b/policy/src/main/java/org/baobabcart/policy/cascade/Escalation.java
@@ -8,7 +8,8 @@
  *
  * <p>The load that it answers: most requests are easy, some are too hard for a small model, and which is known only once it
  * has begun to answer. The larger model pays where the chance that the small one does not suffice, times what a
- * sufficient answer is worth, is above the larger one's price.
+ * sufficient answer is worth, is above the larger one's price. In a burst the larger model's answers come late, which
+ * takes the same worth away and gives its engines' time back to answers of small models.
  *
  * @param answerWorth what a sufficient answer is worth, in the unit of the models' prices
  */
@@ -16,6 +17,13 @@
     /** A few times the price of an answer of a few hundred tokens by a large model. */
     private static final double DEFAULT_ANSWER_WORTH = 2;
 
+    /** Times to the first token spread so much that some answers are late at half of the time allowed. */
+    private static final double PRESSURE_OF_FIRST_LATE_ANSWERS = 0.5;
+
+    private static final double PRESSURE_OF_ALL_LATE = 1.25;
+    /** What a late answer is worth of one in time. */
+    private static final double LATE_WORTH = 0.3;
+
     private static final double MOST_CONFIDENCE = 100;
     private static final double TOKENS_PER_PRICE = 1000;
     /** Prompt tokens are priced at a quarter of generated ones. */
@@ -33,11 +41,20 @@
      * @param larger the larger model
      * @param promptTokens the length of the prompt
      * @param outputTokens the most tokens of the answer
+     * @param pressure the time in which the larger model's answers begin, over the time in which they should
      */
-    public boolean pays(int confidence, ModelSize larger, int promptTokens, int outputTokens) {
-        double doubt = 1 - Math.min(1, confidence / MOST_CONFIDENCE);
+    public boolean pays(int confidence, ModelSize larger, int promptTokens, int outputTokens, double pressure) {
+        double doubt = Math.max(0, timeliness(pressure) - Math.min(1, confidence / MOST_CONFIDENCE));
         double tokens = outputTokens + promptTokens * PROMPT_PART;
         double price = larger.costPerThousandTokens() * tokens / TOKENS_PER_PRICE;
         return doubt * answerWorth > price;
     }
+
+    /** What is left of an answer's worth by the time at which it can be expected. */
+    private static double timeliness(double pressure) {
+        double late =
+                (pressure - PRESSURE_OF_FIRST_LATE_ANSWERS) / (PRESSURE_OF_ALL_LATE - PRESSURE_OF_FIRST_LATE_ANSWERS);
+        double lateShare = Math.max(0, Math.min(1, late));
+        return 1 - lateShare * (1 - LATE_WORTH);
+    }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -15,6 +15,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.policy.cascade.AnswerPressure;
 import org.baobabcart.policy.version.VersionEvidence;
 import org.baobabcart.router.admin.PrometheusText;
 import org.baobabcart.router.control.Blackboard;
@@ -36,6 +37,7 @@
 import org.baobabcart.router.upstream.UpstreamClient;
 import org.baobabcart.router.upstream.UpstreamClientSettings;
 import org.baobabcart.router.upstream.UpstreamHealth;
+import org.baobabcart.router.view.TrafficView;
 import org.baobabcart.router.view.ViewPublisher;
 
 /**
@@ -60,6 +62,7 @@
     private final ViewPublisher views = ViewPublisher.create(blackboard);
     private final GatewayServer server;
     private UpstreamClient client;
+    private Reach reach;
     private final UpstreamController upstreams;
     private final List<Controller> controllers;
     private final AtomicBoolean stopBegun = new AtomicBoolean();
@@ -107,6 +110,7 @@
                 new DispatcherSettings(settings.name(), settings.dataCentre(), settings.queue()).withAffinityAcross(),
                 views,
                 health);
+        reach = Reach.of(health);
         BufferBudget buffers = BufferBudget.of(settings.bufferedBytes());
         metrics.gauge("gateway.running", () -> drain::running);
         metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
@@ -119,8 +123,10 @@
                 dispatcher,
                 client,
                 health,
+                reach,
                 ServiceRetries.create(settings.retries()),
                 evidence,
+                AnswerPressure.create(),
                 buffers,
                 parts.timeline(),
                 metrics);
@@ -131,6 +137,7 @@
         GatewayPorts ports = parts.ports();
         loop.execute(() -> {
             blackboard.subscribe(Sections.VIRTUAL_MACHINES, this::keepConnections);
+            blackboard.subscribe(Sections.PLATFORM_REACHABLE, reach::setPlatformReachable);
             controllers.forEach(Controller::start);
         });
         parts.timeline()
@@ -202,8 +209,9 @@
         request.response().setStatusCode(isReady() ? OK : UNAVAILABLE).end();
     }
 
-    /** A router takes requests once it has a table of routes and the list of upstreams, until it stops. */
+    /** A router takes requests once it has a table of routes and the list of upstreams, until it stops or is cut off. */
     private boolean isReady() {
-        return !drain.isDraining() && views.current().routes().isPresent() && upstreams.isKnown();
+        TrafficView view = views.current();
+        return !drain.isDraining() && view.routes().isPresent() && upstreams.isKnown() && !reach.isCutOff(view);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -39,6 +39,10 @@
     private static final int STATUS_AFTER_SUCCESS = 300;
     private static final int STATUS_SERVER_ERROR = 500;
     private static final double NANOS_PER_MILLI = 1e6;
+    /** The balancer asks once a second and leaves a router out after two questions without a good answer. */
+    private static final Duration BALANCER_TURNS_ELSEWHERE = Duration.ofMillis(2_500);
+    /** Upstreams out of reach are asked twice a second. */
+    private static final Duration NEXT_PROBE = Duration.ofMillis(600);
 
     private final GatewayRuntime runtime;
     private final GatewayExchange exchange;
@@ -124,12 +128,21 @@
             return;
         }
         Pool pool = ServicePool.of(view, runtime.settings().move(), service, versionPoint, System.nanoTime());
+        if (!runtime.reach().mayServe(view, pool)) {
+            giveUp(BaobabcartException.of(ResultCode.UPSTREAM_UNREACHABLE).withRetryAfter(returnAfter(view)));
+            return;
+        }
         runtime.dispatcher()
                 .acquire(work(pool), exchange.abandoned())
                 .onSuccess(this::send)
                 .onFailure(this::giveUp);
     }
 
+    /** When to come back to upstreams that are out of reach: here, or at a router to which the balancer turns by then. */
+    private Duration returnAfter(TrafficView view) {
+        return runtime.reach().isCutOff(view) ? BALANCER_TURNS_ELSEWHERE : NEXT_PROBE;
+    }
+
     /** Takes over the table in force, which may have changed while the request waited. */
     private void admit(TrafficView view) {
         admission = Admission.of(view, head);
@@ -169,6 +182,7 @@
                 .send(upstream, request(upstream), () -> passGate(upstream), exchange.abandoned())
                 .compose(answer -> {
                     slot.observe(System.nanoTime() - begun, Optional.empty());
+                    noteBeginning(System.nanoTime() - begun);
                     return consume(upstream, answer);
                 })
                 .onSuccess(ignored -> {
@@ -240,6 +254,14 @@
                         : deliver(upstream, new KeptFailure(status, headers, whole.get())));
     }
 
+    /** Keeps the time to the beginning of the largest models' answers, which tells how loaded their engines are. */
+    private void noteBeginning(long nanos) {
+        if (size.isPresent() && sizeIndex == admission.route().sizes().size() - 1) {
+            double target = Math.max(1, admission.route().target().toNanos());
+            runtime.pressure().observe(admission.route().name(), nanos / target, System.nanoTime());
+        }
+    }
+
     /** Whether the answer of a smaller model is dropped for one of the largest. */
     private boolean isEscalated(UpstreamAnswer answer) {
         OptionalInt confidence = runtime.codec().confidence(answer.headers());
@@ -255,16 +277,20 @@
             return false;
         }
         ModelSize next = admission.route().sizes().get(largest);
+        double pressure = runtime.pressure().of(admission.route().name(), System.nanoTime());
         boolean worthIt = runtime.settings()
                 .escalation()
                 .pays(
                         confidence.getAsInt(),
                         next,
                         head.tokens().prompt(),
-                        head.tokens().mostOutput());
+                        head.tokens().mostOutput(),
+                        pressure);
         exchange.record(
                 EventType.REQUEST_ESCALATED,
-                size.get().name() + " confidence=" + confidence.getAsInt() + " escalated=" + worthIt);
+                String.format(
+                        "model=%s confidence=%d pressure=%.2f escalated=%s",
+                        size.get().name(), confidence.getAsInt(), pressure, worthIt));
         if (worthIt && runtime.retries().tryRetry(service)) {
             sizeIndex = largest;
             return true;
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
@@ -51,6 +51,11 @@
         return false;
     }
 
+    /** Whether the upstream could not be reached when it was last tried. */
+    public boolean isDown(String upstream) {
+        return down.containsKey(upstream);
+    }
+
     /** States that the upstream could not be reached. */
     public void markDown(VirtualMachine upstream) {
         down.computeIfAbsent(
