--- a/router/src/main/java/org/baobabcart/router/exchange/ConnectionGuard.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/ConnectionGuard.java
@@ -3,8 +3,10 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.IdentityHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.baobabcart.router.upstream.Connections;
 
@@ -17,6 +19,7 @@
     private final Supplier<Duration> firstRequest;
     private final Supplier<Duration> nextRequest;
     private final Map<HttpConnection, Long> timers = new IdentityHashMap<>();
+    private final Set<HttpConnection> spent = Collections.newSetFromMap(new IdentityHashMap<>());
 
     private ConnectionGuard(Vertx vertx, Supplier<Duration> firstRequest, Supplier<Duration> nextRequest) {
         this.vertx = vertx;
@@ -36,10 +39,23 @@
 
     /** A connection was opened. */
     public void opened(HttpConnection connection) {
-        connection.closeHandler(ignored -> disarm(connection));
+        connection.closeHandler(ignored -> {
+            disarm(connection);
+            spent.remove(connection);
+        });
         arm(connection, firstRequest.get());
     }
 
+    /** The request that has begun on it is its last: what follows may be no request of the caller. */
+    public void markSpent(HttpConnection connection) {
+        spent.add(connection);
+    }
+
+    /** Whether no further request may be read from it. */
+    public boolean isSpent(HttpConnection connection) {
+        return spent.contains(connection);
+    }
+
     /** A request began on it. */
     public void requestBegan(HttpConnection connection) {
         disarm(connection);
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -63,6 +64,7 @@
     private final GatewayServer server;
     private UpstreamClient client;
     private Reach reach;
+    private Map<String, Long> incarnations = Map.of();
     private final UpstreamController upstreams;
     private final List<Controller> controllers;
     private final AtomicBoolean stopBegun = new AtomicBoolean();
@@ -147,8 +149,20 @@
                 .mapEmpty());
     }
 
+    /** Gives up connections to upstreams that are gone or have started anew; called on the control thread. */
     private void keepConnections(List<VirtualMachine> machines) {
-        client.keepOnly(machines.stream().map(VirtualMachine::name).collect(Collectors.toSet()));
+        Map<String, Long> now = machines.stream()
+                .collect(
+                        Collectors.toMap(VirtualMachine::name, VirtualMachine::incarnation, (first, second) -> second));
+        client.keepOnly(now.keySet());
+        now.forEach((name, incarnation) -> {
+            Long before = incarnations.get(name);
+            if (before != null && !before.equals(incarnation)) {
+                parts.timeline().record(EventType.UPSTREAM_CHANGED, name + " started anew");
+                client.restarted(name);
+            }
+        });
+        incarnations = now;
     }
 
     /** Begins the planned stop if it has not begun, and completes when the process may exit. */
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -18,6 +18,7 @@
 import org.baobabcart.router.exchange.ConnectionGuard;
 import org.baobabcart.router.exchange.Drain;
 import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.upstream.Connections;
 
 /**
  * The port for callers of the opaque request path. Its handlers are confined to one event loop.
@@ -88,9 +89,16 @@
     }
 
     private void handle(HttpServerRequest request) {
+        if (guard.isSpent(request.connection())) {
+            Connections.abort(request.connection());
+            return;
+        }
         guard.requestBegan(request.connection());
         drain.requestBegan();
         boolean chunked = request.headers().contains(HttpHeaders.TRANSFER_ENCODING);
+        if (chunked) {
+            guard.markSpent(request.connection());
+        }
         GatewayExchange exchange =
                 GatewayExchange.create(runtime, request, () -> chunked || drain.isDraining(), () -> ended(request));
         try {
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -38,7 +38,6 @@
  */
 public final class Dispatcher {
     private static final Duration TICK = Duration.ofMillis(20);
-    private static final int SUBSET_SIZE = 24;
 
     private final Vertx vertx;
     private final DispatcherSettings settings;
@@ -56,7 +55,7 @@
         this.settings = settings;
         this.views = views;
         this.health = health;
-        this.policy = UpstreamPolicy.of(settings.router(), SUBSET_SIZE);
+        this.policy = UpstreamPolicy.of(settings.router(), settings.subset());
     }
 
     /** A dispatcher without work. */
@@ -230,7 +229,7 @@
     }
 
     private List<VirtualMachine> subset(List<VirtualMachine> members) {
-        if (members.size() <= SUBSET_SIZE) {
+        if (members.size() <= settings.subset()) {
             return members;
         }
         Map<Boolean, List<String>> names = members.stream()
--- a/router/src/main/java/org/baobabcart/router/upstream/SilenceWatch.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/SilenceWatch.java
@@ -57,12 +57,20 @@
                 .forEach(this::ask);
     }
 
+    /** Ends the attempts at an upstream that is known to have started anew, and so knows nothing of them. */
+    void restarted(String upstream) {
+        Line line = lines.get(upstream);
+        if (line != null) {
+            line.failAll("the upstream has started anew");
+        }
+    }
+
     private void ask(Line line) {
         line.asked();
         reachable.apply(line.upstream).onComplete(answer -> {
             line.answered(System.nanoTime());
             if (answer.failed() || !answer.result()) {
-                line.failAll();
+                line.failAll("the upstream grants no connection");
             }
         });
     }
@@ -112,9 +120,8 @@
             return !open.isEmpty() && !asking && nowNanos - heardNanos > limitNanos;
         }
 
-        private void failAll() {
-            AttemptException failure =
-                    AttemptException.of(FailureKind.SILENT, upstream.name(), "the upstream grants no connection");
+        private void failAll(String reason) {
+            AttemptException failure = AttemptException.of(FailureKind.SILENT, upstream.name(), reason);
             repeatable().forEach(fail -> fail.accept(failure));
         }
 
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -139,6 +139,12 @@
         }
     }
 
+    /** Ends the attempts and gives up the connections of an upstream that has started anew. */
+    public void restarted(String upstream) {
+        silence.restarted(upstream);
+        renewConnections(upstream);
+    }
+
     /** Gives up the connections of upstreams that are not in use any more. */
     public void keepOnly(Set<String> upstreams) {
         clients.keySet().stream().filter(name -> !upstreams.contains(name)).forEach(this::renewConnections);
