--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -373,8 +373,11 @@
         switch (kind) {
             case NOT_CONNECTED -> runtime.health().markDown(upstream);
             case NOT_RUN -> runtime.health().markResting(upstream);
+            // Connections break with hosts and links; that says nothing of the version that runs there.
             case SILENT, BROKEN -> {
-                runtime.evidence().failed(outcomeKey(upstream));
+                if (kind == FailureKind.SILENT) {
+                    runtime.evidence().failed(outcomeKey(upstream));
+                }
                 runtime.upstreams().renewConnections(upstream.name());
                 runtime.health().judge(upstream);
             }
--- a/router/src/main/java/org/baobabcart/router/upstream/SilenceWatch.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/SilenceWatch.java
@@ -121,7 +121,7 @@
         }
 
         private void failAll(String reason) {
-            AttemptException failure = AttemptException.of(FailureKind.SILENT, upstream.name(), reason);
+            AttemptException failure = AttemptException.of(FailureKind.BROKEN, upstream.name(), reason);
             repeatable().forEach(fail -> fail.accept(failure));
         }
 
