--- a/policy/src/main/java/org/baobabcart/policy/cascade/Escalation.java
+++ b/policy/src/main/java/org/baobabcart/policy/cascade/Escalation.java
@@ -11,11 +11,17 @@
  * sufficient answer is worth, is above the larger one's price. In a burst the larger model's answers come late, which
  * takes the same worth away and gives its engines' time back to answers of small models.
  *
- * @param answerWorth what a sufficient answer is worth, in the unit of the models' prices
+ * @param leastWorth what a sufficient answer of hardly any length is worth, in the unit of the models' prices
+ * @param worthOfToken what each token of its length adds
+ * @param mostWorth what no answer's worth exceeds
  */
-public record Escalation(double answerWorth) {
-    /** A few times the price of an answer of a few hundred tokens by a large model. */
-    private static final double DEFAULT_ANSWER_WORTH = 2;
+public record Escalation(double leastWorth, double worthOfToken, double mostWorth) {
+    /** A short note: about the price of its prompt at a large model. */
+    private static final double DEFAULT_LEAST_WORTH = 0.25;
+    /** Some twenty times the price of a token of a large model, since callers pay for what they would else write themselves. */
+    private static final double DEFAULT_WORTH_OF_TOKEN = 0.008;
+
+    private static final double DEFAULT_MOST_WORTH = 2.5;
 
     /** Times to the first token spread so much that some answers are late at half of the time allowed. */
     private static final double PRESSURE_OF_FIRST_LATE_ANSWERS = 0.5;
@@ -31,7 +37,7 @@
 
     /** An escalation for ordinary prices. */
     public static Escalation defaults() {
-        return new Escalation(DEFAULT_ANSWER_WORTH);
+        return new Escalation(DEFAULT_LEAST_WORTH, DEFAULT_WORTH_OF_TOKEN, DEFAULT_MOST_WORTH);
     }
 
     /**
@@ -47,7 +53,8 @@
         double doubt = Math.max(0, timeliness(pressure) - Math.min(1, confidence / MOST_CONFIDENCE));
         double tokens = outputTokens + promptTokens * PROMPT_PART;
         double price = larger.costPerThousandTokens() * tokens / TOKENS_PER_PRICE;
-        return doubt * answerWorth > price;
+        double worth = Math.min(mostWorth, leastWorth + worthOfToken * outputTokens);
+        return doubt * worth > price;
     }
 
     /** What is left of an answer's worth by the time at which it can be expected. */
--- a/policy/src/main/java/org/baobabcart/policy/version/VersionCounts.java
+++ b/policy/src/main/java/org/baobabcart/policy/version/VersionCounts.java
@@ -1,14 +1,19 @@
 package org.baobabcart.policy.version;
 
 /**
- * Outcomes of one version on one route. Immutable.
+ * Outcomes of one version on one kind of work. Immutable.
+ *
+ * <p>Times are kept as sums of their logarithms, since they spread over orders of magnitude.
  *
  * @param answers answers without a fault
  * @param failures answers with a fault, and attempts that ended without one
- * @param paceSum the sum of the answers' times, each divided by the size of its work
+ * @param times times that were taken
+ * @param logSum the sum of the logarithms of the times
+ * @param logSquareSum the sum of the squares of the logarithms
  */
-public record VersionCounts(long answers, long failures, double paceSum) {
-    private static final VersionCounts NONE = new VersionCounts(0, 0, 0);
+public record VersionCounts(long answers, long failures, long times, double logSum, double logSquareSum) {
+    private static final VersionCounts NONE = new VersionCounts(0, 0, 0, 0, 0);
+    private static final double LEAST_MILLIS = 0.01;
 
     /** Nothing counted. */
     public static VersionCounts none() {
@@ -16,21 +21,32 @@
     }
 
     /** The counts after one more answer. */
-    public VersionCounts withAnswer(double pace) {
-        return new VersionCounts(answers + 1, failures, paceSum + pace);
+    public VersionCounts withAnswer() {
+        return new VersionCounts(answers + 1, failures, times, logSum, logSquareSum);
     }
 
     /** The counts after one more failure. */
     public VersionCounts withFailure() {
-        return new VersionCounts(answers, failures + 1, paceSum);
+        return new VersionCounts(answers, failures + 1, times, logSum, logSquareSum);
+    }
+
+    /** The counts after one more time. */
+    public VersionCounts withTime(double millis) {
+        double log = Math.log(Math.max(LEAST_MILLIS, millis));
+        return new VersionCounts(answers, failures, times + 1, logSum + log, logSquareSum + log * log);
     }
 
     /** The sum of both. */
     public VersionCounts plus(VersionCounts other) {
-        return new VersionCounts(answers + other.answers, failures + other.failures, paceSum + other.paceSum);
+        return new VersionCounts(
+                answers + other.answers,
+                failures + other.failures,
+                times + other.times,
+                logSum + other.logSum,
+                logSquareSum + other.logSquareSum);
     }
 
-    /** All that was counted. */
+    /** All answers and failures. */
     public long total() {
         return answers + failures;
     }
@@ -40,8 +56,15 @@
         return total() == 0 ? 0 : (double) failures / total();
     }
 
-    /** The mean time of an answer for each unit of work; zero before the first. */
-    public double pace() {
-        return answers == 0 ? 0 : paceSum / answers;
+    /** The mean of the logarithms of the times. */
+    double logMean() {
+        return times == 0 ? 0 : logSum / times;
+    }
+
+    /** The variance of that mean. */
+    double logMeanVariance() {
+        double mean = logMean();
+        double variance = times < 2 ? 0 : Math.max(0, (logSquareSum - times * mean * mean) / (times - 1));
+        return times == 0 ? 0 : variance / times;
     }
 }
--- a/policy/src/main/java/org/baobabcart/policy/version/VersionOutcomeKey.java
+++ b/policy/src/main/java/org/baobabcart/policy/version/VersionOutcomeKey.java
@@ -5,6 +5,7 @@
  *
  * @param service the service
  * @param version the version that ran the request
- * @param route the route, since a version may be bad on one route alone
+ * @param work the kind of work: a route, and a model where there is one, since a version may be bad on one alone and times of
+ *     unlike work can't be compared
  */
-public record VersionOutcomeKey(String service, String version, String route) {}
+public record VersionOutcomeKey(String service, String version, String work) {}
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -127,7 +127,7 @@
             giveUp(refusal);
             return;
         }
-        Pool pool = ServicePool.of(view, runtime.settings().move(), service, versionPoint, System.nanoTime());
+        Pool pool = ServicePool.of(view, runtime, service, versionPoint);
         if (!runtime.reach().mayServe(view, pool)) {
             giveUp(BaobabcartException.of(ResultCode.UPSTREAM_UNREACHABLE).withRetryAfter(returnAfter(view)));
             return;
@@ -182,13 +182,13 @@
                 .send(upstream, request(upstream), () -> passGate(upstream), exchange.abandoned())
                 .compose(answer -> {
                     slot.observe(System.nanoTime() - begun, Optional.empty());
-                    noteBeginning(System.nanoTime() - begun);
+                    noteBeginning(upstream, System.nanoTime() - begun);
                     return consume(upstream, answer);
                 })
                 .onSuccess(ignored -> {
                     slot.finished(System.nanoTime() - begun);
                     slot.release(Optional.empty());
-                    count(upstream, System.nanoTime() - begun);
+                    runtime.evidence().answered(outcomeKey(upstream));
                 })
                 .onFailure(failure -> failed(slot, failure));
     }
@@ -254,8 +254,12 @@
                         : deliver(upstream, new KeptFailure(status, headers, whole.get())));
     }
 
-    /** Keeps the time to the beginning of the largest models' answers, which tells how loaded their engines are. */
-    private void noteBeginning(long nanos) {
+    /**
+     * Keeps the time to the beginning of an answer, by which versions are compared; that of the largest models tells
+     * how loaded their engines are.
+     */
+    private void noteBeginning(VirtualMachine upstream, long nanos) {
+        runtime.evidence().timed(outcomeKey(upstream), nanos / NANOS_PER_MILLI);
         if (size.isPresent() && sizeIndex == admission.route().sizes().size() - 1) {
             double target = Math.max(1, admission.route().target().toNanos());
             runtime.pressure().observe(admission.route().name(), nanos / target, System.nanoTime());
@@ -289,8 +293,13 @@
         exchange.record(
                 EventType.REQUEST_ESCALATED,
                 String.format(
-                        "model=%s confidence=%d pressure=%.2f escalated=%s",
-                        size.get().name(), confidence.getAsInt(), pressure, worthIt));
+                        "model=%s confidence=%d pressure=%.2f prompt=%d output=%d escalated=%s",
+                        size.get().name(),
+                        confidence.getAsInt(),
+                        pressure,
+                        head.tokens().prompt(),
+                        head.tokens().mostOutput(),
+                        worthIt));
         if (worthIt && runtime.retries().tryRetry(service)) {
             sizeIndex = largest;
             return true;
@@ -323,13 +332,9 @@
     }
 
     private VersionOutcomeKey outcomeKey(VirtualMachine upstream) {
-        return new VersionOutcomeKey(
-                service, upstream.version(), admission.route().name());
-    }
-
-    private void count(VirtualMachine upstream, long nanos) {
-        double work = Math.max(1, head.tokens().mostOutput());
-        runtime.evidence().answered(outcomeKey(upstream), nanos / NANOS_PER_MILLI / work);
+        String work = admission.route().name()
+                + size.map(chosen -> " " + chosen.name()).orElse("");
+        return new VersionOutcomeKey(service, upstream.version(), work);
     }
 
     private void failed(Slot slot, Throwable cause) {
--- a/router/src/main/java/org/baobabcart/router/gateway/ServicePool.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ServicePool.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.policy.version.FollowedOrder;
-import org.baobabcart.policy.version.VersionMove;
 import org.baobabcart.router.upstream.Pool;
 import org.baobabcart.router.view.TrafficView;
 
@@ -16,7 +15,7 @@
      *
      * @param point a number from 0 (inclusive) to 1 (exclusive), the same for all requests of a session
      */
-    static Pool of(TrafficView view, VersionMove move, String service, double point, long nowNanos) {
+    static Pool of(TrafficView view, GatewayRuntime runtime, String service, double point) {
         Pool all = Pool.ofService(service);
         Optional<FollowedOrder> followed = view.versionOrder(service);
         if (followed.isEmpty()) {
@@ -25,7 +24,9 @@
         VersionOrder order = followed.get().order();
         Pool target = all.withVersion(order.target());
         Pool others = all.withoutVersion(order.target());
-        boolean onTarget = point < move.share(followed.get(), nowNanos);
+        long answers = runtime.evidence().answers(service, order.target());
+        double share = runtime.settings().move().share(followed.get(), answers, System.nanoTime());
+        boolean onTarget = point < share;
         if (order.state() == VersionOrder.State.WITHDRAWN) {
             return others;
         }
