--- a/policy/src/main/java/org/baobabcart/policy/cascade/Escalation.java
+++ b/policy/src/main/java/org/baobabcart/policy/cascade/Escalation.java
@@ -46,7 +46,7 @@
      * @param confidence the small model's confidence in its answer, from 0 to 100
      * @param larger the larger model
      * @param promptTokens the length of the prompt
-     * @param outputTokens the most tokens of the answer
+     * @param outputTokens the tokens that the answer probably has
      * @param pressure the time in which the larger model's answers begin, over the time in which they should
      */
     public boolean pays(int confidence, ModelSize larger, int promptTokens, int outputTokens, double pressure) {
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -288,7 +288,7 @@
                         confidence.getAsInt(),
                         next,
                         head.tokens().prompt(),
-                        head.tokens().mostOutput(),
+                        head.tokens().likelyOutput(),
                         pressure);
         exchange.record(
                 EventType.REQUEST_ESCALATED,
@@ -298,7 +298,7 @@
                         confidence.getAsInt(),
                         pressure,
                         head.tokens().prompt(),
-                        head.tokens().mostOutput(),
+                        head.tokens().likelyOutput(),
                         worthIt));
         if (worthIt && runtime.retries().tryRetry(service)) {
             sizeIndex = largest;
