--- a/policy/src/main/java/org/baobabcart/policy/cascade/Escalation.java
+++ b/policy/src/main/java/org/baobabcart/policy/cascade/Escalation.java
@@ -16,8 +16,8 @@
  * @param mostWorth what no answer's worth exceeds
  */
 public record Escalation(double leastWorth, double worthOfToken, double mostWorth) {
-    /** A short note: about the price of its prompt at a large model. */
-    private static final double DEFAULT_LEAST_WORTH = 0.25;
+    /** A short note: a few times the price of its prompt at a large model. */
+    private static final double DEFAULT_LEAST_WORTH = 0.5;
     /** Some twenty times the price of a token of a large model, since callers pay for what they would else write themselves. */
     private static final double DEFAULT_WORTH_OF_TOKEN = 0.008;
 
