--- a/router/src/main/java/org/baobabcart/router/gateway/AttemptTimes.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/AttemptTimes.java
@@ -10,6 +10,9 @@
     /** An answer that is this many times later than asked for is taken as lost where it may be asked for again. */
     private static final int LOST_AFTER_TARGETS = 3;
 
+    /** While answers begin late, an attempt may be so many times later than they usually are. */
+    private static final int LOST_AFTER_USUAL_DELAYS = 4;
+
     /** A stream that pauses this many times longer than asked for is taken as broken. */
     private static final int BROKEN_AFTER_PAUSES = 2;
 
@@ -18,13 +21,20 @@
 
     private AttemptTimes() {}
 
-    static UpstreamRequest.Progress of(Route route, Duration timeLeft) {
+    /**
+     * The times of an attempt.
+     *
+     * @param pressure the time in which answers of the route begin now, over the time in which they should; under load an attempt
+     *     that is sent again only waits anew, behind the work that it left
+     */
+    static UpstreamRequest.Progress of(Route route, Duration timeLeft, double pressure) {
         RepeatRule repeat = route.repeat();
         if (!repeat.repeatable()) {
             return new UpstreamRequest.Progress(timeLeft, timeLeft);
         }
         Duration share = Duration.ofNanos((long) (timeLeft.toNanos() * PART_OF_TIME_LEFT));
-        Duration first = least(route.target().multipliedBy(LOST_AFTER_TARGETS), share);
+        double targets = Math.max(LOST_AFTER_TARGETS, LOST_AFTER_USUAL_DELAYS * pressure);
+        Duration first = least(Duration.ofNanos((long) (route.target().toNanos() * targets)), share);
         Duration pause = route.pauseTarget().isZero()
                 ? first
                 : least(route.pauseTarget().multipliedBy(BROKEN_AFTER_PAUSES), timeLeft);
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -210,7 +210,10 @@
                 head.target(),
                 runtime.codec().attemptHeaders(head, attempt),
                 body,
-                AttemptTimes.of(admission.route(), timeLeft));
+                AttemptTimes.of(
+                        admission.route(),
+                        timeLeft,
+                        runtime.pressure().of(admission.route().name(), System.nanoTime())));
     }
 
     /** The last check before the first byte; throws where nothing may be sent. */
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/gateway/AttemptTimesTest.java
@@ -0,0 +1,55 @@
+package org.baobabcart.router.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.List;
+import org.baobabcart.model.gateway.RepeatRule;
+import org.baobabcart.model.gateway.Route;
+import org.baobabcart.model.gateway.WeightedService;
+import org.junit.jupiter.api.Test;
+
+class AttemptTimesTest {
+    private static final Duration LEFT = Duration.ofSeconds(15);
+
+    @Test
+    void anAttemptIsTakenAsLostAfterThreeTimesItsTargetWhileAnswersBeginInTime() {
+        assertThat(
+                AttemptTimes.of(route(RepeatRule.STREAM_RESUMABLE), LEFT, 0.1).firstByte(),
+                is(Duration.ofMillis(4_500)));
+    }
+
+    /** A burst in which answers begin two targets late: sending again would only lose the place in the engine's queue. */
+    @Test
+    void inABurstAnAttemptWaitsLongerThanAnswersUsuallyTake() {
+        Duration first =
+                AttemptTimes.of(route(RepeatRule.STREAM_RESUMABLE), LEFT, 2).firstByte();
+        assertThat(first, greaterThan(Duration.ofSeconds(6)));
+        assertThat(first, lessThanOrEqualTo(Duration.ofSeconds(10)));
+    }
+
+    @Test
+    void whatMayNotBeRepeatedWaitsAsLongAsItsCaller() {
+        assertThat(AttemptTimes.of(route(RepeatRule.ONCE), LEFT, 0).firstByte(), is(LEFT));
+    }
+
+    private static Route route(RepeatRule repeat) {
+        return new Route(
+                "chat",
+                "a.example",
+                "/chat/",
+                List.of(new WeightedService("model", 1)),
+                repeat,
+                LEFT,
+                Duration.ofMillis(1_500),
+                Duration.ofSeconds(1),
+                3,
+                0,
+                false,
+                true,
+                List.of());
+    }
+}
