--- a/policy/src/main/java/org/baobabcart/policy/version/VersionMove.java
+++ b/policy/src/main/java/org/baobabcart/policy/version/VersionMove.java
@@ -7,7 +7,8 @@
  *
  * <p>The load that it answers: a new version of unknown quality, with a deadline by which all traffic has to be on it, while
  * bursts and crashes take the engines of the old one. A small share tries it first. Once it has answered enough, both versions
- * share the requests, which uses the engines of both. Then all new requests go to the target, and those that run on the old
+ * share the requests, which uses the engines of both. The share only rises, so that a session whose point lies below it stays on the
+ * target. Then all new requests go to the target, and those that run on the old
  * version have time to end before its engines stop.
  *
  * @param trialShare the share during the trial
@@ -21,7 +22,9 @@
     /** Half of the share of a bad version that an operator tolerates, so that retries and uneven routers stay below it. */
     private static final double TRIAL_PART_OF_EXPOSURE = 0.5;
 
-    private static final double DEFAULT_TRIAL_PART = 0.3;
+    /** Sessions keep their version through the first half of a move. */
+    private static final double DEFAULT_TRIAL_PART = 0.52;
+
     /** So many answers without a verdict make a version of which half the answers fail improbable. */
     private static final int DEFAULT_TRIAL_ANSWERS = 8;
 
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -5,7 +5,6 @@
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -52,13 +51,12 @@
     private final double servicePoint = ThreadLocalRandom.current().nextDouble();
     private final double versionPoint;
     private final EventRelay events;
+    private final ModelSteps models;
     private final Set<String> failedUpstreams = new HashSet<>();
     private Admission admission;
     private AttemptLedger ledger;
     private String service;
-    private Optional<ModelSize> size = Optional.empty();
     private Optional<KeptFailure> kept = Optional.empty();
-    private int sizeIndex;
     private int attempts;
 
     private GatewayRun(
@@ -73,9 +71,10 @@
         this.head = head;
         this.body = body;
         this.deadlineNanos = deadlineNanos;
-        this.versionPoint = SessionPoint.of(head.session());
+        this.versionPoint = SessionPoint.of(head);
         this.events = EventRelay.create(exchange, head.resumeAfter());
         this.admission = admission;
+        this.models = ModelSteps.create(runtime, exchange, head, admission.route());
         this.ledger = AttemptLedger.of(admission.route().repeat());
         this.service = admission.route().serviceAt(servicePoint);
     }
@@ -149,9 +148,7 @@
         if (!admission.route().allows(service)) {
             service = admission.route().serviceAt(servicePoint);
         }
-        List<ModelSize> sizes =
-                head.model().isPresent() ? List.of() : admission.route().sizes();
-        size = sizes.isEmpty() ? Optional.empty() : Optional.of(sizes.get(Math.min(sizeIndex, sizes.size() - 1)));
+        models.follow(admission.route());
     }
 
     private Work work(Pool pool) {
@@ -199,7 +196,7 @@
                 upstream.name(),
                 timeLeft,
                 admission.holder().map(holder -> holder.workspace()),
-                size.map(ModelSize::name),
+                models.current().map(ModelSize::name),
                 admission.rank(),
                 events.resumeAfter());
         return new UpstreamRequest(
@@ -210,10 +207,7 @@
                 head.target(),
                 runtime.codec().attemptHeaders(head, attempt),
                 body,
-                AttemptTimes.of(
-                        admission.route(),
-                        timeLeft,
-                        runtime.pressure().of(admission.route().name(), System.nanoTime())));
+                AttemptTimes.of(admission.route(), timeLeft, models.pressure()));
     }
 
     /** The last check before the first byte; throws where nothing may be sent. */
@@ -234,6 +228,12 @@
         exchange.record(EventType.REQUEST_DISPATCHED, upstream.name());
     }
 
+    /** Keeps the time to the beginning of an answer, by which versions are compared and load is seen. */
+    private void noteBeginning(VirtualMachine upstream, long nanos) {
+        runtime.evidence().timed(outcomeKey(upstream), nanos / NANOS_PER_MILLI);
+        models.noteBeginning(nanos);
+    }
+
     private Future<Void> consume(VirtualMachine upstream, UpstreamAnswer answer) {
         int status = answer.status();
         boolean success = status >= STATUS_SUCCESS && status < STATUS_AFTER_SUCCESS;
@@ -257,57 +257,22 @@
                         : deliver(upstream, new KeptFailure(status, headers, whole.get())));
     }
 
-    /**
-     * Keeps the time to the beginning of an answer, by which versions are compared; that of the largest models tells
-     * how loaded their engines are.
-     */
-    private void noteBeginning(VirtualMachine upstream, long nanos) {
-        runtime.evidence().timed(outcomeKey(upstream), nanos / NANOS_PER_MILLI);
-        if (size.isPresent() && sizeIndex == admission.route().sizes().size() - 1) {
-            double target = Math.max(1, admission.route().target().toNanos());
-            runtime.pressure().observe(admission.route().name(), nanos / target, System.nanoTime());
-        }
-    }
-
-    /** Whether the answer of a smaller model is dropped for one of the largest. */
+    /** Whether the answer of a smaller model is dropped for one of the largest, before any of it was passed on. */
     private boolean isEscalated(UpstreamAnswer answer) {
         OptionalInt confidence = runtime.codec().confidence(answer.headers());
-        int largest = admission.route().sizes().size() - 1;
-        boolean possible = size.isPresent()
-                && sizeIndex < largest
-                && confidence.isPresent()
+        boolean possible = confidence.isPresent()
+                && models.hasLarger()
                 && admission.route().repeat().repeatable()
                 && !exchange.started()
                 && events.resumeAfter().isEmpty()
                 && mayFollow();
-        if (!possible) {
-            return false;
-        }
-        ModelSize next = admission.route().sizes().get(largest);
-        double pressure = runtime.pressure().of(admission.route().name(), System.nanoTime());
-        boolean worthIt = runtime.settings()
-                .escalation()
-                .pays(
-                        confidence.getAsInt(),
-                        next,
-                        head.tokens().prompt(),
-                        head.tokens().likelyOutput(),
-                        pressure);
-        exchange.record(
-                EventType.REQUEST_ESCALATED,
-                String.format(
-                        "model=%s confidence=%d pressure=%.2f prompt=%d output=%d escalated=%s",
-                        size.get().name(),
-                        confidence.getAsInt(),
-                        pressure,
-                        head.tokens().prompt(),
-                        head.tokens().likelyOutput(),
-                        worthIt));
-        if (worthIt && runtime.retries().tryRetry(service)) {
-            sizeIndex = largest;
-            return true;
+        boolean escalated = possible
+                && models.isLargerWorthIt(confidence.getAsInt())
+                && runtime.retries().tryRetry(service);
+        if (escalated) {
+            models.takeLargest();
         }
-        return false;
+        return escalated;
     }
 
     private static Future<Void> fail(UpstreamAnswer answer, FailureKind kind, String detail) {
@@ -336,7 +301,7 @@
 
     private VersionOutcomeKey outcomeKey(VirtualMachine upstream) {
         String work = admission.route().name()
-                + size.map(chosen -> " " + chosen.name()).orElse("");
+                + models.current().map(chosen -> " " + chosen.name()).orElse("");
         return new VersionOutcomeKey(service, upstream.version(), work);
     }
 
--- a/router/src/main/java/org/baobabcart/router/gateway/ServicePool.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ServicePool.java
@@ -31,7 +31,7 @@
             return others;
         }
         Pool chosen = onTarget ? target : others;
-        return hasMember(view, chosen) ? chosen : all;
+        return hasMember(view, chosen) && runtime.reach().mayServe(view, chosen) ? chosen : all;
     }
 
     private static boolean hasMember(TrafficView view, Pool pool) {
--- a/router/src/main/java/org/baobabcart/router/gateway/SessionPoint.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/SessionPoint.java
@@ -11,9 +11,17 @@
 final class SessionPoint {
     private SessionPoint() {}
 
-    /** The session's point, or a random one for a request without a session. */
-    static double of(Optional<String> session) {
-        return session.map(RendezvousHash::point)
+    /**
+     * The point of a request's session. Where it names none, the last part of its prompt stands for it: that part belongs to the
+     * request alone or to its session. A request without either gets a random one.
+     */
+    static double of(RequestHead head) {
+        Optional<String> lastPart = head.prefix().isEmpty()
+                ? Optional.empty()
+                : Optional.of(head.prefix().get(head.prefix().size() - 1).id());
+        return head.session()
+                .or(() -> lastPart)
+                .map(RendezvousHash::point)
                 .orElseGet(() -> ThreadLocalRandom.current().nextDouble());
     }
 }
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/gateway/SessionPointTest.java
@@ -0,0 +1,44 @@
+package org.baobabcart.router.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpMethod;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.baobabcart.model.request.PromptPart;
+import org.junit.jupiter.api.Test;
+
+class SessionPointTest {
+    @Test
+    void requestsOfOneSessionHaveOnePointAtEveryRouter() {
+        assertThat(point(Optional.empty(), "shared", "own"), is(point(Optional.empty(), "other", "own")));
+        assertThat(point(Optional.empty(), "shared", "own"), not(point(Optional.empty(), "shared", "another")));
+    }
+
+    @Test
+    void aNamedSessionGoesBeforeTheLastPartOfThePrompt() {
+        assertThat(point(Optional.of("s"), "a"), is(point(Optional.of("s"), "b")));
+    }
+
+    private static double point(Optional<String> session, String... parts) {
+        List<PromptPart> prefix =
+                List.of(parts).stream().map(part -> new PromptPart(part, 100)).toList();
+        return SessionPoint.of(new RequestHead(
+                "id",
+                HttpMethod.POST,
+                "a.example",
+                "/a",
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                RequestHead.Tokens.none(),
+                prefix,
+                session,
+                OptionalLong.empty(),
+                MultiMap.caseInsensitiveMultiMap()));
+    }
+}
