--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -223,6 +223,9 @@
         if (!now.route().allows(service)) {
             throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "the route has moved to another service");
         }
+        if (ServicePool.isWithdrawn(view, upstream)) {
+            throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "its version is withdrawn");
+        }
         ledger = ledger.withSend();
         attempts++;
         exchange.record(EventType.REQUEST_DISPATCHED, upstream.name());
--- a/router/src/main/java/org/baobabcart/router/gateway/ServicePool.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ServicePool.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.baobabcart.model.gateway.VersionOrder;
+import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.policy.version.FollowedOrder;
 import org.baobabcart.router.upstream.Pool;
 import org.baobabcart.router.view.TrafficView;
@@ -34,6 +35,15 @@
         return hasMember(view, chosen) && runtime.reach().mayServe(view, chosen) ? chosen : all;
     }
 
+    /** Whether the upstream's version was stopped, which may have happened while a request waited for it. */
+    static boolean isWithdrawn(TrafficView view, VirtualMachine upstream) {
+        return view.versionOrder(upstream.service())
+                .map(FollowedOrder::order)
+                .filter(order -> order.state() == VersionOrder.State.WITHDRAWN)
+                .filter(order -> order.target().equals(upstream.version()))
+                .isPresent();
+    }
+
     private static boolean hasMember(TrafficView view, Pool pool) {
         return view.upstreams().stream().anyMatch(pool::includes);
     }
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectFollower.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectFollower.java
@@ -37,7 +37,7 @@
     private long round;
     private long regainedNanos;
     private int failures;
-    private boolean known;
+    private volatile boolean known;
     private boolean stopped;
 
     /**
@@ -80,7 +80,7 @@
         endRound();
     }
 
-    /** Whether a snapshot was read. */
+    /** Whether a snapshot was read and told to the listener. Any thread may call this. */
     public boolean isKnown() {
         return known;
     }
@@ -109,8 +109,9 @@
             }
         });
         version = snapshot.resourceVersion();
-        known = true;
         publish();
+        // Only now, so that whoever asks finds what was read already published.
+        known = true;
         watch();
     }
 
--- a/router/src/test/java/org/baobabcart/router/platform/ObjectFollowerTest.java
+++ b/router/src/test/java/org/baobabcart/router/platform/ObjectFollowerTest.java
@@ -23,11 +23,12 @@
     private final InMemoryObjectStore store = InMemoryObjectStore.create();
     private final ManualTimerService timers = ManualTimerService.create();
     private Map<String, StoredObject> seen = Map.of();
+    private boolean knownBeforeTold;
     private final ObjectFollower follower = ObjectFollower.create(
             KIND,
             new ObjectFollower.Parts(store, Runnable::run, timers, new Random(SEED)),
             FollowerSettings.defaults().withReturnGrace(GRACE),
-            objects -> seen = objects);
+            this::told);
 
     @Test
     void aSnapshotAndTheChangesAfterItAreFollowed() {
@@ -107,6 +108,20 @@
         assertThat(names(), containsInAnyOrder("a"));
     }
 
+    /** A router that says that it is ready must already have published its upstreams. */
+    @Test
+    void whatIsKnownHasBeenTold() {
+        create("a");
+        follower.start();
+        assertThat(knownBeforeTold, is(false));
+        assertThat(follower.isKnown(), is(true));
+    }
+
+    private void told(Map<String, StoredObject> objects) {
+        knownBeforeTold |= seen.isEmpty() && follower.isKnown();
+        seen = objects;
+    }
+
     private Set<String> names() {
         return seen.keySet();
     }
