--- a/policy/src/main/java/org/baobabcart/policy/version/VersionEvidence.java
+++ b/policy/src/main/java/org/baobabcart/policy/version/VersionEvidence.java
@@ -56,12 +56,6 @@
         counts.keySet().removeIf(key -> key.service().equals(service));
     }
 
-    /** The answers of a version of a service. */
-    public synchronized long answers(String service, String version) {
-        return sum(key -> key.service().equals(service) && key.version().equals(version))
-                .answers();
-    }
-
     /** Why the target of an order is bad; empty where it is not known to be. */
     public synchronized Optional<String> fault(String service, String target) {
         Optional<String> overall = failing(
--- a/router/src/main/java/org/baobabcart/router/gateway/ServicePool.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ServicePool.java
@@ -25,8 +25,7 @@
         VersionOrder order = followed.get().order();
         Pool target = all.withVersion(order.target());
         Pool others = all.withoutVersion(order.target());
-        long answers = runtime.evidence().answers(service, order.target());
-        double share = runtime.settings().move().share(followed.get(), answers, System.nanoTime());
+        double share = runtime.settings().move().share(followed.get(), System.nanoTime());
         boolean onTarget = point < share;
         if (order.state() == VersionOrder.State.WITHDRAWN) {
             return others;
