--- a/model/src/main/java/org/baobabcart/model/gateway/RouteTable.java
+++ b/model/src/main/java/org/baobabcart/model/gateway/RouteTable.java
@@ -75,11 +75,6 @@
         return Optional.ofNullable(services.get(name));
     }
 
-    /** The names of all services. */
-    public List<String> serviceNames() {
-        return List.copyOf(services.keySet());
-    }
-
     /** Whether requests need a key unless their route is anonymous. */
     public boolean keysRequired() {
         return keysRequired;
--- a/router/src/main/java/org/baobabcart/router/gateway/EventRelay.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/EventRelay.java
@@ -20,7 +20,6 @@
     private final GatewayExchange exchange;
     private final OptionalLong askedAfter;
     private OptionalLong lastPassed = OptionalLong.empty();
-    private long passed;
 
     private EventRelay(GatewayExchange exchange, OptionalLong askedAfter) {
         this.exchange = exchange;
@@ -41,11 +40,6 @@
         return lastPassed.isPresent() ? lastPassed : askedAfter;
     }
 
-    /** The number of events passed on. */
-    long passed() {
-        return passed;
-    }
-
     /** Passes on the events of an attempt; completes when the stream is whole, and fails where it breaks off. */
     Future<Void> run(UpstreamAnswer answer, MultiMap headers) {
         EventReader reader = EventReader.create(event -> pass(answer, headers, event));
@@ -54,7 +48,7 @@
                 return Future.failedFuture(
                         AttemptException.of(FailureKind.INCOMPLETE, answer.upstream(), "the last event is not whole"));
             }
-            if (passed == 0 && !exchange.started()) {
+            if (!exchange.started()) {
                 exchange.beginChunked(answer.status(), headers);
             }
             exchange.end();
@@ -74,7 +68,6 @@
         if (id.isPresent()) {
             lastPassed = id;
         }
-        passed++;
         if (!exchange.write(event)) {
             answer.pause();
             exchange.whenWritable(answer::resume);
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -61,9 +61,8 @@
     private final MetricRegistry metrics;
     private final Drain drain = new Drain();
     private final ViewPublisher views = ViewPublisher.create(blackboard);
+    private final GatewayRuntime runtime;
     private final GatewayServer server;
-    private UpstreamClient client;
-    private Reach reach;
     private Map<String, Long> incarnations = Map.of();
     private final UpstreamController upstreams;
     private final List<Controller> controllers;
@@ -76,7 +75,7 @@
         Timeline timeline = parts.timeline();
         ObjectStore store = PlatformHealth.observing(parts.store(), blackboard, loop, timeline);
         VersionEvidence evidence = VersionEvidence.create();
-        GatewayRuntime runtime = runtime(evidence);
+        this.runtime = runtime(evidence);
         this.server = GatewayServer.create(runtime, drain);
         ObjectFollower.Parts following = new ObjectFollower.Parts(store, loop, timers, RandomGenerator.getDefault());
         this.upstreams = UpstreamController.create(parts.objects(), following, blackboard, timeline);
@@ -101,7 +100,7 @@
     private GatewayRuntime runtime(VersionEvidence evidence) {
         Vertx vertx = parts.vertx();
         GatewaySettings settings = parts.settings();
-        client = UpstreamClient.create(
+        UpstreamClient client = UpstreamClient.create(
                 vertx,
                 UpstreamClientSettings.of(settings.connectTimeout(), Transport.plain())
                         .withRules(parts.codec().answerRules())
@@ -112,7 +111,6 @@
                 new DispatcherSettings(settings.name(), settings.dataCentre(), settings.queue()).withAffinityAcross(),
                 views,
                 health);
-        reach = Reach.of(health);
         BufferBudget buffers = BufferBudget.of(settings.bufferedBytes());
         metrics.gauge("gateway.running", () -> drain::running);
         metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
@@ -125,7 +123,7 @@
                 dispatcher,
                 client,
                 health,
-                reach,
+                Reach.of(health),
                 ServiceRetries.create(settings.retries()),
                 evidence,
                 AnswerPressure.create(),
@@ -139,7 +137,7 @@
         GatewayPorts ports = parts.ports();
         loop.execute(() -> {
             blackboard.subscribe(Sections.VIRTUAL_MACHINES, this::keepConnections);
-            blackboard.subscribe(Sections.PLATFORM_REACHABLE, reach::setPlatformReachable);
+            blackboard.subscribe(Sections.PLATFORM_REACHABLE, runtime.reach()::setPlatformReachable);
             controllers.forEach(Controller::start);
         });
         parts.timeline()
@@ -154,12 +152,12 @@
         Map<String, Long> now = machines.stream()
                 .collect(
                         Collectors.toMap(VirtualMachine::name, VirtualMachine::incarnation, (first, second) -> second));
-        client.keepOnly(now.keySet());
+        runtime.upstreams().keepOnly(now.keySet());
         now.forEach((name, incarnation) -> {
             Long before = incarnations.get(name);
             if (before != null && !before.equals(incarnation)) {
                 parts.timeline().record(EventType.UPSTREAM_CHANGED, name + " started anew");
-                client.restarted(name);
+                runtime.upstreams().restarted(name);
             }
         });
         incarnations = now;
@@ -226,6 +224,9 @@
     /** A router takes requests once it has a table of routes and the list of upstreams, until it stops or is cut off. */
     private boolean isReady() {
         TrafficView view = views.current();
-        return !drain.isDraining() && view.routes().isPresent() && upstreams.isKnown() && !reach.isCutOff(view);
+        return !drain.isDraining()
+                && view.routes().isPresent()
+                && upstreams.isKnown()
+                && !runtime.reach().isCutOff(view);
     }
 }
