One loop of attempts and one exchange for both interfaces

A fix to one (lingering close, the last check before the first byte, what an ended attempt may be said to have done) had to be made twice, and twice it was not.

Ruled out: one request type for both. The own interface reads bodies and keeps answers until they are rated, the other passes opaque bytes; a common type would have carried the fields of both. What they share is what may follow a failed attempt.

Change: router/exchange/CallerExchange with an ErrorForm for each interface; router/attempt/AttemptLoop with an AttemptSource for each (PlannedAttempts, GatewayRun). The loop keeps the ledger, the gate before the first byte, slots, the judgement of upstreams and the blame for crashes. Both interfaces now record ATTEMPT_FAILED for each failed attempt and REQUEST_RETRIED only for one that is sent again, and the refusal's code, time to come back and cause.

Conclusion: the next change to attempts is made once.

--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -0,0 +1,235 @@
+package org.baobabcart.router.attempt;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.Optional;
+import org.baobabcart.model.gateway.RepeatRule;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.request.Headers;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.Ran;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.attempt.AttemptLedger;
+import org.baobabcart.policy.crash.CrashCounts;
+import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.router.exchange.CallerExchange;
+import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.upstream.AttemptException;
+import org.baobabcart.router.upstream.Slot;
+import org.baobabcart.router.upstream.UpstreamAnswer;
+import org.baobabcart.router.view.TrafficView;
+
+/**
+ * Makes attempts, one after the other, until one succeeds or none is allowed any more. Confined to the event loop of the
+ * caller's connection.
+ *
+ * <p>The state of control is looked up when an attempt is queued, and again right before its first byte leaves. From there on
+ * the {@link AttemptLedger} holds that the attempt may have run, until its upstream says that it has not.
+ *
+ * @param <T> what an answer is turned into
+ */
+public final class AttemptLoop<T> {
+    private final AttemptParts parts;
+    private final CallerExchange exchange;
+    private final AttemptSource<T> source;
+    private final boolean ranBefore;
+    private final Promise<T> result = Promise.promise();
+    private Attempts attempts;
+
+    private AttemptLoop(AttemptParts parts, CallerExchange exchange, AttemptSource<T> source, RepeatRule repeat) {
+        this.parts = parts;
+        this.exchange = exchange;
+        this.source = source;
+        this.ranBefore = exchange.mayHaveRun();
+        this.attempts = Attempts.none(repeat);
+    }
+
+    /** A loop of which nothing has been sent. */
+    public static <T> AttemptLoop<T> create(
+            AttemptParts parts, CallerExchange exchange, AttemptSource<T> source, RepeatRule repeat) {
+        return new AttemptLoop<>(parts, exchange, source, repeat);
+    }
+
+    /** The attempts so far. */
+    public Attempts attempts() {
+        return attempts;
+    }
+
+    /** The result of the first attempt that succeeds, or a {@link BaobabcartException}. */
+    public Future<T> run() {
+        attempt();
+        return result.future();
+    }
+
+    private void attempt() {
+        if (isQuarantined(parts.views().current())) {
+            giveUp(BaobabcartException.of(ResultCode.REQUEST_QUARANTINED));
+            return;
+        }
+        Future<CrashGuard.Pass> entered = source.fingerprint()
+                .map(parts.crashes()::enter)
+                .orElseGet(() -> Future.succeededFuture(CrashGuard.unguarded()));
+        entered.onSuccess(this::queue).onFailure(this::giveUp);
+    }
+
+    private void queue(CrashGuard.Pass pass) {
+        try {
+            parts.dispatcher()
+                    .acquire(source.work(attempts), exchange.abandoned())
+                    .onSuccess(slot -> send(slot, pass))
+                    .onFailure(failure -> {
+                        pass.ended();
+                        giveUp(failure);
+                    });
+        } catch (BaobabcartException refusal) {
+            pass.ended();
+            giveUp(refusal);
+        }
+    }
+
+    private void send(Slot slot, CrashGuard.Pass pass) {
+        attempts = attempts.withTry();
+        long begun = System.nanoTime();
+        VirtualMachine upstream = slot.upstream();
+        parts.upstreams()
+                .send(upstream, source.request(upstream), () -> passGate(upstream), source.abandoned())
+                .compose(answer -> {
+                    long nanos = System.nanoTime() - begun;
+                    slot.observe(nanos, Optional.ofNullable(answer.headers().get(Headers.LOAD)));
+                    answer.onFirstPart(pass::answered);
+                    source.answerBegan(upstream, nanos);
+                    return consume(upstream, answer);
+                })
+                .onSuccess(whole -> {
+                    slot.finished(System.nanoTime() - begun);
+                    slot.release(Optional.empty());
+                    pass.ended();
+                    source.succeeded(upstream);
+                    result.complete(whole);
+                })
+                .onFailure(failure -> failed(slot, pass, failure));
+    }
+
+    private Future<T> consume(VirtualMachine upstream, UpstreamAnswer answer) {
+        exchange.record(EventType.UPSTREAM_ANSWERED, upstream.name() + " status=" + answer.status());
+        return source.consume(upstream, answer);
+    }
+
+    /** The last check before the first byte; throws where nothing may be sent. */
+    private void passGate(VirtualMachine upstream) {
+        if (source.abandoned().isComplete()) {
+            throw source.abandoned().result();
+        }
+        if (exchange.isEnded() || source.deadlineNanos() - System.nanoTime() <= 0) {
+            throw BaobabcartException.of(ResultCode.DEADLINE_UNREACHABLE);
+        }
+        TrafficView view = parts.views().current();
+        if (!view.upstreams().contains(upstream)) {
+            throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "leaving");
+        }
+        if (isQuarantined(view)) {
+            throw BaobabcartException.of(ResultCode.REQUEST_QUARANTINED);
+        }
+        source.check(view, upstream);
+        note(attempts.withSend());
+        exchange.record(
+                EventType.REQUEST_DISPATCHED,
+                upstream.name() + " attempt=" + attempts.ledger().sent());
+    }
+
+    private boolean isQuarantined(TrafficView view) {
+        return source.fingerprint()
+                .filter(fingerprint -> parts.crashes().isQuarantined(view, fingerprint))
+                .isPresent();
+    }
+
+    private void note(Attempts now) {
+        attempts = now;
+        exchange.setMayHaveRun(ranBefore || now.ledger().mayHaveRun());
+    }
+
+    private void failed(Slot slot, CrashGuard.Pass pass, Throwable cause) {
+        boolean useless = source.abandoned().isComplete();
+        if (!(cause instanceof AttemptException failure)) {
+            slot.release(Optional.empty());
+            pass.ended();
+            giveUp(cause);
+            return;
+        }
+        boolean sent = attempts.ledger().open() > 0;
+        note(attempts.withEnd(failure.kind().ran()));
+        if (useless) {
+            slot.release(Optional.empty());
+            pass.ended();
+            giveUp(failure.toResult());
+            return;
+        }
+        if (sent && failure.kind().ran() == Ran.NO) {
+            source.notRun();
+        }
+        exchange.record(EventType.ATTEMPT_FAILED, failure.getMessage());
+        if (failure.kind() == FailureKind.ESCALATED) {
+            slot.release(Optional.empty());
+            pass.ended();
+            attempt();
+            return;
+        }
+        attempts = attempts.withFailedUpstream(slot.upstream().name());
+        source.failed(slot.upstream(), failure.kind());
+        Future<Void> concluded = conclude(slot.upstream(), failure.kind());
+        slot.release(Optional.of(failure.kind()));
+        concluded.onComplete(ignored -> {
+            pass.ended();
+            retry(failure);
+        });
+    }
+
+    private void retry(AttemptException failure) {
+        boolean allowed = !exchange.isEnded()
+                && failure.kind() != FailureKind.DEADLINE
+                && attempts.ledger().maySend()
+                && source.mayRetry(failure, attempts);
+        if (!allowed) {
+            giveUp(failure.toResult());
+            return;
+        }
+        exchange.record(EventType.REQUEST_RETRIED, "after=" + failure.kind() + " tried=" + attempts.failedUpstreams());
+        attempt();
+    }
+
+    /** Draws the conclusions for other requests; waits only where it has to be known who broke an upstream. */
+    private Future<Void> conclude(VirtualMachine upstream, FailureKind kind) {
+        switch (kind) {
+            case NOT_CONNECTED -> {
+                parts.health().markDown(upstream);
+                source.judged(upstream, false);
+            }
+            case NOT_RUN -> parts.health().markResting(upstream);
+            case SILENT, BROKEN -> {
+                Future<Boolean> judged = judge(upstream);
+                if (kind == FailureKind.BROKEN && source.fingerprint().isPresent()) {
+                    judged.onSuccess(alive -> blame(upstream, alive));
+                    boolean retryPossible = attempts.ledger().maySend() && !exchange.started();
+                    return retryPossible ? judged.mapEmpty() : Future.succeededFuture();
+                }
+            }
+            default -> {}
+        }
+        return Future.succeededFuture();
+    }
+
+    /** Gives up the connections of the upstream, and asks on a new one whether its host is there. */
+    private Future<Boolean> judge(VirtualMachine upstream) {
+        parts.upstreams().renewConnections(upstream.name());
+        return parts.health().judge(upstream).onSuccess(alive -> source.judged(upstream, alive));
+    }
+
+    private void blame(VirtualMachine upstream, boolean alive) {
+        int weight = alive ? CrashCounts.BROKEN_CONNECTION : CrashCounts.LOST_UPSTREAM;
+        source.fingerprint().ifPresent(fingerprint -> parts.crashes().crashed(upstream.name(), fingerprint, weight));
+    }
+
+    private void giveUp(Throwable cause) {
+        result.tryFail(cause instanceof AttemptException failure ? failure.toResult() : cause);
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/traffic/CrashGuard.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/CrashGuard.java
@@ -1,4 +1,4 @@
-package org.baobabcart.router.traffic;
+package org.baobabcart.router.attempt;
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import org.baobabcart.policy.crash.CrashCounts;
+import org.baobabcart.router.view.TrafficFeedback;
 import org.baobabcart.router.view.TrafficView;
 
 /**
@@ -23,11 +24,12 @@
  * first byte, so that the next crash is blamed on one request and not on all that shared the upstream. This router's own
  * counts act at once, beside those of the fleet, which come with the view.
  */
-final class CrashGuard {
+public final class CrashGuard {
     private static final String SELF = "";
     private static final int PROVEN_LIMIT = 16 * 1024;
 
     private final Vertx vertx;
+    private final TrafficFeedback feedback;
     private final Map<String, Boolean> proven = new LinkedHashMap<>();
     private final Map<String, Integer> unproven = new HashMap<>();
     private final Deque<Waiter> waiting = new ArrayDeque<>();
@@ -35,7 +37,7 @@
     private boolean suspectRuns;
 
     /** The permission to run one attempt. */
-    interface Pass {
+    public interface Pass {
         /** Tells that the upstream has begun to answer. */
         void answered();
 
@@ -45,16 +47,22 @@
 
     private record Waiter(String fingerprint, Context context, Promise<Pass> promise) {}
 
-    private CrashGuard(Vertx vertx) {
+    private CrashGuard(Vertx vertx, TrafficFeedback feedback) {
         this.vertx = vertx;
+        this.feedback = feedback;
     }
 
-    static CrashGuard create(Vertx vertx) {
-        return new CrashGuard(vertx);
+    /**
+     * A guard that has seen no crash.
+     *
+     * @param feedback tells the control thread of crashes
+     */
+    public static CrashGuard create(Vertx vertx, TrafficFeedback feedback) {
+        return new CrashGuard(vertx, feedback);
     }
 
     /** A pass for work that is not guarded. */
-    static Pass unguarded() {
+    public static Pass unguarded() {
         return new Pass() {
             @Override
             public void answered() {}
@@ -65,7 +73,7 @@
     }
 
     /** Completes on the calling event loop when an attempt of the request may run. */
-    Future<Pass> enter(String fingerprint) {
+    public Future<Pass> enter(String fingerprint) {
         Waiter waiter = new Waiter(fingerprint, vertx.getOrCreateContext(), Promise.promise());
         synchronized (this) {
             if (proven.containsKey(fingerprint) || mayRun(fingerprint)) {
@@ -76,12 +84,19 @@
         return waiter.promise.future();
     }
 
-    synchronized void crashed(String fingerprint, int weight) {
-        counts = counts.withCrash(fingerprint, SELF, weight);
-        proven.remove(fingerprint);
+    /** Counts the crash of an upstream while it ran a request. */
+    public void crashed(String upstream, String fingerprint, int weight) {
+        synchronized (this) {
+            counts = counts.withCrash(fingerprint, SELF, weight);
+            proven.remove(fingerprint);
+        }
+        for (int unit = 0; unit < weight; unit++) {
+            feedback.crashed(upstream, fingerprint);
+        }
     }
 
-    synchronized boolean isQuarantined(TrafficView view, String fingerprint) {
+    /** Whether the request has crashed upstreams so often that none gets it any more. */
+    public synchronized boolean isQuarantined(TrafficView view, String fingerprint) {
         return view.quarantined().contains(fingerprint) || counts.total(fingerprint) >= CrashCounts.BOUND;
     }
 
--- a/router/src/main/java/org/baobabcart/router/exchange/Refusal.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/Refusal.java
@@ -20,7 +20,6 @@
  */
 public record Refusal(ResultCode code, String message, Ran ran, OptionalLong retryAfterMillis) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final Duration RETRY_AFTER_DEFAULT = Duration.ofSeconds(1);
     private static final long MILLIS_PER_SECOND = 1000;
 
     /**
@@ -28,15 +27,16 @@
      * refused together do not return together.
      *
      * @param mayHaveRun whether any byte of the request was sent to an upstream
+     * @param usualRetryAfter about when to come back where the failure passes but names no time
      */
-    public static Refusal of(Throwable failure, boolean mayHaveRun) {
+    public static Refusal of(Throwable failure, boolean mayHaveRun, Duration usualRetryAfter) {
         BaobabcartException exception = failure instanceof BaobabcartException known
                 ? known
                 : BaobabcartException.of(ResultCode.INTERNAL).withCause(failure);
         Ran ran = mayHaveRun ? Ran.UNKNOWN : exception.ran();
         String detail = exception.detail();
         String message = exception.code().summary() + (detail.isEmpty() ? "" : ": " + detail);
-        return new Refusal(exception.code(), message, ran, retryAfter(exception));
+        return new Refusal(exception.code(), message, ran, retryAfter(exception, usualRetryAfter));
     }
 
     /** The JSON text {@code {"error": {...}}}. */
@@ -60,18 +60,18 @@
         return OptionalLong.of((retryAfterMillis.getAsLong() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
     }
 
-    private static OptionalLong retryAfter(BaobabcartException exception) {
+    private static OptionalLong retryAfter(BaobabcartException exception, Duration usual) {
         boolean helps = exception.retryAfter().isPresent() || isPassing(exception.code());
         if (!helps) {
             return OptionalLong.empty();
         }
-        Duration wait = exception.retryAfter().orElseGet(Refusal::spreadDefault);
+        Duration wait = exception.retryAfter().orElseGet(() -> spread(usual));
         return OptionalLong.of(Math.max(1, wait.toMillis()));
     }
 
-    private static Duration spreadDefault() {
+    private static Duration spread(Duration usual) {
         double spread = ThreadLocalRandom.current().nextDouble(0.5, 1.5);
-        return Duration.ofMillis(Math.round(RETRY_AFTER_DEFAULT.toMillis() * spread));
+        return Duration.ofMillis(Math.round(usual.toMillis() * spread));
     }
 
     private static boolean isPassing(ResultCode code) {
--- a/router/src/main/java/org/baobabcart/router/gateway/AnswerRelay.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/AnswerRelay.java
@@ -4,6 +4,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
+import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.upstream.UpstreamAnswer;
 
 /**
@@ -13,13 +14,13 @@
  */
 final class AnswerRelay {
     private final GatewayRuntime runtime;
-    private final GatewayExchange exchange;
+    private final CallerExchange exchange;
     private final UpstreamAnswer answer;
     private final MultiMap headers;
     private final Buffer collected = Buffer.buffer();
     private boolean passing;
 
-    private AnswerRelay(GatewayRuntime runtime, GatewayExchange exchange, UpstreamAnswer answer, MultiMap headers) {
+    private AnswerRelay(GatewayRuntime runtime, CallerExchange exchange, UpstreamAnswer answer, MultiMap headers) {
         this.runtime = runtime;
         this.exchange = exchange;
         this.answer = answer;
@@ -27,7 +28,7 @@
     }
 
     static AnswerRelay create(
-            GatewayRuntime runtime, GatewayExchange exchange, UpstreamAnswer answer, MultiMap headers) {
+            GatewayRuntime runtime, CallerExchange exchange, UpstreamAnswer answer, MultiMap headers) {
         return new AnswerRelay(runtime, exchange, answer, headers);
     }
 
@@ -56,7 +57,8 @@
     }
 
     private void write(Buffer part) {
-        if (!exchange.write(part)) {
+        exchange.write(part);
+        if (!exchange.isWritable()) {
             answer.pause();
             exchange.whenWritable(answer::resume);
         }
--- a/router/src/main/java/org/baobabcart/router/gateway/EventRelay.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/EventRelay.java
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.OptionalLong;
 import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.EventReader;
 import org.baobabcart.router.upstream.UpstreamAnswer;
@@ -17,11 +18,11 @@
  * upstream keeps the head of the first; events that the caller has are not passed on again.
  */
 final class EventRelay {
-    private final GatewayExchange exchange;
+    private final CallerExchange exchange;
     private final OptionalLong askedAfter;
     private OptionalLong lastPassed = OptionalLong.empty();
 
-    private EventRelay(GatewayExchange exchange, OptionalLong askedAfter) {
+    private EventRelay(CallerExchange exchange, OptionalLong askedAfter) {
         this.exchange = exchange;
         this.askedAfter = askedAfter;
     }
@@ -31,7 +32,7 @@
      *
      * @param askedAfter the last event that the caller has from an earlier request of its own
      */
-    static EventRelay create(GatewayExchange exchange, OptionalLong askedAfter) {
+    static EventRelay create(CallerExchange exchange, OptionalLong askedAfter) {
         return new EventRelay(exchange, askedAfter);
     }
 
@@ -68,7 +69,8 @@
         if (id.isPresent()) {
             lastPassed = id;
         }
-        if (!exchange.write(event)) {
+        exchange.write(event);
+        if (!exchange.isWritable()) {
             answer.pause();
             exchange.whenWritable(answer::resume);
         }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -19,6 +19,8 @@
 import org.baobabcart.policy.cascade.AnswerPressure;
 import org.baobabcart.policy.version.VersionEvidence;
 import org.baobabcart.router.admin.PrometheusText;
+import org.baobabcart.router.attempt.AttemptParts;
+import org.baobabcart.router.attempt.CrashGuard;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.ControlLoop;
 import org.baobabcart.router.control.Controller;
@@ -27,6 +29,7 @@
 import org.baobabcart.router.control.SystemTimerService;
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.exchange.Drain;
+import org.baobabcart.router.exchange.ExchangeParts;
 import org.baobabcart.router.platform.ObjectFollower;
 import org.baobabcart.router.platform.ObjectStore;
 import org.baobabcart.router.platform.PlatformHealth;
@@ -38,6 +41,7 @@
 import org.baobabcart.router.upstream.UpstreamClient;
 import org.baobabcart.router.upstream.UpstreamClientSettings;
 import org.baobabcart.router.upstream.UpstreamHealth;
+import org.baobabcart.router.view.TrafficFeedback;
 import org.baobabcart.router.view.TrafficView;
 import org.baobabcart.router.view.ViewPublisher;
 
@@ -115,21 +119,19 @@
         metrics.gauge("gateway.running", () -> drain::running);
         metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
         metrics.gauge("gateway.buffered-bytes", () -> buffers::used);
+        CrashGuard crashes = CrashGuard.create(vertx, TrafficFeedback.none());
         return new GatewayRuntime(
                 vertx,
                 settings,
                 parts.codec(),
-                views,
-                dispatcher,
-                client,
-                health,
+                new ExchangeParts(
+                        vertx, parts.timeline(), metrics, GatewayErrorForm.of(parts.codec()), settings.callerStall()),
+                new AttemptParts(views, dispatcher, client, health, crashes),
                 Reach.of(health),
                 ServiceRetries.create(settings.retries()),
                 evidence,
                 AnswerPressure.create(),
-                buffers,
-                parts.timeline(),
-                metrics);
+                buffers);
     }
 
     /** Opens the ports and starts the controllers. */
@@ -152,12 +154,12 @@
         Map<String, Long> now = machines.stream()
                 .collect(
                         Collectors.toMap(VirtualMachine::name, VirtualMachine::incarnation, (first, second) -> second));
-        runtime.upstreams().keepOnly(now.keySet());
+        runtime.attempts().upstreams().keepOnly(now.keySet());
         now.forEach((name, incarnation) -> {
             Long before = incarnations.get(name);
             if (before != null && !before.equals(incarnation)) {
                 parts.timeline().record(EventType.UPSTREAM_CHANGED, name + " started anew");
-                runtime.upstreams().restarted(name);
+                runtime.attempts().upstreams().restarted(name);
             }
         });
         incarnations = now;
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -1,6 +1,5 @@
 package org.baobabcart.router.gateway;
 
-import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -15,6 +14,7 @@
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.exchange.BodyReader;
+import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.exchange.ConnectionGuard;
 import org.baobabcart.router.exchange.Drain;
 import org.baobabcart.router.timeline.EventType;
@@ -27,7 +27,6 @@
  * drops that length, and what follows the last chunk could be taken for a request that the caller never made.
  */
 final class GatewayServer {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int REQUEST_LINE_BYTES = 8 * 1024;
     /** The parser's own bound, above any that an operator sets; the operator's is checked after it. */
     private static final int PARSER_HEADER_BYTES = 64 * 1024;
@@ -85,7 +84,12 @@
     }
 
     private CallerLimits limits() {
-        return runtime.views().current().routes().map(RouteTable::limits).orElse(DEFAULT_LIMITS);
+        return runtime.attempts()
+                .views()
+                .current()
+                .routes()
+                .map(RouteTable::limits)
+                .orElse(DEFAULT_LIMITS);
     }
 
     private void handle(HttpServerRequest request) {
@@ -99,15 +103,12 @@
         if (chunked) {
             guard.markSpent(request.connection());
         }
-        GatewayExchange exchange =
-                GatewayExchange.create(runtime, request, () -> chunked || drain.isDraining(), () -> ended(request));
+        CallerExchange exchange = CallerExchange.create(
+                runtime.exchanges(), request, () -> chunked || drain.isDraining(), () -> ended(request));
         try {
             begin(exchange, request);
-        } catch (BaobabcartException refusal) {
-            exchange.refuseUnread(refusal);
         } catch (RuntimeException failure) {
-            LOGGER.atSevere().withCause(failure).log("event=request_failed request=%s", exchange.requestId());
-            exchange.refuseUnread(BaobabcartException.of(ResultCode.INTERNAL).withCause(failure));
+            exchange.refuseUnread(failure);
         }
     }
 
@@ -116,7 +117,7 @@
         guard.requestEnded(request.connection());
     }
 
-    private void begin(GatewayExchange exchange, HttpServerRequest request) {
+    private void begin(CallerExchange exchange, HttpServerRequest request) {
         checkHead(request);
         RequestHead head = runtime.codec().decode(request);
         exchange.identify(head.id());
@@ -124,7 +125,7 @@
         if (refusing) {
             throw BaobabcartException.of(ResultCode.STOPPING);
         }
-        Admission admission = Admission.of(runtime.views().current(), head);
+        Admission admission = Admission.of(runtime.attempts().views().current(), head);
         Duration timeout = admission.route().timeout();
         Duration wait =
                 head.deadline().filter(own -> own.compareTo(timeout) < 0).orElse(timeout);
@@ -136,10 +137,10 @@
         }
         BodyReader.read(runtime.vertx(), request, limit, wait)
                 .onSuccess(body -> run(exchange, head, body, deadlineNanos))
-                .onFailure(failure -> exchange.refuseUnread(refusal(failure)));
+                .onFailure(exchange::refuseUnread);
     }
 
-    private void run(GatewayExchange exchange, RequestHead head, Buffer body, long deadlineNanos) {
+    private void run(CallerExchange exchange, RequestHead head, Buffer body, long deadlineNanos) {
         if (exchange.isEnded()) {
             return;
         }
@@ -149,7 +150,7 @@
         }
         exchange.whenEnded(() -> runtime.buffers().giveBack(body.length()));
         try {
-            Admission admission = Admission.of(runtime.views().current(), head);
+            Admission admission = Admission.of(runtime.attempts().views().current(), head);
             GatewayRun.create(runtime, exchange, head, admission, body, deadlineNanos)
                     .start();
         } catch (BaobabcartException refusal) {
@@ -157,12 +158,6 @@
         }
     }
 
-    private static BaobabcartException refusal(Throwable failure) {
-        return failure instanceof BaobabcartException exception
-                ? exception
-                : BaobabcartException.of(ResultCode.INTERNAL).withCause(failure);
-    }
-
     private void checkHead(HttpServerRequest request) {
         String encoding = request.getHeader(HttpHeaders.TRANSFER_ENCODING);
         if (encoding != null && !CHUNKED.equalsIgnoreCase(encoding.strip())) {
--- a/router/src/main/java/org/baobabcart/router/gateway/ModelSteps.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ModelSteps.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.baobabcart.model.gateway.ModelSize;
 import org.baobabcart.model.gateway.Route;
+import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.timeline.EventType;
 
 /**
@@ -12,19 +13,19 @@
  */
 final class ModelSteps {
     private final GatewayRuntime runtime;
-    private final GatewayExchange exchange;
+    private final CallerExchange exchange;
     private final RequestHead head;
     private Route route;
     private boolean onLargest;
 
-    private ModelSteps(GatewayRuntime runtime, GatewayExchange exchange, RequestHead head, Route route) {
+    private ModelSteps(GatewayRuntime runtime, CallerExchange exchange, RequestHead head, Route route) {
         this.runtime = runtime;
         this.exchange = exchange;
         this.head = head;
         this.route = route;
     }
 
-    static ModelSteps create(GatewayRuntime runtime, GatewayExchange exchange, RequestHead head, Route route) {
+    static ModelSteps create(GatewayRuntime runtime, CallerExchange exchange, RequestHead head, Route route) {
         return new ModelSteps(runtime, exchange, head, route);
     }
 
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -11,9 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import org.baobabcart.policy.admission.AdmissionQueue;
 import org.baobabcart.policy.cascade.CascadeSettings;
+import org.baobabcart.router.attempt.AttemptParts;
+import org.baobabcart.router.attempt.CrashGuard;
 import org.baobabcart.router.cascade.CascadeChooser;
 import org.baobabcart.router.control.Futures;
 import org.baobabcart.router.exchange.Drain;
+import org.baobabcart.router.exchange.ExchangeParts;
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.DispatcherSettings;
 import org.baobabcart.router.upstream.UpstreamClient;
@@ -51,13 +54,17 @@
                         settings.limits().queued(), settings.limits().queuedPerWorkspace()));
         Dispatcher dispatcher = Dispatcher.create(vertx, dispatching, parts.views(), health);
         TrafficRuntime.Guards guards = new TrafficRuntime.Guards(
-                RetryGuard.create(settings.limits().attempts()),
-                CrashGuard.create(vertx),
-                new Drain(),
-                Evidence.create(parts));
+                RetryGuard.create(settings.limits().attempts()), new Drain(), Evidence.create(parts));
+        AttemptParts attempts = new AttemptParts(
+                parts.views(), dispatcher, upstreams, health, CrashGuard.create(vertx, parts.feedback()));
+        ExchangeParts exchanges = new ExchangeParts(
+                vertx,
+                parts.timeline(),
+                parts.metrics(),
+                new OwnErrorForm(),
+                settings.timeouts().callerStall());
         CascadeChooser cascades = CascadeChooser.create(CascadeSettings.defaults(), System::nanoTime);
-        TrafficRuntime runtime =
-                new TrafficRuntime(vertx, parts, settings, dispatcher, upstreams, health, guards, cascades);
+        TrafficRuntime runtime = new TrafficRuntime(vertx, parts, settings, exchanges, attempts, guards, cascades);
         parts.metrics().gauge("caller.running", () -> () -> guards.drain().running());
         parts.metrics().gauge("dispatcher.waiting", () -> dispatcher::waiting);
         return new CallerApi(vertx, runtime);
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
-import io.vertx.core.Handler;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -14,10 +13,14 @@
 import io.vertx.ext.web.RoutingContext;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import org.baobabcart.model.request.Headers;
+import org.baobabcart.model.request.RequestIds;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.exchange.BodyReader;
+import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.exchange.ConnectionGuard;
+import org.baobabcart.router.timeline.EventType;
 
 /** One event loop of the caller API. */
 final class CallerVerticle extends VerticleBase {
@@ -126,7 +129,7 @@
     }
 
     private void run(CallerExchange exchange, CallerContext context, Buffer body, BodyHandling handling) {
-        exchange.startDeadline(context.deadlineNanos() - System.nanoTime());
+        exchange.startDeadline(context.deadlineNanos());
         try {
             handling.handle(exchange, context, body).onFailure(exchange::refuse);
         } catch (RuntimeException failure) {
@@ -141,9 +144,22 @@
 
     private CallerExchange begin(HttpServerRequest request) {
         guard.requestBegan(request.connection());
-        Handler<Void> ended = ignored -> guard.requestEnded(request.connection());
-        request.response().endHandler(ended);
-        return CallerExchange.create(runtime, request);
+        runtime.drain().requestBegan();
+        CallerExchange exchange =
+                CallerExchange.create(runtime.exchanges(), request, this::isStopping, () -> ended(request));
+        exchange.identify(RequestIds.next());
+        request.response().putHeader(Headers.REQUEST_ID, exchange.requestId());
+        exchange.record(EventType.REQUEST_RECEIVED, request.method() + " " + request.path());
+        return exchange;
+    }
+
+    private boolean isStopping() {
+        return runtime.drain().isDraining() || runtime.parts().views().current().stopping();
+    }
+
+    private void ended(HttpServerRequest request) {
+        runtime.drain().requestEnded();
+        guard.requestEnded(request.connection());
     }
 
     private void refuse(RoutingContext routing, ResultCode code) {
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelList.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelList.java
@@ -3,13 +3,14 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import java.util.Map;
 import org.baobabcart.model.sheet.Cascade;
 import org.baobabcart.model.sheet.Model;
 import org.baobabcart.model.sheet.Version;
 import org.baobabcart.model.sheet.Workspace;
 import org.baobabcart.policy.version.VersionPolicy;
+import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.view.TrafficView;
 
 /** Answers the list of models in the shape of the OpenAI API. */
@@ -33,7 +34,8 @@
         ObjectNode body = JsonNodeFactory.instance.objectNode();
         body.put("object", "list");
         body.set("data", data);
-        exchange.answer(STATUS_OK, Map.of("Content-Type", "application/json"), Buffer.buffer(body.toString()));
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("Content-Type", "application/json");
+        exchange.answer(STATUS_OK, headers, Buffer.buffer(body.toString()));
     }
 
     private static void addModel(ArrayNode data, VersionPolicy policy, Workspace workspace, Model model) {
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.time.Duration;
@@ -19,6 +20,7 @@
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.policy.rollout.LatencyLoss;
 import org.baobabcart.router.cascade.WorkKind;
+import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.UpstreamAnswer;
@@ -32,6 +34,7 @@
  */
 final class ModelRun {
     private static final Duration TOKEN_TIMEOUT = Duration.ofMillis(200);
+    private static final String EVENT_STREAM = "text/event-stream";
     private static final int STATUS_OK = 200;
     private static final int STATUS_SERVER_ERROR = 500;
     private static final int STATUS_TOO_MANY = 429;
@@ -152,8 +155,7 @@
                 RequestIds::next,
                 attemptId -> upstreamRequest(version, attemptId),
                 DispatchGate.open());
-        return AttemptRunner.create(runtime, exchange, context, plan, answer -> consume(version, direct, answer))
-                .run();
+        return PlannedAttempts.run(runtime, exchange, context, plan, answer -> consume(version, direct, answer));
     }
 
     /** What an answer that is whole now loses by its time. */
@@ -209,13 +211,13 @@
                 request,
                 answer,
                 direct ? Optional.of(exchange) : Optional.empty(),
-                () -> exchange.beginStream(answerHeaders(version)));
+                () -> exchange.beginChunked(STATUS_OK, streamHeaders(version)));
         return relay.run()
                 .onComplete(ignored -> passedOnUnits = direct ? relay.units() : 0)
                 .map(ignored -> new ModelAnswer(
                         version,
                         STATUS_OK,
-                        "text/event-stream",
+                        EVENT_STREAM,
                         relay.kept(),
                         relay.text(),
                         relay.units(),
@@ -249,12 +251,12 @@
             return Future.succeededFuture();
         }
         if (request.stream() && !exchange.started()) {
-            exchange.beginStream(answerHeaders(answer.version()));
+            exchange.beginChunked(STATUS_OK, streamHeaders(answer.version()));
             answer.parts().forEach(exchange::write);
         }
         return hold(answer.version(), answer.units()).onSuccess(ignored -> {
             if (request.stream()) {
-                exchange.endStream(CLOSING_EVENT);
+                exchange.end(CLOSING_EVENT);
             } else {
                 exchange.answer(STATUS_OK, headersOf(answer), answer.parts().get(0));
             }
@@ -273,17 +275,20 @@
         return Holding.hold(runtime, bill);
     }
 
-    private Map<String, String> headersOf(ModelAnswer answer) {
-        Map<String, String> headers = answerHeaders(answer.version());
-        headers.put("Content-Type", answer.contentType());
-        return headers;
+    private MultiMap headersOf(ModelAnswer answer) {
+        return answerHeaders(answer.version(), answer.contentType());
     }
 
-    private Map<String, String> answerHeaders(SelectedVersion version) {
-        Map<String, String> headers = new HashMap<>();
-        headers.put(Headers.MODEL, version.model());
-        headers.put(Headers.VERSION, version.version());
-        versions.sign(version).ifPresent(token -> headers.put(Headers.SESSION, token));
+    private MultiMap streamHeaders(SelectedVersion version) {
+        return answerHeaders(version, EVENT_STREAM).add("Cache-Control", "no-cache");
+    }
+
+    private MultiMap answerHeaders(SelectedVersion version, String contentType) {
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+        headers.add("Content-Type", contentType);
+        headers.add(Headers.MODEL, version.model());
+        headers.add(Headers.VERSION, version.version());
+        versions.sign(version).ifPresent(token -> headers.add(Headers.SESSION, token));
         return headers;
     }
 }
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/OwnErrorForm.java
@@ -0,0 +1,38 @@
+package org.baobabcart.router.traffic;
+
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.baobabcart.router.exchange.ErrorForm;
+import org.baobabcart.router.exchange.Refusal;
+
+/** Errors of the product's own interface. Immutable. */
+final class OwnErrorForm implements ErrorForm {
+    /** A few dispatch intervals of a busy engine, in the whole seconds that the header has. */
+    private static final Duration USUAL_RETRY_AFTER = Duration.ofSeconds(1);
+
+    @Override
+    public String metricPrefix() {
+        return "caller";
+    }
+
+    @Override
+    public Duration usualRetryAfter() {
+        return USUAL_RETRY_AFTER;
+    }
+
+    @Override
+    public Map<String, String> headers(String requestId, Refusal refusal) {
+        Map<String, String> headers = new HashMap<>();
+        headers.put("Content-Type", "application/json");
+        refusal.retryAfterSeconds().ifPresent(seconds -> headers.put("Retry-After", Long.toString(seconds)));
+        return headers;
+    }
+
+    @Override
+    public Optional<Buffer> lastEvent(Refusal refusal) {
+        return Optional.of(Buffer.buffer("event: error\ndata: " + refusal.toJson() + "\n\n"));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/traffic/PlannedAttempts.java
@@ -0,0 +1,150 @@
+package org.baobabcart.router.traffic;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.Optional;
+import java.util.function.Function;
+import org.baobabcart.model.gateway.RepeatRule;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.Ran;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.policy.version.VersionPolicy;
+import org.baobabcart.router.attempt.AttemptLoop;
+import org.baobabcart.router.attempt.AttemptSource;
+import org.baobabcart.router.attempt.Attempts;
+import org.baobabcart.router.exchange.CallerExchange;
+import org.baobabcart.router.upstream.AttemptException;
+import org.baobabcart.router.upstream.UpstreamAnswer;
+import org.baobabcart.router.upstream.UpstreamRequest;
+import org.baobabcart.router.upstream.Work;
+import org.baobabcart.router.view.TrafficView;
+
+/**
+ * The attempts of one step by its plan. Confined to the event loop of the caller's connection.
+ *
+ * @param <T> what an answer is turned into
+ */
+final class PlannedAttempts<T> implements AttemptSource<T> {
+    private final TrafficRuntime runtime;
+    private final CallerExchange exchange;
+    private final CallerContext context;
+    private final AttemptPlan plan;
+    private final Function<UpstreamAnswer, Future<T>> consumer;
+    private final Future<AttemptException> abandoned;
+    private final boolean firstStep;
+
+    private PlannedAttempts(
+            TrafficRuntime runtime,
+            CallerExchange exchange,
+            CallerContext context,
+            AttemptPlan plan,
+            Function<UpstreamAnswer, Future<T>> consumer) {
+        this.runtime = runtime;
+        this.exchange = exchange;
+        this.context = context;
+        this.plan = plan;
+        this.consumer = consumer;
+        // Work that may not be repeated runs to its end, so that its outcome is known when the caller asks again.
+        this.abandoned = plan.repeatable()
+                ? exchange.abandoned()
+                : Promise.<AttemptException>promise().future();
+        this.firstStep = !exchange.mayHaveRun();
+    }
+
+    /** The result of the first attempt that succeeds, or a {@link BaobabcartException}. */
+    static <T> Future<T> run(
+            TrafficRuntime runtime,
+            CallerExchange exchange,
+            CallerContext context,
+            AttemptPlan plan,
+            Function<UpstreamAnswer, Future<T>> consumer) {
+        runtime.guards().retries().firstTry();
+        PlannedAttempts<T> attempts = new PlannedAttempts<>(runtime, exchange, context, plan, consumer);
+        RepeatRule repeat = plan.repeatable() ? RepeatRule.REPEATABLE : RepeatRule.ONCE;
+        return AttemptLoop.create(runtime.attempts(), exchange, attempts, repeat)
+                .run();
+    }
+
+    @Override
+    public long deadlineNanos() {
+        return context.deadlineNanos();
+    }
+
+    @Override
+    public Future<AttemptException> abandoned() {
+        return abandoned;
+    }
+
+    @Override
+    public Optional<String> fingerprint() {
+        return plan.fingerprint();
+    }
+
+    @Override
+    public Work work(Attempts soFar) {
+        boolean first = soFar.tried() == 0 && firstStep;
+        return new Work(
+                exchange.requestId(),
+                plan.pool(),
+                context.rankIndex(),
+                context.workspace().name(),
+                context.workspace().weight(),
+                first ? context.targetNanos() : context.deadlineNanos(),
+                first && !plan.repeatable() ? context.targetNanos() : context.deadlineNanos(),
+                context.deadlineNanos(),
+                plan.size(),
+                plan.affinity(),
+                soFar.failedUpstreams());
+    }
+
+    @Override
+    public UpstreamRequest request(VirtualMachine upstream) {
+        return plan.request().apply(plan.attemptIds().get());
+    }
+
+    @Override
+    public void check(TrafficView view, VirtualMachine upstream) {
+        String model = plan.pool().model();
+        String version = plan.pool().version();
+        boolean withdrawn = view.sheet()
+                .filter(published ->
+                        VersionPolicy.of(published.sheet(), view.rollOuts()).isWithdrawn(model, version))
+                .isPresent();
+        if (withdrawn) {
+            throw BaobabcartException.of(ResultCode.VERSION_WITHDRAWN);
+        }
+        plan.gate().pass();
+    }
+
+    @Override
+    public void notRun() {
+        plan.gate().returned();
+    }
+
+    @Override
+    public Future<T> consume(VirtualMachine upstream, UpstreamAnswer answer) {
+        return consumer.apply(answer);
+    }
+
+    @Override
+    public void failed(VirtualMachine upstream, FailureKind kind) {
+        if (kind.ran() == Ran.UNKNOWN && !plan.pool().model().isEmpty()) {
+            runtime.guards().evidence().failed(plan.pool().model(), plan.pool().version());
+        }
+    }
+
+    @Override
+    public void judged(VirtualMachine upstream, boolean alive) {
+        if (!alive) {
+            runtime.parts().feedback().unreachable(upstream.name());
+        }
+    }
+
+    @Override
+    public boolean mayRetry(AttemptException failure, Attempts soFar) {
+        return !exchange.started()
+                && runtime.guards().retries().mayRetry(failure.kind(), plan.repeatable(), soFar.tried());
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/traffic/ServiceRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ServiceRun.java
@@ -1,6 +1,7 @@
 package org.baobabcart.router.traffic;
 
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
@@ -24,6 +25,7 @@
 import org.baobabcart.router.claim.ClaimDecision;
 import org.baobabcart.router.claim.ClaimOutcome;
 import org.baobabcart.router.claim.StoredReply;
+import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.Pool;
 import org.baobabcart.router.upstream.UpstreamAnswer;
@@ -120,8 +122,7 @@
     }
 
     private Future<Void> replay(StoredReply reply) {
-        exchange.answer(reply.status(), reply.headers(), Buffer.buffer(reply.body()));
-        return Future.succeededFuture();
+        return answer(reply);
     }
 
     private Future<Void> sendClaimed(ClaimCall call) {
@@ -148,8 +149,7 @@
     private Future<StoredReply> send(Supplier<String> attemptIds, DispatchGate gate) {
         AttemptPlan plan = new AttemptPlan(
                 Pool.ofService(service.name()), repeatable, 0, "", Optional.empty(), attemptIds, this::request, gate);
-        return AttemptRunner.create(runtime, exchange, context, plan, this::collect)
-                .run();
+        return PlannedAttempts.run(runtime, exchange, context, plan, this::collect);
     }
 
     private UpstreamRequest request(String attemptId) {
@@ -193,7 +193,8 @@
     }
 
     private Future<Void> answer(StoredReply reply) {
-        exchange.answer(reply.status(), reply.headers(), Buffer.buffer(reply.body()));
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(reply.headers());
+        exchange.answer(reply.status(), headers, Buffer.buffer(reply.body()));
         return Future.succeededFuture();
     }
 
--- a/router/src/main/java/org/baobabcart/router/traffic/StreamRelay.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/StreamRelay.java
@@ -4,12 +4,12 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpServerResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.EventReader;
 import org.baobabcart.router.upstream.UpstreamAnswer;
@@ -26,7 +26,6 @@
     private final UpstreamAnswer answer;
     private final Optional<CallerExchange> direct;
     private final Runnable beforeFirst;
-    private final long stallMillis;
     private final TrafficRuntime runtime;
     private final List<Buffer> kept = new ArrayList<>();
     private final StringBuilder text = new StringBuilder();
@@ -46,7 +45,6 @@
         this.answer = answer;
         this.direct = direct;
         this.beforeFirst = beforeFirst;
-        this.stallMillis = runtime.settings().timeouts().callerStall().toMillis();
     }
 
     /**
@@ -144,16 +142,9 @@
         if (direct.isEmpty() || done.future().isComplete()) {
             return;
         }
-        HttpServerResponse response = direct.get().request().response();
-        if (!response.writeQueueFull()) {
-            return;
+        if (!direct.get().isWritable()) {
+            answer.pause();
+            direct.get().whenWritable(answer::resume);
         }
-        answer.pause();
-        long timer =
-                runtime.vertx().setTimer(stallMillis, ignored -> direct.get().abort());
-        response.drainHandler(ignored -> {
-            runtime.vertx().cancelTimer(timer);
-            answer.resume();
-        });
     }
 }
--- a/router/src/main/java/org/baobabcart/router/view/TrafficFeedback.java
+++ b/router/src/main/java/org/baobabcart/router/view/TrafficFeedback.java
@@ -12,4 +12,18 @@
 
     /** A version finished or failed a request. */
     void outcome(String model, String version, VersionOutcome outcome);
+
+    /** Feedback for a process whose control thread learns nothing from traffic. */
+    static TrafficFeedback none() {
+        return new TrafficFeedback() {
+            @Override
+            public void crashed(String upstream, String fingerprint) {}
+
+            @Override
+            public void unreachable(String upstream) {}
+
+            @Override
+            public void outcome(String model, String version, VersionOutcome outcome) {}
+        };
+    }
 }
