--- a/cli/src/main/java/org/baobabcart/cli/CommandLine.java
+++ b/cli/src/main/java/org/baobabcart/cli/CommandLine.java
@@ -135,7 +135,7 @@
         for (String positional : command.positionals()) {
             Argument argument = subparser.addArgument(positional);
             if (positional.endsWith("...")) {
-                argument.nargs("...");
+                argument.nargs("+");
             }
         }
         List<Flag> flags = new ArrayList<>(command.flags());
--- a/cli/src/main/java/org/baobabcart/cli/command/Commands.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/Commands.java
@@ -20,6 +20,7 @@
             new KeysRotateCommand(),
             new DrainCommand(),
             new TimelineCommand(),
+            new ExplainCommand(),
             new BillsCommand(),
             new LoadCommand(),
             new DemoCommand());
--- /dev/null
+++ b/cli/src/main/java/org/baobabcart/cli/explain/RequestStory.java
@@ -0,0 +1,152 @@
+package org.baobabcart.cli.explain;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+
+/**
+ * The life of one request, and what its routers learnt around it that can have decided its end. Immutable.
+ *
+ * @param request the request's id
+ * @param lines its own lines and those around it, in the order of time
+ * @param conclusion how it ended and why, in a sentence or two
+ */
+public record RequestStory(String request, List<LogLine> lines, String conclusion) {
+    /** Changes of upstreams and tables so long before a request can still have decided it: a few configuration bounds. */
+    private static final long BEFORE_MILLIS = 10_000;
+    /** A router may learn the cause a little after the request has ended. */
+    private static final long AFTER_MILLIS = 3_000;
+
+    private static final String TABLE_APPLIED = "SHEET_APPLIED";
+    private static final Set<String> AROUND = Set.of(
+            "DEPENDENCY_LOST",
+            "DEPENDENCY_FOUND",
+            "PLATFORM_LOST",
+            "PLATFORM_FOUND",
+            "PROCESS_STARTED",
+            "PROCESS_READY",
+            "PROCESS_STOPPING",
+            "PROCESS_STOPPED",
+            "SHEET_PUT_ASIDE",
+            TABLE_APPLIED);
+    private static final Set<String> OF_UPSTREAMS = Set.of("UPSTREAM_CHANGED", "UPSTREAM_SUSPECTED", "UPSTREAM_BACK");
+    private static final Set<String> ENDS =
+            Set.of("REQUEST_FINISHED", "REQUEST_REFUSED", "REQUEST_FAILED", "REQUEST_CANCELLED");
+    private static final Comparator<LogLine> BY_TIME = Comparator.comparingLong(LogLine::timeMillis);
+
+    /** Copies the list. */
+    public RequestStory {
+        lines = List.copyOf(lines);
+    }
+
+    /** Reads the files twice: for the request's own lines, and for what its routers learnt meanwhile. */
+    public static Optional<RequestStory> read(String request, LogFiles files) {
+        List<LogLine> own = files.lines(line -> line.request().equals(request)).stream()
+                .sorted(BY_TIME)
+                .toList();
+        if (own.isEmpty()) {
+            return Optional.empty();
+        }
+        List<LogLine> around = files.lines(around(own));
+        List<LogLine> all =
+                Stream.concat(around.stream(), own.stream()).sorted(BY_TIME).toList();
+        return Optional.of(new RequestStory(request, all, conclude(own, around)));
+    }
+
+    private static Predicate<LogLine> around(List<LogLine> own) {
+        long begin = own.get(0).timeMillis() - BEFORE_MILLIS;
+        long end = own.get(own.size() - 1).timeMillis() + AFTER_MILLIS;
+        Set<String> nodes = new HashSet<>();
+        Set<String> upstreams = new HashSet<>();
+        own.forEach(line -> {
+            nodes.add(line.node());
+            upstreams.add(line.field("upstream"));
+        });
+        return line -> line.timeMillis() >= begin
+                && line.timeMillis() <= end
+                && (nodes.contains(line.node()) && AROUND.contains(line.event())
+                        || line.event().equals(TABLE_APPLIED)
+                        || nodes.contains(line.node())
+                                && OF_UPSTREAMS.contains(line.event())
+                                && upstreams.contains(line.field("upstream")));
+    }
+
+    private static String conclude(List<LogLine> own, List<LogLine> around) {
+        List<String> sentences = new ArrayList<>();
+        Optional<LogLine> end = last(own, line -> ENDS.contains(line.event()));
+        sentences.add(end.map(RequestStory::describeEnd)
+                .orElse("No line tells how it ended: it was still running, or its"
+                        + " router ended or left lines out."));
+        long sent = own.stream()
+                .filter(line -> line.event().equals("REQUEST_DISPATCHED"))
+                .count();
+        boolean finished =
+                end.filter(line -> line.event().equals("REQUEST_FINISHED")).isPresent();
+        if (!finished) {
+            sentences.add(
+                    sent == 0
+                            ? "No attempt was sent to an upstream."
+                            : sent + (sent == 1 ? " attempt was" : " attempts were") + " sent.");
+        }
+        last(own, line -> line.event().equals("ATTEMPT_FAILED"))
+                .ifPresent(line -> sentences.add("The last failed attempt: " + line.field("failure") + " at "
+                        + line.field("upstream") + ", " + line.field("cause") + "."));
+        if (!finished) {
+            tableSentence(own, around).ifPresent(sentences::add);
+            upstreamSentence(own, around).ifPresent(sentences::add);
+            last(around, line -> line.event().endsWith("_LOST"))
+                    .ifPresent(line -> sentences.add("The store was out of reach of " + line.node() + " meanwhile."));
+        }
+        return String.join(" ", sentences);
+    }
+
+    private static String describeEnd(LogLine end) {
+        String took = " after " + end.field("took_ms") + " ms on " + end.node();
+        return switch (end.event()) {
+            case "REQUEST_FINISHED" -> "Answered with status " + end.field("status") + took + ".";
+            case "REQUEST_CANCELLED" -> "The caller left" + took + ": " + end.field("cause") + ".";
+            default ->
+                (end.event().equals("REQUEST_REFUSED") ? "Refused" : "Failed") + " with " + end.field("code") + " "
+                        + end.field("result") + took + ": " + end.field("cause") + ".";
+        };
+    }
+
+    /** Where another generation came into force around the request, on its router or on another. */
+    private static Optional<String> tableSentence(List<LogLine> own, List<LogLine> around) {
+        String used = last(own, line -> !line.field("generation").isEmpty())
+                .map(line -> line.field("generation"))
+                .orElse("");
+        List<String> changes = around.stream()
+                .filter(line -> line.event().equals(TABLE_APPLIED))
+                .map(line -> line.field("generation") + " on " + line.node() + " at " + line.timeMillis())
+                .toList();
+        if (changes.isEmpty() || used.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of("Decided by generation " + used + "; around it these came into force: "
+                + String.join(", ", changes) + ".");
+    }
+
+    private static Optional<String> upstreamSentence(List<LogLine> own, List<LogLine> around) {
+        Set<String> failed = new HashSet<>();
+        own.stream()
+                .filter(line -> line.event().equals("ATTEMPT_FAILED"))
+                .forEach(line -> failed.add(line.field("upstream")));
+        List<String> changes = around.stream()
+                .filter(line -> OF_UPSTREAMS.contains(line.event()) && failed.contains(line.field("upstream")))
+                .map(line -> line.event() + " " + line.detail() + " at " + line.timeMillis())
+                .toList();
+        return changes.isEmpty()
+                ? Optional.empty()
+                : Optional.of("Of upstreams where it failed: " + String.join("; ", changes) + ".");
+    }
+
+    private static Optional<LogLine> last(List<LogLine> lines, Predicate<LogLine> wanted) {
+        return lines.stream().filter(wanted).reduce((first, second) -> second);
+    }
+}
--- a/policy/src/main/java/org/baobabcart/policy/retry/WindowBudget.java
+++ b/policy/src/main/java/org/baobabcart/policy/retry/WindowBudget.java
@@ -54,14 +54,19 @@
 
     /** Takes the right to a repeat; false where there is none. */
     public boolean tryRepeat(long nowNanos) {
-        advance(nowNanos);
-        if (sum(repeats) + 1 > settings.share() * sum(firstTries) + settings.allowance()) {
+        if (left(nowNanos) < 1) {
             return false;
         }
         repeats[index(currentSlot)]++;
         return true;
     }
 
+    /** The repeats that are allowed now. */
+    public double left(long nowNanos) {
+        advance(nowNanos);
+        return settings.share() * sum(firstTries) + settings.allowance() - sum(repeats);
+    }
+
     private void advance(long nowNanos) {
         long now = slot(nowNanos);
         long steps = Math.min(now - currentSlot, SLOTS + 1L);
--- a/router/src/main/java/org/baobabcart/router/RouterProcess.java
+++ b/router/src/main/java/org/baobabcart/router/RouterProcess.java
@@ -20,6 +20,8 @@
 import org.baobabcart.router.peer.PeerServer;
 import org.baobabcart.router.peer.PeerSettings;
 import org.baobabcart.router.settings.RouterSettings;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 
 /**
@@ -105,7 +107,9 @@
 
     private void startControllers(RouterPorts ports) {
         core.timeline()
-                .record(EventType.PROCESS_STARTED, "name=" + core.settings().name());
+                .record(
+                        EventType.PROCESS_STARTED,
+                        EventFields.of(EventField.NAME, core.settings().name()));
         addresses = addresses(ports);
         plane = ControlPlane.create(core, self());
         peerServer.serve(new PeerHandlers(plane.members(), plane.documents(), traffic.claims(), traffic.bills()));
@@ -134,7 +138,7 @@
 
     private void beginStop() {
         LOGGER.atInfo().log("event=stop_begun name=%s", core.settings().name());
-        core.timeline().record(EventType.PROCESS_STOPPING, "");
+        core.timeline().record(EventType.PROCESS_STOPPING, EventFields.none());
         core.blackboard().write(Sections.STOPPING, true);
         if (plane != null) {
             plane.members().leave();
@@ -184,7 +188,7 @@
     }
 
     private Uni<Void> close() {
-        core.timeline().record(EventType.PROCESS_STOPPED, "");
+        core.timeline().record(EventType.PROCESS_STOPPED, EventFields.none());
         core.peers().close();
         return peerServer
                 .close()
--- a/router/src/main/java/org/baobabcart/router/admin/PrometheusText.java
+++ b/router/src/main/java/org/baobabcart/router/admin/PrometheusText.java
@@ -7,7 +7,9 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.Timer;
+import java.util.HashSet;
 import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Metrics in Prometheus' text format 0.0.4. Confined to the thread that writes. */
@@ -16,6 +18,7 @@
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private final StringBuilder text = new StringBuilder();
+    private final Set<String> typed = new HashSet<>();
 
     private PrometheusText() {}
 
@@ -43,21 +46,21 @@
     }
 
     private void meter(String name, Meter meter) {
-        type(name + "_total", "counter");
-        sample(name + "_total", "", meter.getCount());
+        type(suffixed(name, "_total"), "counter");
+        sample(suffixed(name, "_total"), "", meter.getCount());
     }
 
     private void histogram(String name, Histogram histogram) {
         type(name, "summary");
         quantiles(name, histogram.getSnapshot(), 1);
-        sample(name + "_count", "", histogram.getCount());
+        sample(suffixed(name, "_count"), "", histogram.getCount());
     }
 
     private void timer(String name, Timer timer) {
-        String seconds = name + "_seconds";
+        String seconds = suffixed(name, "_seconds");
         type(seconds, "summary");
         quantiles(seconds, timer.getSnapshot(), NANOS_PER_SECOND);
-        sample(seconds + "_count", "", timer.getCount());
+        sample(suffixed(seconds, "_count"), "", timer.getCount());
     }
 
     private void quantiles(String name, Snapshot snapshot, double unit) {
@@ -66,12 +69,39 @@
         sample(name, "{quantile=\"0.99\"}", snapshot.get99thPercentile() / unit);
     }
 
+    /** States the type once for all series of a name. */
     private void type(String name, String type) {
-        text.append("# TYPE ").append(sanitized(name)).append(' ').append(type).append('\n');
+        String plain = sanitized(plain(name));
+        if (typed.add(plain)) {
+            text.append("# TYPE ").append(plain).append(' ').append(type).append('\n');
+        }
+    }
+
+    private void sample(String name, String more, double value) {
+        String labels = join(name.substring(plain(name).length()), more);
+        text.append(sanitized(plain(name)))
+                .append(labels)
+                .append(' ')
+                .append(value)
+                .append('\n');
+    }
+
+    /** A name without the labels that {@code LabelledMetrics} adds. */
+    private static String plain(String name) {
+        int labels = name.indexOf('{');
+        return labels < 0 ? name : name.substring(0, labels);
+    }
+
+    /** The same metric with a longer name. */
+    private static String suffixed(String name, String suffix) {
+        return plain(name) + suffix + name.substring(plain(name).length());
     }
 
-    private void sample(String name, String labels, double value) {
-        text.append(sanitized(name)).append(labels).append(' ').append(value).append('\n');
+    private static String join(String labels, String more) {
+        if (labels.isEmpty() || more.isEmpty()) {
+            return labels + more;
+        }
+        return labels.substring(0, labels.length() - 1) + "," + more.substring(1);
     }
 
     private static String sanitized(String name) {
--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.gateway.RepeatRule;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.request.Headers;
@@ -13,10 +14,12 @@
 import org.baobabcart.policy.crash.CrashCounts;
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.router.exchange.CallerExchange;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.Slot;
-import org.baobabcart.router.upstream.UpstreamAnswer;
+import org.baobabcart.router.upstream.Work;
 import org.baobabcart.router.view.TrafficView;
 
 /**
@@ -35,6 +38,7 @@
     private final boolean ranBefore;
     private final Promise<T> result = Promise.promise();
     private Attempts attempts;
+    private long queuedNanos;
 
     private AttemptLoop(AttemptParts parts, CallerExchange exchange, AttemptSource<T> source, RepeatRule repeat) {
         this.parts = parts;
@@ -73,32 +77,50 @@
     }
 
     private void queue(CrashGuard.Pass pass) {
+        queuedNanos = System.nanoTime();
         try {
-            parts.dispatcher()
-                    .acquire(source.work(attempts), exchange.abandoned())
-                    .onSuccess(slot -> send(slot, pass))
-                    .onFailure(failure -> {
-                        pass.ended();
-                        giveUp(failure);
-                    });
+            Work work = source.work(attempts);
+            Future<Slot> acquired = parts.dispatcher().acquire(work, exchange.abandoned());
+            if (!acquired.isComplete()) {
+                exchange.record(EventType.REQUEST_QUEUED, queuedFields(work));
+            }
+            acquired.onSuccess(slot -> send(slot, pass)).onFailure(failure -> {
+                pass.ended();
+                giveUp(failure);
+            });
         } catch (BaobabcartException refusal) {
             pass.ended();
             giveUp(refusal);
         }
     }
 
+    private EventFields queuedFields(Work work) {
+        return EventFields.of(EventField.SERVICE, work.pool().toString())
+                .with(EventField.WAITING, parts.dispatcher().waiting())
+                .with(EventField.DEADLINE_MS, millisUntil(source.deadlineNanos()))
+                .with(EventField.GENERATION, parts.views().current().generation());
+    }
+
+    private static long millisUntil(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nanos - System.nanoTime());
+    }
+
     private void send(Slot slot, CrashGuard.Pass pass) {
         attempts = attempts.withTry();
         long begun = System.nanoTime();
         VirtualMachine upstream = slot.upstream();
         parts.upstreams()
-                .send(upstream, source.request(upstream), () -> passGate(upstream), source.abandoned())
+                .send(
+                        upstream,
+                        source.request(upstream, begun - queuedNanos),
+                        () -> passGate(upstream),
+                        source.abandoned())
                 .compose(answer -> {
                     long nanos = System.nanoTime() - begun;
                     slot.observe(nanos, Optional.ofNullable(answer.headers().get(Headers.LOAD)));
                     answer.onFirstPart(pass::answered);
                     source.answerBegan(upstream, nanos);
-                    return consume(upstream, answer);
+                    return source.consume(upstream, answer);
                 })
                 .onSuccess(whole -> {
                     slot.finished(System.nanoTime() - begun);
@@ -107,12 +129,7 @@
                     source.succeeded(upstream);
                     result.complete(whole);
                 })
-                .onFailure(failure -> failed(slot, pass, failure));
-    }
-
-    private Future<T> consume(VirtualMachine upstream, UpstreamAnswer answer) {
-        exchange.record(EventType.UPSTREAM_ANSWERED, upstream.name() + " status=" + answer.status());
-        return source.consume(upstream, answer);
+                .onFailure(failure -> failed(slot, pass, failure, System.nanoTime() - begun));
     }
 
     /** The last check before the first byte; throws where nothing may be sent. */
@@ -134,7 +151,11 @@
         note(attempts.withSend());
         exchange.record(
                 EventType.REQUEST_DISPATCHED,
-                upstream.name() + " attempt=" + attempts.ledger().sent());
+                EventFields.of(EventField.UPSTREAM, upstream.name())
+                        .with(EventField.ATTEMPT, attempts.ledger().sent())
+                        .with(EventField.WAITED_MS, -millisUntil(queuedNanos))
+                        .with(EventField.DEADLINE_MS, millisUntil(source.deadlineNanos()))
+                        .with(EventField.GENERATION, view.generation()));
     }
 
     private boolean isQuarantined(TrafficView view) {
@@ -148,7 +169,7 @@
         exchange.setMayHaveRun(ranBefore || now.ledger().mayHaveRun());
     }
 
-    private void failed(Slot slot, CrashGuard.Pass pass, Throwable cause) {
+    private void failed(Slot slot, CrashGuard.Pass pass, Throwable cause, long nanos) {
         boolean useless = source.abandoned().isComplete();
         if (!(cause instanceof AttemptException failure)) {
             slot.release(Optional.empty());
@@ -167,7 +188,12 @@
         if (sent && failure.kind().ran() == Ran.NO) {
             source.notRun();
         }
-        exchange.record(EventType.ATTEMPT_FAILED, failure.getMessage());
+        exchange.record(
+                EventType.ATTEMPT_FAILED,
+                EventFields.of(EventField.UPSTREAM, slot.upstream().name())
+                        .with(EventField.ATTEMPT, attempts.ledger().sent())
+                        .with(EventField.FAILURE, failure.kind())
+                        .with(EventField.CAUSE, failure.detail()));
         if (failure.kind() == FailureKind.ESCALATED) {
             slot.release(Optional.empty());
             pass.ended();
@@ -175,7 +201,7 @@
             return;
         }
         attempts = attempts.withFailedUpstream(slot.upstream().name());
-        source.failed(slot.upstream(), failure.kind());
+        source.failed(slot.upstream(), failure.kind(), nanos);
         Future<Void> concluded = conclude(slot.upstream(), failure.kind());
         slot.release(Optional.of(failure.kind()));
         concluded.onComplete(ignored -> {
@@ -193,7 +219,11 @@
             giveUp(failure.toResult());
             return;
         }
-        exchange.record(EventType.REQUEST_RETRIED, "after=" + failure.kind() + " tried=" + attempts.failedUpstreams());
+        exchange.record(
+                EventType.REQUEST_RETRIED,
+                EventFields.none()
+                        .with(EventField.FAILURE, failure.kind())
+                        .with(EventField.TRIED, String.join(",", attempts.failedUpstreams())));
         attempt();
     }
 
--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptSource.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptSource.java
@@ -35,8 +35,8 @@
      */
     Work work(Attempts soFar);
 
-    /** The request of the next attempt, made when its upstream is known. */
-    UpstreamRequest request(VirtualMachine upstream);
+    /** The request of the next attempt, made when its upstream is known, so many nanoseconds after it was queued. */
+    UpstreamRequest request(VirtualMachine upstream, long waitedNanos);
 
     /**
      * Looks again at what may have changed while the attempt waited, right before its first byte.
@@ -58,8 +58,8 @@
     /** An answer was read to its end. */
     default void succeeded(VirtualMachine upstream) {}
 
-    /** An attempt failed for a reason that lies with its upstream or on the way to it. */
-    default void failed(VirtualMachine upstream, FailureKind kind) {}
+    /** An attempt failed, for a reason that lies with its upstream or on the way to it, so long after it had its slot. */
+    default void failed(VirtualMachine upstream, FailureKind kind, long nanos) {}
 
     /** Tells whether an upstream whose connections broke or stood still takes a new one. */
     default void judged(VirtualMachine upstream, boolean alive) {}
--- a/router/src/main/java/org/baobabcart/router/bill/PeerBillService.java
+++ b/router/src/main/java/org/baobabcart/router/bill/PeerBillService.java
@@ -26,6 +26,8 @@
 import org.baobabcart.router.peer.BillHandler;
 import org.baobabcart.router.peer.PeerClient;
 import org.baobabcart.router.platform.ObjectStore;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
 import org.baobabcart.wire.HoldReply;
@@ -276,7 +278,9 @@
             releases = book.takeReleases();
         }
         timeline.record(
-                EventType.BILL_COMMITTED, segment.name() + " " + segment.bills().size());
+                EventType.BILL_COMMITTED,
+                EventFields.of(EventField.SEGMENT, segment.name())
+                        .with(EventField.BILLS, segment.bills().size()));
         tell(ids(segment.bills()), BillHolder.PLATFORM);
         releases.forEach(this::sendRelease);
         commit();
--- a/router/src/main/java/org/baobabcart/router/claim/PartitionClaimService.java
+++ b/router/src/main/java/org/baobabcart/router/claim/PartitionClaimService.java
@@ -18,6 +18,8 @@
 import org.baobabcart.router.peer.ClaimHandler;
 import org.baobabcart.router.peer.PeerClient;
 import org.baobabcart.router.platform.ObjectStore;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
 import org.baobabcart.wire.AttemptReply;
@@ -217,7 +219,7 @@
     private void grant(ClaimCall call, CompletableFuture<ClaimDecision> decision) {
         boolean usable = attempts.granted(call.attemptId(), timers.nanoTime());
         if (usable && decision.complete(ClaimDecision.granted())) {
-            timeline.record(EventType.CLAIM_GRANTED, "attempt " + call.attemptId());
+            timeline.record(EventType.CLAIM_GRANTED, attempt(call));
             return;
         }
         giveUp(call, decision);
@@ -235,10 +237,14 @@
     private void refuse(ClaimCall call, ResultCode code, CompletableFuture<ClaimDecision> decision) {
         attempts.abandon(call.attemptId());
         if (decision.complete(ClaimDecision.refused(code))) {
-            timeline.record(EventType.CLAIM_REFUSED, "attempt " + call.attemptId() + " " + code.name());
+            timeline.record(EventType.CLAIM_REFUSED, attempt(call).with(EventField.RESULT, code));
         }
     }
 
+    private static EventFields attempt(ClaimCall call) {
+        return EventFields.of(EventField.ATTEMPT_ID, call.attemptId());
+    }
+
     private CompletableFuture<Void> startSettle(ClaimCall call, ClaimOutcome outcome) {
         long now = timers.nanoTime();
         if (outcome.kind() == ClaimOutcome.Kind.NOT_RUN) {
@@ -254,7 +260,7 @@
             if (outcome.kind() != ClaimOutcome.Kind.NOT_RUN) {
                 attempts.forget(call.attemptId());
             }
-            timeline.record(EventType.CLAIM_SETTLED, "attempt " + call.attemptId() + " " + outcome.kind());
+            timeline.record(EventType.CLAIM_SETTLED, attempt(call).with(EventField.OUTCOME, outcome.kind()));
             waiter.complete(null);
         });
         return waiter;
--- a/router/src/main/java/org/baobabcart/router/document/DocumentController.java
+++ b/router/src/main/java/org/baobabcart/router/document/DocumentController.java
@@ -12,6 +12,8 @@
 import org.baobabcart.policy.document.GenerationRegister;
 import org.baobabcart.router.control.Controller;
 import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.wire.DocumentReply;
 import org.baobabcart.wire.DocumentRequest;
 import org.baobabcart.wire.DocumentVersion;
@@ -193,9 +195,9 @@
         source = from;
         confirmedAtNanos = OptionalLong.empty();
         apply.accept(document);
-        String detail = kind.describe().apply(document) + " source=" + from;
-        parts.timeline().record(kind.applied(), detail);
-        LOGGER.atInfo().log("event=document_applied document=%s %s", kind.name(), detail);
+        EventFields fields = kind.describe().apply(document).with(EventField.SOURCE, from);
+        parts.timeline().record(kind.applied(), fields);
+        LOGGER.atInfo().log("event=document_applied document=%s %s", kind.name(), fields);
         parts.spread().run();
     }
 }
--- a/router/src/main/java/org/baobabcart/router/document/DocumentKind.java
+++ b/router/src/main/java/org/baobabcart/router/document/DocumentKind.java
@@ -5,6 +5,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 
 /**
@@ -16,7 +17,7 @@
  * @param reader reads the specification; throws {@code BaobabcartException} where it is not sound
  * @param writer the specification of a document
  * @param generation its generation
- * @param describe a short text for the time line
+ * @param describe what the time line states of it
  * @param applied the event of a new document in force
  * @param first makes the first document where the platform has none; empty where operators publish it
  * @param <T> the immutable type of the document
@@ -28,6 +29,6 @@
         Function<JsonNode, T> reader,
         Function<T, JsonNode> writer,
         ToLongFunction<T> generation,
-        Function<T, String> describe,
+        Function<T, EventFields> describe,
         EventType applied,
         Optional<Supplier<T>> first) {}
--- a/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
@@ -15,6 +15,8 @@
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.Connections;
@@ -37,7 +39,9 @@
     private final long begunNanos = System.nanoTime();
     private Runnable ending;
     private String requestId = "";
+    private long firstByteNanos;
     private long deadlineTimer = -1;
+    private Optional<EventType> outcome = Optional.empty();
     private boolean ended;
     private boolean gone;
     private boolean closeAfterwards;
@@ -104,6 +108,11 @@
         return ended;
     }
 
+    /** How the request ended; empty while it runs. */
+    public Optional<EventType> outcome() {
+        return outcome;
+    }
+
     /** Whether the caller left before its answer was whole. */
     public boolean isGone() {
         return gone;
@@ -136,8 +145,8 @@
     }
 
     /** Records an event of this request. */
-    public void record(EventType type, String detail) {
-        parts.timeline().record(type, requestId, detail);
+    public void record(EventType type, EventFields fields) {
+        parts.timeline().record(type, requestId, fields);
     }
 
     /** Sends a whole answer. */
@@ -148,7 +157,7 @@
         begin(status, headers);
         finish(
                 EventType.REQUEST_FINISHED,
-                "status=" + status,
+                finished(status),
                 () -> request.response().end(body));
     }
 
@@ -184,12 +193,18 @@
 
     /** Ends a body whose parts were written. */
     public void end() {
-        finish(EventType.REQUEST_FINISHED, "whole", () -> request.response().end());
+        finish(
+                EventType.REQUEST_FINISHED,
+                finished(request.response().getStatusCode()),
+                () -> request.response().end());
     }
 
     /** Writes the last part of a body and ends it. */
     public void end(Buffer last) {
-        finish(EventType.REQUEST_FINISHED, "whole", () -> request.response().end(last));
+        finish(
+                EventType.REQUEST_FINISHED,
+                finished(request.response().getStatusCode()),
+                () -> request.response().end(last));
     }
 
     /** Sends an error, or ends an answer that has begun in a way that shows that it is not whole. */
@@ -207,12 +222,12 @@
                 .meter(parts.form().metricPrefix() + ".refusals."
                         + refusal.code().name())
                 .mark();
-        String detail = describe(refusal, failure);
+        EventFields fields = describe(refusal, failure);
         if (started()) {
-            breakOff(refusal, detail);
+            breakOff(refusal, fields);
             return;
         }
-        finish(mayHaveRun ? EventType.REQUEST_FAILED : EventType.REQUEST_REFUSED, detail, () -> send(refusal));
+        finish(mayHaveRun ? EventType.REQUEST_FAILED : EventType.REQUEST_REFUSED, fields, () -> send(refusal));
     }
 
     /** Refuses a request whose body was not read, and closes its connection after that. */
@@ -223,25 +238,38 @@
         refuse(failure);
     }
 
-    private static String describe(Refusal refusal, Throwable failure) {
-        String text = "code=" + refusal.code().number() + " name="
-                + refusal.code().name() + " ran=" + refusal.ran().text();
-        String retryAfter = refusal.retryAfterMillis().isPresent()
-                ? " retry_after_ms=" + refusal.retryAfterMillis().getAsLong()
-                : "";
-        return text + retryAfter + " cause=" + failure.getMessage();
+    private EventFields finished(int status) {
+        return EventFields.of(EventField.STATUS, status)
+                .with(EventField.FIRST_BYTE_MS, TimeUnit.NANOSECONDS.toMillis(firstByteNanos - begunNanos))
+                .with(EventField.TOOK_MS, tookMillis());
+    }
+
+    private EventFields describe(Refusal refusal, Throwable failure) {
+        EventFields fields = EventFields.of(EventField.CODE, refusal.code().number())
+                .with(EventField.RESULT, refusal.code())
+                .with(EventField.RAN, refusal.ran().text())
+                .with(EventField.TOOK_MS, tookMillis())
+                .with(EventField.CAUSE, String.valueOf(failure.getMessage()));
+        return refusal.retryAfterMillis().isPresent()
+                ? fields.with(
+                        EventField.RETRY_AFTER_MS, refusal.retryAfterMillis().getAsLong())
+                : fields;
+    }
+
+    private long tookMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begunNanos);
     }
 
-    private void breakOff(Refusal refusal, String detail) {
+    private void breakOff(Refusal refusal, EventFields fields) {
         Optional<Buffer> lastEvent = parts.form().lastEvent(refusal);
-        finish(EventType.REQUEST_FAILED, detail, () -> {
+        finish(EventType.REQUEST_FAILED, fields, () -> {
             if (lastEvent.isPresent()) {
                 return request.response().end(lastEvent.get());
             }
             Connections.abort(request.connection());
             return Future.succeededFuture();
         });
-        abandoned.tryComplete(AttemptException.of(FailureKind.BROKEN, "", detail));
+        abandoned.tryComplete(AttemptException.of(FailureKind.BROKEN, "", refusal.message()));
     }
 
     private void begin(int status, MultiMap headers) {
@@ -249,9 +277,10 @@
         response.setStatusCode(status);
         response.headers().addAll(headers);
         closeIfStopping();
+        firstByteNanos = System.nanoTime();
         parts.metrics()
                 .timer(parts.form().metricPrefix() + ".first-byte")
-                .update(System.nanoTime() - begunNanos, TimeUnit.NANOSECONDS);
+                .update(firstByteNanos - begunNanos, TimeUnit.NANOSECONDS);
     }
 
     private Future<Void> send(Refusal refusal) {
@@ -262,13 +291,14 @@
         return response.end(refusal.toJson());
     }
 
-    private void finish(EventType type, String detail, Supplier<Future<Void>> action) {
+    private void finish(EventType type, EventFields fields, Supplier<Future<Void>> action) {
         if (ended) {
             return;
         }
         ended = true;
+        outcome = Optional.of(type);
         parts.vertx().cancelTimer(deadlineTimer);
-        record(type, detail);
+        record(type, fields);
         ending.run();
         if (gone) {
             return;
@@ -312,7 +342,9 @@
         abandoned.tryComplete(AttemptException.of(FailureKind.BROKEN, "", "caller gone"));
         finish(
                 EventType.REQUEST_CANCELLED,
-                "code=" + ResultCode.CALLER_GONE.number() + " cause=" + reason,
+                EventFields.of(EventField.CODE, ResultCode.CALLER_GONE.number())
+                        .with(EventField.TOOK_MS, tookMillis())
+                        .with(EventField.CAUSE, reason),
                 Future::succeededFuture);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayPorts.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayPorts.java
@@ -6,8 +6,14 @@
  * @param callerHost the address for callers
  * @param callerPort the port for callers
  * @param readinessHost the address for the balancer's question and for metrics
- * @param readinessPort its port
- * @param metricsPath the path of the metrics on that port; all other paths answer the balancer
+ * @param readinessPort the port for the balancer's question
+ * @param metricsPort the port for metrics
+ * @param metricsPath the path of the metrics
  */
 public record GatewayPorts(
-        String callerHost, int callerPort, String readinessHost, int readinessPort, String metricsPath) {}
+        String callerHost,
+        int callerPort,
+        String readinessHost,
+        int readinessPort,
+        int metricsPort,
+        String metricsPath) {}
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -33,6 +33,8 @@
 import org.baobabcart.router.platform.ObjectFollower;
 import org.baobabcart.router.platform.ObjectStore;
 import org.baobabcart.router.platform.PlatformHealth;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
 import org.baobabcart.router.transport.Transport;
@@ -54,6 +56,7 @@
 public final class GatewayProcess {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
     /** Looked at so often whether the last request has ended. */
     private static final Duration IDLE_POLL = Duration.ofMillis(50);
@@ -70,6 +73,7 @@
     private Map<String, Long> incarnations = Map.of();
     private final UpstreamController upstreams;
     private final List<Controller> controllers;
+    private boolean wasReady;
     private final AtomicBoolean stopBegun = new AtomicBoolean();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
@@ -77,11 +81,12 @@
         this.parts = parts;
         this.metrics = parts.metrics();
         Timeline timeline = parts.timeline();
-        ObjectStore store = PlatformHealth.observing(parts.store(), blackboard, loop, timeline);
+        ObjectStore store = PlatformHealth.observing(parts.store(), blackboard, loop, timeline, metrics);
         VersionEvidence evidence = VersionEvidence.create();
         this.runtime = runtime(evidence);
         this.server = GatewayServer.create(runtime, drain);
-        ObjectFollower.Parts following = new ObjectFollower.Parts(store, loop, timers, RandomGenerator.getDefault());
+        ObjectFollower.Parts following =
+                new ObjectFollower.Parts(store, loop, timers, RandomGenerator.getDefault(), timeline, metrics);
         this.upstreams = UpstreamController.create(parts.objects(), following, blackboard, timeline);
         this.controllers = List.of(
                 views,
@@ -109,7 +114,7 @@
                 UpstreamClientSettings.of(settings.connectTimeout(), Transport.plain())
                         .withRules(parts.codec().answerRules())
                         .withIdleTimeout(settings.idleConnection()));
-        UpstreamHealth health = UpstreamHealth.create(vertx, client, views);
+        UpstreamHealth health = UpstreamHealth.create(vertx, client, views, parts.timeline());
         Dispatcher dispatcher = Dispatcher.create(
                 vertx,
                 new DispatcherSettings(settings.name(), settings.dataCentre(), settings.queue()).withAffinityAcross(),
@@ -117,6 +122,7 @@
                 health);
         BufferBudget buffers = BufferBudget.of(settings.bufferedBytes());
         metrics.gauge("gateway.running", () -> drain::running);
+        metrics.gauge("process.heap-bytes", () -> GatewayProcess::heapBytes);
         metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
         metrics.gauge("gateway.buffered-bytes", () -> buffers::used);
         CrashGuard crashes = CrashGuard.create(vertx, TrafficFeedback.none());
@@ -128,12 +134,17 @@
                         vertx, parts.timeline(), metrics, GatewayErrorForm.of(parts.codec()), settings.callerStall()),
                 new AttemptParts(views, dispatcher, client, health, crashes),
                 Reach.of(health),
-                ServiceRetries.create(settings.retries()),
+                ServiceRetries.create(settings.retries(), metrics),
                 evidence,
                 AnswerPressure.create(),
+                RequestMetrics.create(metrics),
                 buffers);
     }
 
+    private static long heapBytes() {
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
     /** Opens the ports and starts the controllers. */
     public Uni<Void> start() {
         GatewayPorts ports = parts.ports();
@@ -143,7 +154,10 @@
             controllers.forEach(Controller::start);
         });
         parts.timeline()
-                .record(EventType.PROCESS_STARTED, "name=" + parts.settings().name());
+                .record(
+                        EventType.PROCESS_STARTED,
+                        EventFields.of(EventField.NAME, parts.settings().name()));
+        listenMetrics(ports);
         return Futures.toUni(() -> listenReadiness(ports.readinessHost(), ports.readinessPort())
                 .compose(ignored -> server.listen(ports.callerHost(), ports.callerPort()))
                 .mapEmpty());
@@ -158,7 +172,10 @@
         now.forEach((name, incarnation) -> {
             Long before = incarnations.get(name);
             if (before != null && !before.equals(incarnation)) {
-                parts.timeline().record(EventType.UPSTREAM_CHANGED, name + " started anew");
+                parts.timeline()
+                        .record(
+                                EventType.UPSTREAM_CHANGED,
+                                EventFields.of(EventField.UPSTREAM, name).with(EventField.CHANGE, "started anew"));
                 runtime.attempts().upstreams().restarted(name);
             }
         });
@@ -168,7 +185,7 @@
     /** Begins the planned stop if it has not begun, and completes when the process may exit. */
     public Uni<Void> stop() {
         if (stopBegun.compareAndSet(false, true)) {
-            parts.timeline().record(EventType.PROCESS_STOPPING, "running=" + drain.running());
+            parts.timeline().record(EventType.PROCESS_STOPPING, EventFields.of(EventField.RUNNING, drain.running()));
             LOGGER.atInfo().log("event=stop_begun name=%s", parts.settings().name());
             drain.begin();
             GatewayStopTimes times = parts.stopTimes();
@@ -192,7 +209,8 @@
                 .compose(ignored -> server.shutdown(times.close()))
                 .otherwiseEmpty()
                 .onComplete(ignored -> {
-                    parts.timeline().record(EventType.PROCESS_STOPPED, "running=" + drain.running());
+                    parts.timeline()
+                            .record(EventType.PROCESS_STOPPED, EventFields.of(EventField.RUNNING, drain.running()));
                     loop.execute(() -> controllers.forEach(
                             controller -> controller.stop().subscribe().asCompletionStage()));
                     loop.close();
@@ -209,18 +227,41 @@
     private Future<HttpServer> listenReadiness(String host, int port) {
         return parts.vertx()
                 .createHttpServer()
-                .requestHandler(this::answerOperator)
+                .requestHandler(this::answerBalancer)
                 .listen(port, host);
     }
 
-    private void answerOperator(HttpServerRequest request) {
-        if (request.path().equals(parts.ports().metricsPath())) {
-            request.response()
-                    .putHeader("Content-Type", "text/plain; version=0.0.4")
-                    .end(PrometheusText.of(metrics));
+    private void answerBalancer(HttpServerRequest request) {
+        boolean ready = isReady();
+        if (ready && !wasReady) {
+            parts.timeline()
+                    .record(
+                            EventType.PROCESS_READY,
+                            EventFields.of(
+                                    EventField.GENERATION, views.current().generation()));
+        }
+        wasReady = ready;
+        request.response().setStatusCode(ready ? OK : UNAVAILABLE).end();
+    }
+
+    /** Opens the port for metrics; a router whose metrics cannot be read serves callers all the same. */
+    private void listenMetrics(GatewayPorts ports) {
+        parts.vertx()
+                .createHttpServer()
+                .requestHandler(this::answerMetrics)
+                .listen(ports.metricsPort(), ports.readinessHost())
+                .onFailure(failure -> LOGGER.atWarning().log(
+                        "event=metrics_not_served port=%d cause=%s", ports.metricsPort(), failure.getMessage()));
+    }
+
+    private void answerMetrics(HttpServerRequest request) {
+        if (!request.path().equals(parts.ports().metricsPath())) {
+            request.response().setStatusCode(NOT_FOUND).end();
             return;
         }
-        request.response().setStatusCode(isReady() ? OK : UNAVAILABLE).end();
+        request.response()
+                .putHeader("Content-Type", "text/plain; version=0.0.4")
+                .end(PrometheusText.of(metrics));
     }
 
     /** A router takes requests once it has a table of routes and the list of upstreams, until it stops or is cut off. */
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -4,6 +4,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.ThreadLocalRandom;
@@ -142,7 +143,8 @@
     }
 
     @Override
-    public UpstreamRequest request(VirtualMachine upstream) {
+    public UpstreamRequest request(VirtualMachine upstream, long waitedNanos) {
+        runtime.requests().waited(admission.rank(), waitedNanos);
         Duration timeLeft = Duration.ofNanos(Math.max(1, deadlineNanos - System.nanoTime()));
         AttemptHead attempt = new AttemptHead(
                 upstream.name(),
@@ -177,6 +179,7 @@
     @Override
     public void answerBegan(VirtualMachine upstream, long nanos) {
         runtime.evidence().timed(outcomeKey(upstream), nanos / NANOS_PER_MILLI);
+        runtime.requests().attempted(service, "answered", nanos);
         models.noteBeginning(nanos);
     }
 
@@ -259,7 +262,8 @@
 
     /** Counts what speaks against a version; connections break with hosts and links, whatever the version. */
     @Override
-    public void failed(VirtualMachine upstream, FailureKind kind) {
+    public void failed(VirtualMachine upstream, FailureKind kind, long nanos) {
+        runtime.requests().attempted(service, kind.name().toLowerCase(Locale.ROOT), nanos);
         boolean ofVersion = kind == FailureKind.SILENT || kind == FailureKind.INCOMPLETE || kind == FailureKind.CROSSED;
         if (ofVersion) {
             runtime.evidence().failed(outcomeKey(upstream));
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRuntime.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRuntime.java
@@ -18,6 +18,7 @@
  * @param retries the retry budgets of the services
  * @param evidence outcomes by version
  * @param pressure how late answers of the largest models begin; confined to the only event loop of the traffic
+ * @param requests how long requests and attempts take; confined like the pressure
  * @param buffers the bytes of bodies that are kept
  */
 record GatewayRuntime(
@@ -30,4 +31,5 @@
         ServiceRetries retries,
         VersionEvidence evidence,
         AnswerPressure pressure,
+        RequestMetrics requests,
         BufferBudget buffers) {}
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -17,8 +17,11 @@
 import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.exchange.ConnectionGuard;
 import org.baobabcart.router.exchange.Drain;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.Connections;
+import org.baobabcart.router.view.TrafficView;
 
 /**
  * The port for callers of the opaque request path. Its handlers are confined to one event loop.
@@ -121,14 +124,30 @@
         checkHead(request);
         RequestHead head = runtime.codec().decode(request);
         exchange.identify(head.id());
-        exchange.record(EventType.REQUEST_RECEIVED, head.method() + " " + head.target());
         if (refusing) {
             throw BaobabcartException.of(ResultCode.STOPPING);
         }
-        Admission admission = Admission.of(runtime.attempts().views().current(), head);
+        TrafficView view = runtime.attempts().views().current();
+        EventFields received = EventFields.of(EventField.METHOD, head.method().name())
+                .with(EventField.PATH, head.path())
+                .with(EventField.GENERATION, view.generation());
+        Admission admission;
+        try {
+            admission = Admission.of(view, head);
+        } catch (BaobabcartException refusal) {
+            exchange.record(EventType.REQUEST_RECEIVED, received);
+            throw refusal;
+        }
         Duration timeout = admission.route().timeout();
         Duration wait =
                 head.deadline().filter(own -> own.compareTo(timeout) < 0).orElse(timeout);
+        exchange.record(
+                EventType.REQUEST_RECEIVED,
+                received.with(EventField.ROUTE, admission.route().name())
+                        .with(EventField.RANK, admission.rank())
+                        .with(EventField.WORKSPACE, admission.workspace())
+                        .with(EventField.DEADLINE_MS, wait.toMillis()));
+        exchange.whenEnded(() -> runtime.requests().ended(admission, exchange));
         long deadlineNanos = exchange.begunNanos() + wait.toNanos();
         int limit = limits().bodyBytes();
         long announced = announcedLength(request);
--- a/router/src/main/java/org/baobabcart/router/gateway/ModelSteps.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ModelSteps.java
@@ -5,6 +5,8 @@
 import org.baobabcart.model.gateway.ModelSize;
 import org.baobabcart.model.gateway.Route;
 import org.baobabcart.router.exchange.CallerExchange;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 
 /**
@@ -12,6 +14,9 @@
  * pays. Confined to the event loop of the caller's connection.
  */
 final class ModelSteps {
+    /** Two decimal places are written. */
+    private static final double HUNDREDTHS = 100;
+
     private final GatewayRuntime runtime;
     private final CallerExchange exchange;
     private final RequestHead head;
@@ -59,9 +64,12 @@
                 runtime.settings().escalation().pays(confidence, sizes.get(sizes.size() - 1), prompt, output, pressure);
         exchange.record(
                 EventType.REQUEST_ESCALATED,
-                String.format(
-                        "model=%s confidence=%d pressure=%.2f prompt=%d output=%d escalated=%s",
-                        sizes.get(0).name(), confidence, pressure, prompt, output, worthIt));
+                EventFields.of(EventField.MODEL, sizes.get(0).name())
+                        .with(EventField.CONFIDENCE, confidence)
+                        .with(EventField.PRESSURE, Math.round(pressure * HUNDREDTHS) / HUNDREDTHS)
+                        .with(EventField.PROMPT_TOKENS, prompt)
+                        .with(EventField.OUTPUT_TOKENS, output)
+                        .with(EventField.ESCALATED, worthIt));
         return worthIt;
     }
 
--- a/router/src/main/java/org/baobabcart/router/gateway/RouteController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/RouteController.java
@@ -1,6 +1,5 @@
 package org.baobabcart.router.gateway;
 
-import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +11,8 @@
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.platform.FollowerSettings;
 import org.baobabcart.router.platform.ObjectFollower;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
 
@@ -21,8 +22,6 @@
  * <p>A table of a lower version, or one that cannot be read, is put aside: the last good one stays in force.
  */
 final class RouteController implements Controller {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
     private final GatewayObjects meaning;
     private final Blackboard blackboard;
     private final Timeline timeline;
@@ -61,20 +60,27 @@
         try {
             meaning.routeTable(object).ifPresent(this::apply);
         } catch (BaobabcartException fault) {
-            LOGGER.atWarning().log(
-                    "event=configuration_put_aside name=%s version=%s cause=%s",
-                    object.name(), object.resourceVersion(), fault.getMessage());
+            putAside(EventFields.of(EventField.NAME, object.name()).with(EventField.CAUSE, fault.getMessage()));
         }
     }
 
+    private void putAside(EventFields fields) {
+        timeline.record(EventType.SHEET_PUT_ASIDE, fields);
+    }
+
     private void apply(RouteTable table) {
         long inForce = blackboard.read(Sections.ROUTES).map(RouteTable::version).orElse(Long.MIN_VALUE);
+        if (table.version() < inForce) {
+            putAside(EventFields.of(EventField.GENERATION, table.version())
+                    .with(EventField.CAUSE, "generation " + inForce + " is in force"));
+        }
         if (table.version() <= inForce) {
             return;
         }
         blackboard.write(Sections.ROUTES, Optional.of(table));
         timeline.record(
                 EventType.SHEET_APPLIED,
-                "generation=" + table.version() + " routes=" + table.routes().size());
+                EventFields.of(EventField.GENERATION, table.version())
+                        .with(EventField.ROUTES, table.routes().size()));
     }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/ServiceRetries.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ServiceRetries.java
@@ -1,20 +1,24 @@
 package org.baobabcart.router.gateway;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.baobabcart.policy.retry.WindowBudget;
+import org.baobabcart.router.metrics.LabelledMetrics;
 
 /** A retry budget for each service, shared by all event loops of this router. Thread-safe. */
 final class ServiceRetries {
     private final WindowBudget.Settings settings;
+    private final LabelledMetrics metrics;
     private final Map<String, WindowBudget> budgets = new ConcurrentHashMap<>();
 
-    private ServiceRetries(WindowBudget.Settings settings) {
+    private ServiceRetries(WindowBudget.Settings settings, MetricRegistry metrics) {
         this.settings = settings;
+        this.metrics = LabelledMetrics.in(metrics);
     }
 
-    static ServiceRetries create(WindowBudget.Settings settings) {
-        return new ServiceRetries(settings);
+    static ServiceRetries create(WindowBudget.Settings settings, MetricRegistry metrics) {
+        return new ServiceRetries(settings, metrics);
     }
 
     /** Counts the first attempt of a request. */
@@ -34,6 +38,18 @@
     }
 
     private WindowBudget budget(String service) {
-        return budgets.computeIfAbsent(service, ignored -> WindowBudget.create(settings, System.nanoTime()));
+        return budgets.computeIfAbsent(service, this::create);
+    }
+
+    private WindowBudget create(String service) {
+        WindowBudget budget = WindowBudget.create(settings, System.nanoTime());
+        metrics.gauge("gateway.retries-left", LabelledMetrics.labels("service", service), () -> left(budget));
+        return budget;
+    }
+
+    private static double left(WindowBudget budget) {
+        synchronized (budget) {
+            return budget.left(System.nanoTime());
+        }
     }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/UpstreamController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/UpstreamController.java
@@ -5,8 +5,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.result.BaobabcartException;
@@ -15,6 +17,8 @@
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.platform.FollowerSettings;
 import org.baobabcart.router.platform.ObjectFollower;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
 
@@ -66,7 +70,9 @@
     private void changed(Map<String, StoredObject> objects) {
         List<VirtualMachine> machines = new ArrayList<>();
         objects.values().forEach(object -> read(object, machines));
-        known.keySet().retainAll(machines.stream().map(VirtualMachine::name).toList());
+        Set<String> vanished = new HashSet<>(known.keySet());
+        machines.forEach(machine -> vanished.remove(machine.name()));
+        vanished.forEach(this::forget);
         machines.forEach(this::note);
         blackboard.write(Sections.VIRTUAL_MACHINES, List.copyOf(machines));
     }
@@ -81,12 +87,22 @@
         }
     }
 
+    private void forget(String name) {
+        known.remove(name);
+        timeline.record(
+                EventType.UPSTREAM_CHANGED,
+                EventFields.of(EventField.UPSTREAM, name).with(EventField.CHANGE, "gone"));
+    }
+
     private void note(VirtualMachine machine) {
         VirtualMachine before = known.put(machine.name(), machine);
         if (!machine.equals(before)) {
             timeline.record(
                     EventType.UPSTREAM_CHANGED,
-                    machine.name() + " " + machine.state() + " " + machine.service() + " " + machine.version());
+                    EventFields.of(EventField.UPSTREAM, machine.name())
+                            .with(EventField.STATE, machine.state())
+                            .with(EventField.SERVICE, machine.service())
+                            .with(EventField.VERSION, machine.version()));
         }
     }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
@@ -23,6 +23,8 @@
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.platform.FollowerSettings;
 import org.baobabcart.router.platform.ObjectFollower;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
 
@@ -218,10 +220,13 @@
                 order.service(), order.state(), conflict, failure.getMessage());
     }
 
-    private void note(VersionOrder order, String detail) {
+    private void note(VersionOrder order, String change) {
         timeline.record(
                 EventType.ROLL_OUT_CHANGED,
-                order.service() + " to " + order.target() + " " + order.state() + " " + detail);
+                EventFields.of(EventField.SERVICE, order.service())
+                        .with(EventField.TARGET, order.target())
+                        .with(EventField.STATE, order.state())
+                        .with(EventField.CHANGE, change));
     }
 
     private void publish() {
--- a/router/src/main/java/org/baobabcart/router/key/SessionSecretDocument.java
+++ b/router/src/main/java/org/baobabcart/router/key/SessionSecretDocument.java
@@ -10,6 +10,8 @@
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.document.DocumentKind;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 
 /** The signing keys as a document, created by whichever router first finds none in the platform. Thread-safe. */
@@ -28,7 +30,7 @@
                 SessionSecretDocument::read,
                 MAPPER::valueToTree,
                 SessionSecrets::generation,
-                secrets -> "keys=" + secrets.secrets().size(),
+                secrets -> EventFields.of(EventField.KEYS, secrets.secrets().size()),
                 EventType.SESSION_KEYS_APPLIED,
                 Optional.of(() -> SessionSecrets.empty().rotated(RANDOM)));
     }
--- a/router/src/main/java/org/baobabcart/router/machine/MachineListController.java
+++ b/router/src/main/java/org/baobabcart/router/machine/MachineListController.java
@@ -22,6 +22,8 @@
 import org.baobabcart.router.member.DataCentreDuty;
 import org.baobabcart.router.member.Members;
 import org.baobabcart.router.platform.VirtualMachineList;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.wire.DocumentReply;
 import org.baobabcart.wire.DocumentRequest;
@@ -210,13 +212,17 @@
     private void recordChanges(List<VirtualMachine> before, List<VirtualMachine> after) {
         Map<String, VirtualMachine> vanished = new HashMap<>();
         before.forEach(machine -> vanished.put(machine.name(), machine));
-        List<String> changes = new ArrayList<>();
+        List<EventFields> changes = new ArrayList<>();
         for (VirtualMachine machine : after) {
             if (!machine.equals(vanished.remove(machine.name()))) {
-                changes.add("vm=" + machine.name() + " state=" + machine.state());
+                changes.add(change(machine.name(), machine.state().name()));
             }
         }
-        vanished.keySet().forEach(name -> changes.add("vm=" + name + " state=VANISHED"));
+        vanished.keySet().forEach(name -> changes.add(change(name, "VANISHED")));
         changes.forEach(change -> parts.timeline().record(EventType.UPSTREAM_CHANGED, change));
     }
+
+    private static EventFields change(String name, String state) {
+        return EventFields.of(EventField.UPSTREAM, name).with(EventField.STATE, state);
+    }
 }
--- a/router/src/main/java/org/baobabcart/router/member/KnownMembers.java
+++ b/router/src/main/java/org/baobabcart/router/member/KnownMembers.java
@@ -14,6 +14,8 @@
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.RingTimeline;
 import org.baobabcart.wire.Exchange;
@@ -201,8 +203,9 @@
         }
         table = merged;
         changedAtNanos.put(statement.nodeId(), timers.nanoTime());
-        timeline.record(EventType.MEMBER_CHANGED, describe(statement));
-        LOGGER.atInfo().log("event=member_changed %s", describe(statement));
+        EventFields fields = describe(statement);
+        timeline.record(EventType.MEMBER_CHANGED, fields);
+        LOGGER.atInfo().log("event=member_changed %s", fields);
         return true;
     }
 
@@ -213,8 +216,9 @@
         }
     }
 
-    private static String describe(MemberStatement statement) {
-        return "member=" + statement.nodeId() + " state=" + statement.liveness() + " incarnation="
-                + statement.incarnation();
+    private static EventFields describe(MemberStatement statement) {
+        return EventFields.of(EventField.MEMBER, statement.nodeId())
+                .with(EventField.STATE, statement.liveness())
+                .with(EventField.INCARNATION, statement.incarnation());
     }
 }
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics with labels, over the registry of the process. */
+package org.baobabcart.router.metrics;
--- a/router/src/main/java/org/baobabcart/router/order/LeaseController.java
+++ b/router/src/main/java/org/baobabcart/router/order/LeaseController.java
@@ -17,6 +17,8 @@
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.member.Member;
 import org.baobabcart.router.member.Members;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 
 /**
@@ -306,7 +308,9 @@
         parts.timeline()
                 .record(
                         EventType.LEASE_CHANGED,
-                        "orders of " + dataCentre + " " + change + " by " + nodeId + ", fencing " + fencing);
+                        EventFields.of(EventField.CHANGE, change)
+                                .with(EventField.HOLDER, nodeId)
+                                .with(EventField.FENCING, fencing));
     }
 
     private static boolean isCode(Throwable failure, ResultCode code) {
--- a/router/src/main/java/org/baobabcart/router/order/OrderController.java
+++ b/router/src/main/java/org/baobabcart/router/order/OrderController.java
@@ -18,6 +18,8 @@
 import org.baobabcart.router.control.Controller;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 
 /**
@@ -151,8 +153,11 @@
         }
         sendings.put(order.id(), new Sending(before.count() + 1, parts.timers().nanoTime(), false));
         long sentUnder = fencing;
-        String detail = order.id() + " to " + order.engine() + ": load " + order.target() + ", fencing " + fencing;
-        parts.timeline().record(EventType.ORDER_SENT, detail);
+        EventFields fields = EventFields.of(EventField.ORDER, order.id())
+                .with(EventField.UPSTREAM, order.engine())
+                .with(EventField.TARGET, String.valueOf(order.target()))
+                .with(EventField.FENCING, fencing);
+        parts.timeline().record(EventType.ORDER_SENT, fields);
         engineOrders
                 .send(engine, EngineOrder.of(order, fencing), mayAct)
                 .emitOn(parts.loop())
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectFollower.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectFollower.java
@@ -1,6 +1,6 @@
 package org.baobabcart.router.platform;
 
-import com.google.common.flogger.FluentLogger;
+import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.subscription.Cancellable;
 import java.time.Duration;
 import java.util.HashMap;
@@ -15,6 +15,11 @@
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.metrics.LabelledMetrics;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
+import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.timeline.Timeline;
 
 /**
  * Keeps all objects of a kind as the platform has them: a snapshot, then a watch from its version, then another snapshot where
@@ -24,7 +29,7 @@
  * its return, since their owners write them again.
  */
 public final class ObjectFollower {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final String kind;
     private final Parts parts;
@@ -38,6 +43,7 @@
     private long regainedNanos;
     private int failures;
     private volatile boolean known;
+    private volatile long heardNanos;
     private boolean stopped;
 
     /**
@@ -47,8 +53,16 @@
      * @param loop the control thread
      * @param timers time
      * @param random spreads the retries of several routers
+     * @param timeline events
+     * @param metrics the age of what is known
      */
-    public record Parts(ObjectStore store, Executor loop, TimerService timers, RandomGenerator random) {}
+    public record Parts(
+            ObjectStore store,
+            Executor loop,
+            TimerService timers,
+            RandomGenerator random,
+            Timeline timeline,
+            MetricRegistry metrics) {}
 
     private ObjectFollower(
             String kind, Parts parts, FollowerSettings settings, Consumer<Map<String, StoredObject>> listener) {
@@ -56,6 +70,7 @@
         this.parts = parts;
         this.settings = settings;
         this.listener = listener;
+        this.heardNanos = parts.timers().nanoTime();
         this.regainedNanos = parts.timers().nanoTime() - settings.returnGrace().toNanos();
     }
 
@@ -66,7 +81,10 @@
      */
     public static ObjectFollower create(
             String kind, Parts parts, FollowerSettings settings, Consumer<Map<String, StoredObject>> listener) {
-        return new ObjectFollower(kind, parts, settings, listener);
+        ObjectFollower follower = new ObjectFollower(kind, parts, settings, listener);
+        LabelledMetrics.in(parts.metrics())
+                .gauge("platform.age-seconds", LabelledMetrics.labels("kind", kind), follower::ageSeconds);
+        return follower;
     }
 
     /** Begins with a snapshot. */
@@ -165,10 +183,19 @@
         }
     }
 
+    private void record(EventType type, String cause) {
+        parts.timeline().record(type, EventFields.of(EventField.NAME, kind).with(EventField.CAUSE, cause));
+    }
+
+    private double ageSeconds() {
+        return (parts.timers().nanoTime() - heardNanos) / NANOS_PER_SECOND;
+    }
+
     private void regained() {
+        heardNanos = parts.timers().nanoTime();
         if (failures > 0) {
             regainedNanos = parts.timers().nanoTime();
-            LOGGER.atInfo().log("event=dependency_regained kind=%s failures=%d", kind, failures);
+            record(EventType.DEPENDENCY_FOUND, "after " + failures + " failures");
         }
         failures = 0;
     }
@@ -176,13 +203,13 @@
     private void failed(Throwable failure) {
         endRound();
         if (failure instanceof BaobabcartException exception && exception.code() == ResultCode.WATCH_EXPIRED) {
-            LOGGER.atInfo().log("event=watch_expired kind=%s version=%s", kind, version);
+            record(EventType.WATCH_EXPIRED, "nothing is kept after version " + version);
             readAll();
             return;
         }
         failures++;
         if (failures == 1) {
-            LOGGER.atWarning().log("event=dependency_lost kind=%s cause=%s", kind, failure.getMessage());
+            record(EventType.DEPENDENCY_LOST, String.valueOf(failure.getMessage()));
         }
         long current = round;
         parts.timers().after("follow-" + kind, backoff(), () -> inRound(current, known ? this::watch : this::readAll));
--- a/router/src/main/java/org/baobabcart/router/platform/PlatformHealth.java
+++ b/router/src/main/java/org/baobabcart/router/platform/PlatformHealth.java
@@ -1,5 +1,7 @@
 package org.baobabcart.router.platform;
 
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
 import java.util.List;
@@ -11,6 +13,8 @@
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Sections;
+import org.baobabcart.router.metrics.LabelledMetrics;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
 
@@ -23,18 +27,25 @@
     private final Blackboard blackboard;
     private final Executor loop;
     private final Timeline timeline;
+    private final Meter answers;
+    private final Meter failures;
     private volatile boolean reachable;
 
-    private PlatformHealth(ObjectStore store, Blackboard blackboard, Executor loop, Timeline timeline) {
+    private PlatformHealth(
+            ObjectStore store, Blackboard blackboard, Executor loop, Timeline timeline, MetricRegistry metrics) {
         this.store = store;
         this.blackboard = blackboard;
         this.loop = loop;
         this.timeline = timeline;
+        LabelledMetrics labelled = LabelledMetrics.in(metrics);
+        this.answers = labelled.meter("platform.calls", LabelledMetrics.labels("result", "answered"));
+        this.failures = labelled.meter("platform.calls", LabelledMetrics.labels("result", "unanswered"));
     }
 
     /** Observes the calls to this store. */
-    public static PlatformHealth observing(ObjectStore store, Blackboard blackboard, Executor loop, Timeline timeline) {
-        return new PlatformHealth(store, blackboard, loop, timeline);
+    public static PlatformHealth observing(
+            ObjectStore store, Blackboard blackboard, Executor loop, Timeline timeline, MetricRegistry metrics) {
+        return new PlatformHealth(store, blackboard, loop, timeline, metrics);
     }
 
     @Override
@@ -92,6 +103,7 @@
     }
 
     private void answered(boolean answer) {
+        (answer ? answers : failures).mark();
         if (reachable != answer) {
             loop.execute(() -> change(answer));
         }
@@ -103,6 +115,6 @@
         }
         reachable = answer;
         blackboard.write(Sections.PLATFORM_REACHABLE, answer);
-        timeline.record(answer ? EventType.PLATFORM_FOUND : EventType.PLATFORM_LOST, "");
+        timeline.record(answer ? EventType.PLATFORM_FOUND : EventType.PLATFORM_LOST, EventFields.none());
     }
 }
--- a/router/src/main/java/org/baobabcart/router/rollout/RollOutController.java
+++ b/router/src/main/java/org/baobabcart/router/rollout/RollOutController.java
@@ -28,6 +28,8 @@
 import org.baobabcart.router.member.ExchangeParticipant;
 import org.baobabcart.router.member.Member;
 import org.baobabcart.router.member.Members;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.view.FeedbackListener;
 import org.baobabcart.wire.EvidenceReport;
@@ -167,9 +169,11 @@
             return;
         }
         if (stops.add(rollOut.key(), verdict.reason(), parts.timers().nanoTime())) {
-            String detail = "stopped here " + rollOut.key() + ": " + verdict.reason();
-            parts.timeline().record(EventType.ROLL_OUT_CHANGED, detail);
-            LOGGER.atWarning().log("event=roll_out_stopped %s", detail);
+            EventFields fields = EventFields.of(EventField.TARGET, String.valueOf(rollOut.key()))
+                    .with(EventField.CHANGE, "stopped here")
+                    .with(EventField.CAUSE, verdict.reason());
+            parts.timeline().record(EventType.ROLL_OUT_CHANGED, fields);
+            LOGGER.atWarning().log("event=roll_out_stopped %s", fields);
             refresh();
         }
     }
--- a/router/src/main/java/org/baobabcart/router/sheet/SheetDocuments.java
+++ b/router/src/main/java/org/baobabcart/router/sheet/SheetDocuments.java
@@ -15,6 +15,8 @@
 import org.baobabcart.model.sheet.SheetProblem;
 import org.baobabcart.model.sheet.SheetReader;
 import org.baobabcart.router.document.DocumentKind;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 
 /** The sheet and the roll-outs' state as documents. Thread-safe. */
@@ -35,8 +37,8 @@
                 SheetDocuments::readSheet,
                 SheetDocuments::write,
                 PublishedSheet::generation,
-                sheet -> "generation=" + sheet.generation() + " name="
-                        + sheet.sheet().name(),
+                sheet -> EventFields.of(EventField.GENERATION, sheet.generation())
+                        .with(EventField.NAME, sheet.sheet().name()),
                 EventType.SHEET_APPLIED,
                 Optional.empty());
     }
@@ -50,8 +52,8 @@
                 specification -> read(specification, RollOutState.class),
                 SheetDocuments::write,
                 RollOutState::generation,
-                state -> "generation=" + state.generation() + " withdrawals="
-                        + state.withdrawals().size(),
+                state -> EventFields.of(EventField.GENERATION, state.generation())
+                        .with(EventField.WITHDRAWALS, state.withdrawals().size()),
                 EventType.ROLL_OUT_CHANGED,
                 Optional.empty());
     }
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventField.java
@@ -0,0 +1,73 @@
+package org.baobabcart.router.timeline;
+
+import java.util.Locale;
+
+/** What an event can state, each with one meaning in all events. */
+public enum EventField {
+    ATTEMPT("number of the attempt at an upstream, from 1"),
+    ATTEMPT_ID("id under which an attempt is claimed"),
+    BILLS("bills that were stored"),
+    CAUSE("what led to the event, as a sentence"),
+    CHANGE("what became of it"),
+    CODE("number of the result code"),
+    CONFIDENCE("how sure the smaller model is, from 0 to 100"),
+    DEADLINE_MS("time left until the caller's deadline"),
+    ESCALATED("whether a larger model is asked"),
+    FAILURE("how the attempt failed"),
+    FENCING("fencing number of a lease"),
+    FILE("name of the settings file"),
+    FINGERPRINT("digest of a prompt"),
+    FIRST_BYTE_MS("time from the head of the request to the first byte of its answer"),
+    GENERATION("generation of the document or table in force"),
+    HOLDER("who holds it"),
+    INCARNATION("how often it has started"),
+    KEYS("number of keys"),
+    LEFT_OUT("lines of this event that were left out before it"),
+    MEMBER("name of another router"),
+    METHOD("method of the request"),
+    MODEL("name of a model"),
+    NAME("name of the process or document"),
+    ORDER("id of an order"),
+    OUTCOME("what is known of an attempt"),
+    OUTPUT_TOKENS("tokens that the answer is expected to have"),
+    PATH("path of the request"),
+    PRESSURE("time in which the largest model begins to answer, over the time in which it should"),
+    PROMPT_TOKENS("tokens of the prompt"),
+    RAN("whether an upstream may have run the request: no or unknown"),
+    RANK("rank of the request, 0 being the most urgent"),
+    RESULT("name of the result code"),
+    RETRY_AFTER_MS("time after which the caller should come back"),
+    ROUTE("name of the route"),
+    ROUTES("number of routes"),
+    RUNNING("requests that run"),
+    SEGMENT("name of a segment of bills"),
+    SERVICE("name of a service"),
+    SOURCE("where it came from: the platform, another router, or a logger's name"),
+    STATE("state that it has now"),
+    STATUS("status of the answer"),
+    TARGET("version or load that is ordered"),
+    TOOK_MS("time from the head of the request to its end"),
+    TRIED("upstreams at which an attempt failed"),
+    UPSTREAM("name of an engine or instance of a service"),
+    VERSION("version that an upstream runs"),
+    WAITED_MS("time spent in the queue"),
+    WAITING("requests in the queue of this router"),
+    WITHDRAWALS("number of versions withdrawn"),
+    WORKSPACE("name of the caller's workspace");
+
+    private final String meaning;
+
+    EventField(String meaning) {
+        this.meaning = meaning;
+    }
+
+    /** What the field states. */
+    public String meaning() {
+        return meaning;
+    }
+
+    /** The name in logs and reports. */
+    public String text() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -1,36 +1,149 @@
 package org.baobabcart.router.timeline;
 
-/** Types of events on the time line. */
+import java.util.List;
+
+/** Types of events on the time line, with what each says and the fields that it can have. */
 public enum EventType {
-    PROCESS_STARTED,
-    PROCESS_READY,
-    PROCESS_STOPPING,
-    PROCESS_STOPPED,
-    SETTINGS_RELOADED,
-    SHEET_APPLIED,
-    ROLL_OUT_CHANGED,
-    SESSION_KEYS_APPLIED,
-    MEMBER_CHANGED,
-    UPSTREAM_CHANGED,
-    PLATFORM_LOST,
-    PLATFORM_FOUND,
-    REQUEST_RECEIVED,
-    REQUEST_REFUSED,
-    REQUEST_QUEUED,
-    REQUEST_DISPATCHED,
-    UPSTREAM_ANSWERED,
-    ATTEMPT_FAILED,
-    REQUEST_RETRIED,
-    REQUEST_ESCALATED,
-    REQUEST_FINISHED,
-    REQUEST_FAILED,
-    REQUEST_CANCELLED,
-    CLAIM_GRANTED,
-    CLAIM_REFUSED,
-    CLAIM_SETTLED,
-    BILL_HELD,
-    BILL_COMMITTED,
-    FINGERPRINT_QUARANTINED,
-    LEASE_CHANGED,
-    ORDER_SENT
+    PROCESS_STARTED("the process has begun to open its ports", EventField.NAME),
+    PROCESS_READY("the process takes requests", EventField.GENERATION),
+    PROCESS_STOPPING("a planned stop has begun", EventField.RUNNING),
+    PROCESS_STOPPED("a planned stop has ended", EventField.RUNNING),
+    SETTINGS_RELOADED("the settings file was read again", EventField.FILE, EventField.CHANGE),
+    SHEET_APPLIED(
+            "a sheet or table of routes is in force",
+            EventField.GENERATION,
+            EventField.NAME,
+            EventField.ROUTES,
+            EventField.SOURCE),
+    SHEET_PUT_ASIDE(
+            "a table of routes was not taken; the one in force stays",
+            EventField.GENERATION,
+            EventField.NAME,
+            EventField.CAUSE),
+    ROLL_OUT_CHANGED(
+            "a roll-out was seen, moved on, stopped or ended",
+            EventField.GENERATION,
+            EventField.WITHDRAWALS,
+            EventField.SOURCE,
+            EventField.SERVICE,
+            EventField.TARGET,
+            EventField.STATE,
+            EventField.CHANGE,
+            EventField.CAUSE),
+    SESSION_KEYS_APPLIED("signing keys are in force", EventField.KEYS, EventField.SOURCE),
+    MEMBER_CHANGED(
+            "another router is known, suspected or gone", EventField.MEMBER, EventField.STATE, EventField.INCARNATION),
+    UPSTREAM_CHANGED(
+            "an upstream is known, leaving, started anew or gone",
+            EventField.UPSTREAM,
+            EventField.STATE,
+            EventField.SERVICE,
+            EventField.VERSION,
+            EventField.CHANGE),
+    UPSTREAM_SUSPECTED("an upstream is passed over until it takes a connection again", EventField.UPSTREAM),
+    UPSTREAM_BACK("an upstream that was passed over takes connections again", EventField.UPSTREAM),
+    DEPENDENCY_LOST(
+            "a kind of objects in the store cannot be followed; what is known stays",
+            EventField.NAME,
+            EventField.CAUSE),
+    DEPENDENCY_FOUND("a kind of objects in the store is followed again", EventField.NAME, EventField.CAUSE),
+    WATCH_EXPIRED(
+            "the store no longer keeps the changes since the last answer; all is read anew",
+            EventField.NAME,
+            EventField.CAUSE),
+    PLATFORM_LOST("the platform's store does not answer"),
+    PLATFORM_FOUND("the platform's store answers"),
+    REQUEST_RECEIVED(
+            "the head of a request was read",
+            EventField.METHOD,
+            EventField.PATH,
+            EventField.ROUTE,
+            EventField.RANK,
+            EventField.WORKSPACE,
+            EventField.DEADLINE_MS,
+            EventField.GENERATION),
+    REQUEST_REFUSED(
+            "the caller was told that its request has not run",
+            EventField.CODE,
+            EventField.RESULT,
+            EventField.RAN,
+            EventField.RETRY_AFTER_MS,
+            EventField.TOOK_MS,
+            EventField.CAUSE),
+    REQUEST_QUEUED(
+            "the request waits for an upstream",
+            EventField.SERVICE,
+            EventField.WAITING,
+            EventField.DEADLINE_MS,
+            EventField.GENERATION),
+    REQUEST_DISPATCHED(
+            "an attempt is sent",
+            EventField.UPSTREAM,
+            EventField.ATTEMPT,
+            EventField.WAITED_MS,
+            EventField.DEADLINE_MS,
+            EventField.GENERATION),
+    ATTEMPT_FAILED(
+            "an attempt ended without its whole answer",
+            EventField.UPSTREAM,
+            EventField.ATTEMPT,
+            EventField.FAILURE,
+            EventField.CAUSE),
+    REQUEST_RETRIED("the request is queued again after a failed attempt", EventField.FAILURE, EventField.TRIED),
+    REQUEST_ESCALATED(
+            "whether a larger model is asked after a smaller one's answer",
+            EventField.MODEL,
+            EventField.CONFIDENCE,
+            EventField.PRESSURE,
+            EventField.PROMPT_TOKENS,
+            EventField.OUTPUT_TOKENS,
+            EventField.ESCALATED),
+    NOTE("a message of a part of the program", EventField.SOURCE, EventField.STATE, EventField.CAUSE),
+    REQUEST_FINISHED("the caller has a whole answer", EventField.STATUS, EventField.FIRST_BYTE_MS, EventField.TOOK_MS),
+    REQUEST_FAILED(
+            "the caller was told of a failure, or its answer was broken off",
+            EventField.CODE,
+            EventField.RESULT,
+            EventField.RAN,
+            EventField.RETRY_AFTER_MS,
+            EventField.TOOK_MS,
+            EventField.CAUSE),
+    REQUEST_CANCELLED(
+            "the caller left before its answer was whole", EventField.CODE, EventField.TOOK_MS, EventField.CAUSE),
+    CLAIM_GRANTED("an idempotency key was claimed", EventField.ATTEMPT_ID),
+    CLAIM_REFUSED("an idempotency key could not be claimed", EventField.ATTEMPT_ID, EventField.RESULT),
+    CLAIM_SETTLED("the outcome of a claimed attempt is stored", EventField.ATTEMPT_ID, EventField.OUTCOME),
+    BILL_HELD("another router or the platform holds the bill", EventField.HOLDER),
+    BILL_COMMITTED("a segment of bills is in the platform", EventField.SEGMENT, EventField.BILLS),
+    FINGERPRINT_QUARANTINED(
+            "a prompt has crashed so many upstreams that none gets it any more", EventField.FINGERPRINT),
+    LEASE_CHANGED(
+            "the lease on the orders of a data centre was taken, renewed or lost",
+            EventField.CHANGE,
+            EventField.HOLDER,
+            EventField.FENCING),
+    ORDER_SENT(
+            "an order was sent to an engine",
+            EventField.ORDER,
+            EventField.UPSTREAM,
+            EventField.TARGET,
+            EventField.FENCING);
+
+    private final String meaning;
+    private final List<EventField> fields;
+
+    EventType(String meaning, EventField... fields) {
+        this.meaning = meaning;
+        this.fields = List.of(fields);
+    }
+
+    /** What the event says. */
+    public String meaning() {
+        return meaning;
+    }
+
+    /** The fields that the event can have, besides {@link EventField#LEFT_OUT}. */
+    public List<EventField> fields() {
+        return fields;
+    }
 }
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/timeline/LogRecordHandler.java
@@ -0,0 +1,56 @@
+package org.baobabcart.router.timeline;
+
+import java.util.logging.Handler;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
+
+/**
+ * Hands the messages of loggers to a time line, so that all lines of a process have one form and none is written by a thread
+ * that serves requests. Thread-safe.
+ */
+public final class LogRecordHandler extends Handler {
+    private static final String ROOT = "";
+
+    private final Timeline timeline;
+    private final SimpleFormatter formatter = new SimpleFormatter();
+
+    private LogRecordHandler(Timeline timeline) {
+        this.timeline = timeline;
+    }
+
+    /** A handler that is not installed. */
+    static LogRecordHandler to(Timeline timeline) {
+        return new LogRecordHandler(timeline);
+    }
+
+    /** Replaces the handlers of all loggers. */
+    public static void install(Timeline timeline) {
+        Logger root = LogManager.getLogManager().getLogger(ROOT);
+        for (Handler handler : root.getHandlers()) {
+            root.removeHandler(handler);
+        }
+        root.addHandler(to(timeline));
+    }
+
+    @Override
+    public void publish(LogRecord message) {
+        if (!isLoggable(message)) {
+            return;
+        }
+        Throwable thrown = message.getThrown();
+        String text = formatter.formatMessage(message) + (thrown == null ? "" : " thrown: " + thrown);
+        timeline.record(
+                EventType.NOTE,
+                EventFields.of(EventField.SOURCE, String.valueOf(message.getLoggerName()))
+                        .with(EventField.STATE, message.getLevel().getName())
+                        .with(EventField.CAUSE, text));
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {}
+}
--- a/router/src/main/java/org/baobabcart/router/timeline/RingTimeline.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/RingTimeline.java
@@ -33,11 +33,11 @@
     }
 
     @Override
-    public synchronized void record(EventType type, String requestId, String detail) {
+    public synchronized void record(EventType type, String requestId, EventFields fields) {
         long wallClockMillis = timers.wallClockMillis();
         clock = clock.tick(wallClockMillis);
         ring[(int) (recorded % ring.length)] =
-                new TimelineEvent(clock.reading(), wallClockMillis, node, type, requestId, detail);
+                new TimelineEvent(clock.reading(), wallClockMillis, node, type, requestId, fields);
         recorded++;
     }
 
--- a/router/src/main/java/org/baobabcart/router/timeline/StructuredLog.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/StructuredLog.java
@@ -1,9 +1,14 @@
 package org.baobabcart.router.timeline;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.EnumMap;
 import java.util.Map;
@@ -21,8 +26,11 @@
 public final class StructuredLog implements Timeline {
     /** The most lines that wait for the writer. */
     private static final int QUEUED_LINES = 4_096;
-    /** The most lines of one type in a second: a few hundred requests with some events each. */
-    private static final int LINES_PER_SECOND = 400;
+    /** The usual budget of one type, in lines a second: a few hundred requests with some events each. */
+    public static final int DEFAULT_LINES_PER_SECOND = 400;
+
+    /** The most lines of one write: about 100 kB. */
+    private static final int LINES_AT_ONCE = 512;
 
     private static final Duration WRITER_WAIT = Duration.ofSeconds(1);
     private static final long NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
@@ -33,20 +41,30 @@
     private final OutputStream output;
     private final BlockingQueue<TimelineEvent> queue = new ArrayBlockingQueue<>(QUEUED_LINES);
     private final Map<EventType, Budget> budgets = new EnumMap<>(EventType.class);
+    private final Counter written;
+    private final Counter leftOut;
     private long sequence;
 
-    private StructuredLog(String node, TimerService timers, OutputStream output) {
+    private StructuredLog(
+            String node, TimerService timers, OutputStream output, int linesPerSecond, MetricRegistry metrics) {
         this.node = node;
         this.timers = timers;
         this.output = output;
+        this.written = metrics.counter("log.lines");
+        this.leftOut = metrics.counter("log.lines-left-out");
         for (EventType type : EventType.values()) {
-            budgets.put(type, new Budget());
+            budgets.put(type, new Budget(linesPerSecond));
         }
     }
 
-    /** A log whose writer has been started as a daemon thread. */
-    public static StructuredLog start(String node, TimerService timers, OutputStream output) {
-        StructuredLog log = new StructuredLog(node, timers, output);
+    /**
+     * A log whose writer has been started as a daemon thread.
+     *
+     * @param linesPerSecond the budget of each type of event; zero writes nothing
+     */
+    public static StructuredLog start(
+            String node, TimerService timers, OutputStream output, int linesPerSecond, MetricRegistry metrics) {
+        StructuredLog log = new StructuredLog(node, timers, output, linesPerSecond, metrics);
         Thread writer = new Thread(log::write, "log-writer");
         writer.setDaemon(true);
         writer.start();
@@ -54,17 +72,18 @@
     }
 
     @Override
-    public void record(EventType type, String requestId, String detail) {
+    public void record(EventType type, String requestId, EventFields fields) {
         long now = timers.nanoTime();
         TimelineEvent event;
         synchronized (this) {
             Budget budget = budgets.get(type);
             if (!budget.allows(now)) {
+                leftOut.inc();
                 return;
             }
             sequence++;
             event = new TimelineEvent(
-                    sequence, timers.wallClockMillis(), node, type, requestId, withLeftOut(detail, budget));
+                    sequence, timers.wallClockMillis(), node, type, requestId, withLeftOut(fields, budget));
         }
         if (!queue.offer(event)) {
             leaveOut(type);
@@ -72,16 +91,17 @@
     }
 
     private synchronized void leaveOut(EventType type) {
+        leftOut.inc();
         budgets.get(type).leftOut++;
     }
 
-    private static String withLeftOut(String detail, Budget budget) {
+    private static EventFields withLeftOut(EventFields fields, Budget budget) {
         if (budget.leftOut == 0) {
-            return detail;
+            return fields;
         }
-        String text = detail + " lines_left_out=" + budget.leftOut;
+        EventFields more = fields.with(EventField.LEFT_OUT, budget.leftOut);
         budget.leftOut = 0;
-        return text;
+        return more;
     }
 
     private void write() {
@@ -102,15 +122,18 @@
 
     private void writeAll(TimelineEvent first) throws IOException {
         StringBuilder lines = new StringBuilder();
-        for (TimelineEvent event = first; event != null; event = queue.poll()) {
+        int count = 0;
+        for (TimelineEvent event = first; event != null; event = count < LINES_AT_ONCE ? queue.poll() : null) {
             lines.append(line(event)).append('\n');
+            count++;
         }
-        output.write(lines.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        output.write(lines.toString().getBytes(StandardCharsets.UTF_8));
         output.flush();
+        written.inc(count);
     }
 
     private static String line(TimelineEvent event) throws IOException {
-        java.io.StringWriter text = new java.io.StringWriter();
+        StringWriter text = new StringWriter();
         try (JsonGenerator json = JSON.createGenerator(text)) {
             json.writeStartObject();
             json.writeNumberField("sequence", event.clock());
@@ -120,25 +143,39 @@
             if (!event.requestId().isEmpty()) {
                 json.writeStringField("request", event.requestId());
             }
-            json.writeStringField("detail", event.detail());
+            event.detail().forEach((field, value) -> write(json, field, value));
             json.writeEndObject();
         }
         return text.toString();
     }
 
+    private static void write(JsonGenerator json, EventField field, Object value) {
+        try {
+            json.writeFieldName(field.text());
+            json.writeObject(value);
+        } catch (IOException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+    }
+
     /** Lines of one type in the present second. Guarded by the log. */
     private static final class Budget {
+        private final int linesPerSecond;
         private long secondBegan;
         private int lines;
         private long leftOut;
 
+        private Budget(int linesPerSecond) {
+            this.linesPerSecond = linesPerSecond;
+        }
+
         private boolean allows(long nowNanos) {
             if (nowNanos - secondBegan >= NANOS_PER_SECOND) {
                 secondBegan = nowNanos;
                 lines = 0;
             }
             lines++;
-            if (lines > LINES_PER_SECOND) {
+            if (lines > linesPerSecond) {
                 leftOut++;
                 return false;
             }
--- a/router/src/main/java/org/baobabcart/router/timeline/TimelineEvent.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/TimelineEvent.java
@@ -8,7 +8,7 @@
  * @param node the node that recorded it
  * @param type what happened
  * @param requestId the request concerned, or empty
- * @param detail a short text for people
+ * @param detail what the event states
  */
 public record TimelineEvent(
-        long clock, long wallClockMillis, String node, EventType type, String requestId, String detail) {}
+        long clock, long wallClockMillis, String node, EventType type, String requestId, EventFields detail) {}
--- a/router/src/main/java/org/baobabcart/router/timeline/TimelineQuery.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/TimelineQuery.java
@@ -1,6 +1,5 @@
 package org.baobabcart.router.timeline;
 
-import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -12,8 +11,6 @@
  * @param type the type of event
  */
 public record TimelineQuery(Optional<String> requestId, long since, Optional<String> sheet, Optional<EventType> type) {
-    private static final String SHEET_FIELD = "generation=";
-
     /** A query that matches all events. */
     public static TimelineQuery all() {
         return new TimelineQuery(Optional.empty(), 0, Optional.empty(), Optional.empty());
@@ -29,6 +26,9 @@
 
     private static boolean tellsOfSheet(TimelineEvent event, String generation) {
         return event.type() == EventType.SHEET_APPLIED
-                && Arrays.asList(event.detail().split(" ")).contains(SHEET_FIELD + generation);
+                && event.detail()
+                        .get(EventField.GENERATION)
+                        .filter(generation::equals)
+                        .isPresent();
     }
 }
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -46,7 +46,7 @@
     public static CallerApi create(Vertx vertx, TrafficParts parts, TrafficSettings settings) {
         UpstreamClient upstreams = UpstreamClient.create(
                 vertx, UpstreamClientSettings.of(settings.timeouts().connect(), settings.transport()));
-        UpstreamHealth health = UpstreamHealth.create(vertx, upstreams, parts.views());
+        UpstreamHealth health = UpstreamHealth.create(vertx, upstreams, parts.views(), parts.timeline());
         DispatcherSettings dispatching = new DispatcherSettings(
                 settings.node().name(),
                 settings.node().dataCentre(),
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -20,6 +20,8 @@
 import org.baobabcart.router.exchange.BodyReader;
 import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.exchange.ConnectionGuard;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 
 /** One event loop of the caller API. */
@@ -149,7 +151,9 @@
                 CallerExchange.create(runtime.exchanges(), request, this::isStopping, () -> ended(request));
         exchange.identify(RequestIds.next());
         request.response().putHeader(Headers.REQUEST_ID, exchange.requestId());
-        exchange.record(EventType.REQUEST_RECEIVED, request.method() + " " + request.path());
+        exchange.record(
+                EventType.REQUEST_RECEIVED,
+                EventFields.of(EventField.METHOD, request.method().name()).with(EventField.PATH, request.path()));
         return exchange;
     }
 
--- a/router/src/main/java/org/baobabcart/router/traffic/Holding.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/Holding.java
@@ -2,6 +2,8 @@
 
 import io.vertx.core.Future;
 import org.baobabcart.model.request.Bill;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 
 /** Hands bills to the bill service from event loops. */
@@ -13,8 +15,12 @@
         return Future.fromCompletionStage(
                         runtime.parts().bills().hold(bill).subscribeAsCompletionStage(),
                         runtime.vertx().getOrCreateContext())
-                .onSuccess(holder ->
-                        runtime.parts().timeline().record(EventType.BILL_HELD, bill.requestId(), holder.name()))
+                .onSuccess(holder -> runtime.parts()
+                        .timeline()
+                        .record(
+                                EventType.BILL_HELD,
+                                bill.requestId(),
+                                EventFields.of(EventField.HOLDER, holder.name())))
                 .<Void>mapEmpty()
                 .otherwiseEmpty();
     }
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRun.java
@@ -21,6 +21,8 @@
 import org.baobabcart.policy.rollout.LatencyLoss;
 import org.baobabcart.router.cascade.WorkKind;
 import org.baobabcart.router.exchange.CallerExchange;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.UpstreamAnswer;
@@ -130,7 +132,9 @@
                         return deliver(answer);
                     }
                     exchange.record(
-                            EventType.REQUEST_ESCALATED, answer.version().model());
+                            EventType.REQUEST_ESCALATED,
+                            EventFields.of(EventField.MODEL, answer.version().model())
+                                    .with(EventField.ESCALATED, true));
                     return step(decision.nextStep().orElseThrow(), Optional.of(answer));
                 });
     }
--- a/router/src/main/java/org/baobabcart/router/traffic/PlannedAttempts.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/PlannedAttempts.java
@@ -100,7 +100,7 @@
     }
 
     @Override
-    public UpstreamRequest request(VirtualMachine upstream) {
+    public UpstreamRequest request(VirtualMachine upstream, long waitedNanos) {
         return plan.request().apply(plan.attemptIds().get());
     }
 
@@ -129,7 +129,7 @@
     }
 
     @Override
-    public void failed(VirtualMachine upstream, FailureKind kind) {
+    public void failed(VirtualMachine upstream, FailureKind kind, long nanos) {
         if (kind.ran() == Ran.UNKNOWN && !plan.pool().model().isEmpty()) {
             runtime.guards().evidence().failed(plan.pool().model(), plan.pool().version());
         }
--- a/router/src/main/java/org/baobabcart/router/traffic/ServiceRun.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ServiceRun.java
@@ -26,6 +26,8 @@
 import org.baobabcart.router.claim.ClaimOutcome;
 import org.baobabcart.router.claim.StoredReply;
 import org.baobabcart.router.exchange.CallerExchange;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.Pool;
 import org.baobabcart.router.upstream.UpstreamAnswer;
@@ -141,8 +143,8 @@
         return Future.fromCompletionStage(
                         runtime.parts().claims().settle(call, outcome).subscribeAsCompletionStage(),
                         runtime.vertx().getOrCreateContext())
-                .onSuccess(ignored ->
-                        exchange.record(EventType.CLAIM_SETTLED, outcome.kind().name()))
+                .onSuccess(ignored -> exchange.record(
+                        EventType.CLAIM_SETTLED, EventFields.none().with(EventField.OUTCOME, outcome.kind())))
                 .otherwiseEmpty();
     }
 
--- a/router/src/main/java/org/baobabcart/router/upstream/AttemptException.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/AttemptException.java
@@ -7,11 +7,13 @@
 public final class AttemptException extends RuntimeException {
     private final FailureKind kind;
     private final String upstream;
+    private final String detail;
 
     private AttemptException(FailureKind kind, String upstream, String detail, Throwable cause) {
         super(kind + " at " + upstream + ": " + detail, cause, false, false);
         this.kind = kind;
         this.upstream = upstream;
+        this.detail = detail;
     }
 
     /** A failure at an upstream. */
@@ -34,6 +36,11 @@
         return upstream;
     }
 
+    /** What happened, without the upstream's name. */
+    public String detail() {
+        return detail;
+    }
+
     /** The failure as the caller sees it. */
     public BaobabcartException toResult() {
         return BaobabcartException.of(kind.code()).withRan(kind.ran()).withCause(this);
--- a/router/src/main/java/org/baobabcart/router/upstream/CrashController.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/CrashController.java
@@ -6,6 +6,8 @@
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.member.ExchangeParticipant;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
 import org.baobabcart.router.view.FeedbackListener;
@@ -71,7 +73,8 @@
         Set<String> quarantined = counts.atLeast(CrashCounts.BOUND);
         Set<String> fresh = new HashSet<>(quarantined);
         fresh.removeAll(blackboard.read(Sections.QUARANTINED));
-        fresh.forEach(fingerprint -> timeline.record(EventType.FINGERPRINT_QUARANTINED, fingerprint));
+        fresh.forEach(fingerprint -> timeline.record(
+                EventType.FINGERPRINT_QUARANTINED, EventFields.of(EventField.FINGERPRINT, fingerprint)));
         blackboard.write(Sections.QUARANTINED, quarantined);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
@@ -6,6 +6,10 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.router.timeline.EventField;
+import org.baobabcart.router.timeline.EventFields;
+import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.timeline.Timeline;
 import org.baobabcart.router.view.TrafficView;
 import org.baobabcart.router.view.TrafficViewSource;
 
@@ -21,18 +25,21 @@
     private final Vertx vertx;
     private final UpstreamClient client;
     private final TrafficViewSource views;
+    private final Timeline timeline;
     private final Map<String, Long> down = new ConcurrentHashMap<>();
     private final Map<String, Long> resting = new ConcurrentHashMap<>();
 
-    private UpstreamHealth(Vertx vertx, UpstreamClient client, TrafficViewSource views) {
+    private UpstreamHealth(Vertx vertx, UpstreamClient client, TrafficViewSource views, Timeline timeline) {
         this.vertx = vertx;
         this.client = client;
         this.views = views;
+        this.timeline = timeline;
     }
 
     /** Health of which nothing bad is known. */
-    public static UpstreamHealth create(Vertx vertx, UpstreamClient client, TrafficViewSource views) {
-        return new UpstreamHealth(vertx, client, views);
+    public static UpstreamHealth create(
+            Vertx vertx, UpstreamClient client, TrafficViewSource views, Timeline timeline) {
+        return new UpstreamHealth(vertx, client, views, timeline);
     }
 
     /** Whether the upstream should get work only where no other can. */
@@ -58,8 +65,10 @@
 
     /** States that the upstream could not be reached. */
     public void markDown(VirtualMachine upstream) {
-        down.computeIfAbsent(
-                upstream.name(), name -> vertx.setPeriodic(PROBE_PERIOD.toMillis(), timer -> probe(upstream, timer)));
+        down.computeIfAbsent(upstream.name(), name -> {
+            timeline.record(EventType.UPSTREAM_SUSPECTED, EventFields.of(EventField.UPSTREAM, name));
+            return vertx.setPeriodic(PROBE_PERIOD.toMillis(), timer -> probe(upstream, timer));
+        });
     }
 
     /** Passes over an upstream until it is known whether its host answers on a new connection; tells whether it does. */
@@ -93,6 +102,8 @@
 
     private void forget(VirtualMachine upstream, long timer) {
         vertx.cancelTimer(timer);
-        down.remove(upstream.name());
+        if (down.remove(upstream.name()) != null) {
+            timeline.record(EventType.UPSTREAM_BACK, EventFields.of(EventField.UPSTREAM, upstream.name()));
+        }
     }
 }
--- a/router/src/main/java/org/baobabcart/router/view/TrafficView.java
+++ b/router/src/main/java/org/baobabcart/router/view/TrafficView.java
@@ -53,6 +53,13 @@
                 .findFirst();
     }
 
+    /** The generation of the sheet or table of routes in force; zero before the first one. */
+    public long generation() {
+        return routes.map(RouteTable::version)
+                .or(() -> sheet.map(PublishedSheet::generation))
+                .orElse(0L);
+    }
+
     /** The view of a process that knows nothing yet. */
     public static TrafficView empty() {
         return new TrafficView(Optional.empty(), RollOutState.empty(), List.of(), Set.of(), false);
--- a/router/src/test/java/org/baobabcart/router/platform/ObjectFollowerTest.java
+++ b/router/src/test/java/org/baobabcart/router/platform/ObjectFollowerTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
+import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Duration;
 import java.util.Map;
@@ -26,7 +27,13 @@
     private boolean knownBeforeTold;
     private final ObjectFollower follower = ObjectFollower.create(
             KIND,
-            new ObjectFollower.Parts(store, Runnable::run, timers, new Random(SEED)),
+            new ObjectFollower.Parts(
+                    store,
+                    Runnable::run,
+                    timers,
+                    new Random(SEED),
+                    (type, request, fields) -> {},
+                    new MetricRegistry()),
             FollowerSettings.defaults().withReturnGrace(GRACE),
             this::told);
 
--- a/router/src/test/java/org/baobabcart/router/timeline/RingTimelineTest.java
+++ b/router/src/test/java/org/baobabcart/router/timeline/RingTimelineTest.java
@@ -18,7 +18,7 @@
     @Test
     void keepsTheLatestEventsInOrder() {
         for (int event = 0; event < 5; event++) {
-            timeline.record(EventType.REQUEST_RECEIVED, "request-" + event, "");
+            timeline.record(EventType.REQUEST_RECEIVED, "request-" + event, EventFields.none());
         }
         List<String> requests = timeline.events(TimelineQuery.all()).stream()
                 .map(TimelineEvent::requestId)
@@ -28,9 +28,13 @@
 
     @Test
     void filtersByRequestTypeSheetAndClock() {
-        timeline.record(EventType.REQUEST_RECEIVED, "request", "");
+        timeline.record(EventType.REQUEST_RECEIVED, "request", EventFields.none());
         timers.advance(Duration.ofSeconds(1));
-        timeline.record(EventType.SHEET_APPLIED, "generation=12 name=morning source=PEER");
+        timeline.record(
+                EventType.SHEET_APPLIED,
+                EventFields.of(EventField.GENERATION, 12)
+                        .with(EventField.NAME, "morning")
+                        .with(EventField.SOURCE, "PEER"));
         long first = timeline.events(TimelineQuery.all()).get(0).clock();
         Optional<String> none = Optional.empty();
         assertThat(count(new TimelineQuery(Optional.of("request"), 0, none, Optional.empty())), is(1));
@@ -44,11 +48,11 @@
     void anEventAfterAMessageComesAfterItsSender() {
         RingTimeline peer = RingTimeline.create("peer", timers, 3);
         for (int event = 0; event < 10; event++) {
-            peer.record(EventType.REQUEST_RECEIVED, "");
+            peer.record(EventType.REQUEST_RECEIVED, EventFields.none());
         }
         long sent = peer.send();
         timeline.receive(sent);
-        timeline.record(EventType.REQUEST_FINISHED, "");
+        timeline.record(EventType.REQUEST_FINISHED, EventFields.none());
         assertThat(timeline.events(TimelineQuery.all()).get(0).clock(), greaterThan(sent));
     }
 
--- a/router/src/test/java/org/baobabcart/router/traffic/FakeParts.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/FakeParts.java
@@ -26,6 +26,7 @@
 import org.baobabcart.router.claim.ClaimDecision;
 import org.baobabcart.router.claim.ClaimOutcome;
 import org.baobabcart.router.claim.ClaimService;
+import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
 import org.baobabcart.router.view.TrafficFeedback;
@@ -111,7 +112,7 @@
     }
 
     @Override
-    public void record(EventType type, String requestId, String detail) {}
+    public void record(EventType type, String requestId, EventFields fields) {}
 
     @Override
     public Uni<OptionalDouble> rate(RatingRequest request) {
