--- a/router/src/main/java/org/baobabcart/router/platform/ObjectFollower.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectFollower.java
@@ -23,7 +23,10 @@
 
 /**
  * Keeps all objects of a kind as the platform has them: a snapshot, then a watch from its version, then another snapshot where
- * the platform no longer keeps the changes between. Confined to the control thread.
+ * the watch breaks or the platform no longer keeps the changes between. Confined to the control thread.
+ *
+ * <p>A watch that broke is not taken up again without a snapshot: the platform may have broken it since it drops its history,
+ * and a new watch from the old version can then wait for its whole time before it is told so.
  *
  * <p>What was known stays known while the platform is out of reach. Objects that lapsed meanwhile are kept for a grace after
  * its return, since their owners write them again.
@@ -212,7 +215,7 @@
             record(EventType.DEPENDENCY_LOST, String.valueOf(failure.getMessage()));
         }
         long current = round;
-        parts.timers().after("follow-" + kind, backoff(), () -> inRound(current, known ? this::watch : this::readAll));
+        parts.timers().after("follow-" + kind, backoff(), () -> inRound(current, this::readAll));
     }
 
     private void endRound() {
--- a/router/src/test/java/org/baobabcart/router/platform/ObjectFollowerTest.java
+++ b/router/src/test/java/org/baobabcart/router/platform/ObjectFollowerTest.java
@@ -103,6 +103,18 @@
         assertThat(names(), containsInAnyOrder("c"));
     }
 
+    /** A store that drops its history lets watches hear nothing for a while and then breaks them; the next ones may hear nothing either. */
+    @Test
+    void whatWasChangedWhileWatchesHeardNothingIsReadOnceTheyBreak() {
+        create("a");
+        follower.start();
+        store.setMute(true);
+        create("b");
+        store.breakWatches();
+        timers.advance(Duration.ofMillis(500));
+        assertThat(names(), containsInAnyOrder("a", "b"));
+    }
+
     @Test
     void aPlatformThatIsAwayAtTheStartIsAskedAgain() {
         store.setOutage(true);
--- a/router/src/test/java/org/baobabcart/router/testing/InMemoryObjectStore.java
+++ b/router/src/test/java/org/baobabcart/router/testing/InMemoryObjectStore.java
@@ -27,6 +27,7 @@
     private final List<Watcher> watchers = new ArrayList<>();
     private long version;
     private boolean outage;
+    private boolean mute;
     private boolean loseAnswers;
     private int answersToLose;
     private boolean conflict;
@@ -44,12 +45,22 @@
     public synchronized void setOutage(boolean active) {
         outage = active;
         if (active) {
-            List<Watcher> broken = List.copyOf(watchers);
-            watchers.clear();
-            broken.forEach(watcher -> watcher.emitter().fail(failure(ResultCode.PLATFORM_UNAVAILABLE)));
+            breakWatches();
         }
     }
 
+    /** Lets watches hear nothing, neither of what was changed before them nor of what is changed meanwhile. */
+    public synchronized void setMute(boolean active) {
+        mute = active;
+    }
+
+    /** Breaks all watches once. */
+    public synchronized void breakWatches() {
+        List<Watcher> broken = List.copyOf(watchers);
+        watchers.clear();
+        broken.forEach(watcher -> watcher.emitter().fail(failure(ResultCode.PLATFORM_UNAVAILABLE)));
+    }
+
     public synchronized void setLoseAnswers(boolean active) {
         loseAnswers = active;
     }
@@ -168,6 +179,9 @@
         Watcher watcher = new Watcher(kind, emitter);
         emitter.onTermination(() -> close(watcher));
         watchers.add(watcher);
+        if (mute) {
+            return;
+        }
         long seen = from.isEmpty() ? 0 : Long.parseLong(from);
         objects.values().stream()
                 .filter(object -> object.kind().equals(kind))
@@ -239,6 +253,9 @@
     }
 
     private void publish(ObjectEvent event) {
+        if (mute) {
+            return;
+        }
         List.copyOf(watchers).stream()
                 .filter(watcher -> watcher.kind().equals(event.object().kind()))
                 .forEach(watcher -> watcher.emitter().emit(event));
