--- a/cli/src/main/java/org/baobabcart/cli/command/ExplainCommand.java
+++ b/cli/src/main/java/org/baobabcart/cli/command/ExplainCommand.java
@@ -1,8 +1,5 @@
 package org.baobabcart.cli.command;
 
-import java.time.Instant;
-import java.time.ZoneOffset;
-import java.time.format.DateTimeFormatter;
 import java.util.List;
 import java.util.Optional;
 import org.baobabcart.cli.Command;
@@ -20,8 +17,6 @@
 final class ExplainCommand implements Command {
     private static final String FILES = "FILE...";
     private static final Flag REQUEST = Flag.of("--request", "the id of the request");
-    private static final DateTimeFormatter TIME_OF_DAY =
-            DateTimeFormatter.ofPattern("HH:mm:ss.SSS").withZone(ZoneOffset.UTC);
 
     @Override
     public List<String> words() {
@@ -64,10 +59,7 @@
         for (LogLine line : story.lines()) {
             output.line("%s  %s  %s%s"
                     .formatted(
-                            TIME_OF_DAY.format(Instant.ofEpochMilli(line.timeMillis())),
-                            line.node(),
-                            line.request().isEmpty() ? "(router) " : "",
-                            line.event()));
+                            line.timeOfDay(), line.node(), line.request().isEmpty() ? "(router) " : "", line.event()));
             if (!line.detail().isEmpty()) {
                 output.line("              " + line.detail());
             }
--- a/cli/src/main/java/org/baobabcart/cli/explain/LogLine.java
+++ b/cli/src/main/java/org/baobabcart/cli/explain/LogLine.java
@@ -4,6 +4,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -20,6 +23,8 @@
  */
 public record LogLine(long timeMillis, String node, String event, String request, ObjectNode fields) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final DateTimeFormatter TIME_OF_DAY =
+            DateTimeFormatter.ofPattern("HH:mm:ss.SSS").withZone(ZoneOffset.UTC);
     private static final Set<String> ENVELOPE = Set.of("sequence", "time_ms", "node", "event", "request");
 
     /** Reads a line; whatever stands before its first brace, such as a collector's time, is passed over. */
@@ -53,6 +58,11 @@
         return new LogLine(newTimeMillis, node, event, request, fields);
     }
 
+    /** The time of day in UTC. */
+    public String timeOfDay() {
+        return TIME_OF_DAY.format(Instant.ofEpochMilli(timeMillis));
+    }
+
     /** The value of a field as a text; empty where there is none. */
     String field(String name) {
         return fields.path(name).asText("");
--- a/cli/src/main/java/org/baobabcart/cli/explain/RequestStory.java
+++ b/cli/src/main/java/org/baobabcart/cli/explain/RequestStory.java
@@ -3,10 +3,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -97,7 +101,9 @@
                 .ifPresent(line -> sentences.add("The last failed attempt: " + line.field("failure") + " at "
                         + line.field("upstream") + ", " + line.field("cause") + "."));
         if (!finished) {
-            tableSentence(own, around).ifPresent(sentences::add);
+            if (sent == 0) {
+                tableSentence(own, around).ifPresent(sentences::add);
+            }
             upstreamSentence(own, around).ifPresent(sentences::add);
             last(around, line -> line.event().endsWith("_LOST"))
                     .ifPresent(line -> sentences.add("The store was out of reach of " + line.node() + " meanwhile."));
@@ -116,34 +122,52 @@
         };
     }
 
-    /** Where another generation came into force around the request, on its router or on another. */
+    /** Which generation refused it, and since when it and its neighbours were in force. */
     private static Optional<String> tableSentence(List<LogLine> own, List<LogLine> around) {
         String used = last(own, line -> !line.field("generation").isEmpty())
                 .map(line -> line.field("generation"))
                 .orElse("");
-        List<String> changes = around.stream()
+        Map<String, List<LogLine>> applied = around.stream()
                 .filter(line -> line.event().equals(TABLE_APPLIED))
-                .map(line -> line.field("generation") + " on " + line.node() + " at " + line.timeMillis())
-                .toList();
-        if (changes.isEmpty() || used.isEmpty()) {
+                .collect(Collectors.groupingBy(
+                        line -> line.field("generation"), LinkedHashMap::new, Collectors.toList()));
+        if (applied.isEmpty() || used.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of("Decided by generation " + used + "; around it these came into force: "
-                + String.join(", ", changes) + ".");
+        List<String> changes = new ArrayList<>();
+        applied.forEach((generation, lines) -> changes.add("%s from %s (%s) to %s (%s)"
+                .formatted(
+                        generation,
+                        lines.get(0).timeOfDay(),
+                        lines.get(0).node(),
+                        lines.get(lines.size() - 1).timeOfDay(),
+                        lines.get(lines.size() - 1).node())));
+        return Optional.of(
+                "Decided by generation " + used + "; came into force around it: " + String.join(", ", changes) + ".");
     }
 
     private static Optional<String> upstreamSentence(List<LogLine> own, List<LogLine> around) {
-        Set<String> failed = new HashSet<>();
-        own.stream()
-                .filter(line -> line.event().equals("ATTEMPT_FAILED"))
-                .forEach(line -> failed.add(line.field("upstream")));
+        Map<String, Long> passedOver = around.stream()
+                .filter(line -> line.event().equals("UPSTREAM_SUSPECTED"))
+                .filter(line -> failedAt(own).contains(line.field("upstream")))
+                .collect(Collectors.groupingBy(line -> line.field("upstream"), TreeMap::new, Collectors.counting()));
         List<String> changes = around.stream()
-                .filter(line -> OF_UPSTREAMS.contains(line.event()) && failed.contains(line.field("upstream")))
-                .map(line -> line.event() + " " + line.detail() + " at " + line.timeMillis())
+                .filter(line -> line.event().equals("UPSTREAM_CHANGED"))
+                .filter(line -> failedAt(own).contains(line.field("upstream")))
+                .map(line -> line.detail() + " at " + line.timeOfDay())
                 .toList();
-        return changes.isEmpty()
-                ? Optional.empty()
-                : Optional.of("Of upstreams where it failed: " + String.join("; ", changes) + ".");
+        List<String> parts = new ArrayList<>();
+        passedOver.forEach((upstream, count) ->
+                parts.add(upstream + " was passed over " + count + (count == 1 ? " time" : " times")));
+        parts.addAll(changes);
+        return parts.isEmpty() ? Optional.empty() : Optional.of("Around it: " + String.join("; ", parts) + ".");
+    }
+
+    private static Set<String> failedAt(List<LogLine> own) {
+        return own.stream()
+                .filter(line -> line.event().equals("ATTEMPT_FAILED"))
+                .map(line -> line.field("upstream"))
+                .collect(Collectors.toSet());
     }
 
     private static Optional<LogLine> last(List<LogLine> lines, Predicate<LogLine> wanted) {
--- a/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/baobabcart/cli/CommandLineTest.java
@@ -192,6 +192,9 @@
             timeline --since yesterday     | 2 | error 1602 BAD_SETTING: --since
             timeline --type NONSENSE       | 2 | error 1602 BAD_SETTING: --type: A setting has a value that cannot be used: 'NONSENSE'
             rollout withdraw layout-x v1   | 1 | error 1503
+            explain --request r missing    | 2 | error 1602 BAD_SETTING: missing
+            explain pom.xml                | 2 | error 1602 BAD_SETTING: --request
+            explain --request r pom.xml    | 1 | no line of pom.xml tells of the request r
             """)
     void badInputGetsANumberAndNoStackTrace(String words, int status, String message) {
         fleet.router("a", 1);
--- /dev/null
+++ b/cli/src/test/java/org/baobabcart/cli/explain/RequestStoryTest.java
@@ -0,0 +1,105 @@
+package org.baobabcart.cli.explain;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class RequestStoryTest {
+    @TempDir
+    Path folder;
+
+    @Test
+    void linesOfSeveralRoutersAreMergedByTimeAndOthersPassedOver() throws IOException {
+        Path first = file("a", """
+                {"sequence":1,"time_ms":1000,"node":"a","event":"REQUEST_RECEIVED","request":"r","route":"x"}
+                {"sequence":2,"time_ms":1300,"node":"a","event":"REQUEST_CANCELLED","request":"r","took_ms":300,"cause":"connection closed"}
+                not of us
+                {"sequence":3,"time_ms":13
+                """);
+        Path second = file("b", """
+                2026-12-04 b {"sequence":9,"time_ms":1200,"node":"b","event":"REQUEST_RECEIVED","request":"r"}
+                {"sequence":10,"time_ms":1210,"node":"b","event":"REQUEST_RECEIVED","request":"another"}
+                {"sequence":11,"time_ms":1400,"node":"b","event":"REQUEST_FINISHED","request":"r","status":200,"took_ms":200}
+                """);
+        RequestStory story = story("r", first, second).orElseThrow();
+        assertThat(
+                story.lines().stream()
+                        .map(line -> line.node() + line.timeMillis())
+                        .toList(),
+                contains("a1000", "b1200", "a1300", "b1400"));
+        assertThat(story.conclusion(), is("Answered with status 200 after 200 ms on b."));
+    }
+
+    @Test
+    void aClockThatIsSetBackDoesNotTurnTheOrderOfARouterAround() throws IOException {
+        Path file = file("a", """
+                {"time_ms":5000,"node":"a","event":"REQUEST_RECEIVED","request":"r"}
+                {"time_ms":3000,"node":"a","event":"REQUEST_DISPATCHED","request":"r","upstream":"e1"}
+                {"time_ms":3010,"node":"a","event":"REQUEST_FINISHED","request":"r","status":200,"took_ms":10}
+                """);
+        assertThat(
+                story("r", file).orElseThrow().lines().stream()
+                        .map(LogLine::event)
+                        .toList(),
+                contains("REQUEST_RECEIVED", "REQUEST_DISPATCHED", "REQUEST_FINISHED"));
+    }
+
+    @Test
+    void whatItsRouterLearntOfItsUpstreamsIsToldAndOfOthersNot() throws IOException {
+        Path file = file("a", """
+                {"time_ms":100,"node":"a","event":"UPSTREAM_CHANGED","upstream":"e1","state":"LEAVING"}
+                {"time_ms":9000,"node":"a","event":"REQUEST_DISPATCHED","request":"r","upstream":"e1","generation":4}
+                {"time_ms":9100,"node":"a","event":"ATTEMPT_FAILED","request":"r","upstream":"e1","failure":"BROKEN","cause":"reset"}
+                {"time_ms":9100,"node":"a","event":"UPSTREAM_SUSPECTED","upstream":"e1"}
+                {"time_ms":9100,"node":"a","event":"UPSTREAM_SUSPECTED","upstream":"e2"}
+                {"time_ms":9101,"node":"a","event":"REQUEST_FAILED","request":"r","code":1303,"result":"UPSTREAM_FAILED","took_ms":101,"cause":"failed"}
+                """);
+        assertThat(
+                story("r", file).orElseThrow().conclusion(),
+                allOf(
+                        containsString("Failed with 1303 UPSTREAM_FAILED after 101 ms on a: failed."),
+                        containsString("BROKEN at e1, reset."),
+                        containsString("e1 was passed over 1 time; upstream=e1 state=LEAVING at 00:00:00.100"),
+                        not(containsString("e2"))));
+    }
+
+    @Test
+    void aRequestWithoutAnEndIsSaidToHaveNone() throws IOException {
+        Path file = file("a", """
+                {"time_ms":100,"node":"a","event":"REQUEST_RECEIVED","request":"r"}
+                """);
+        assertThat(story("r", file).orElseThrow().conclusion(), containsString("No line tells how it ended"));
+        assertThat(story("unknown", file), is(Optional.empty()));
+    }
+
+    @Test
+    void aFileThatIsNotThereIsNamed() {
+        BaobabcartException failure =
+                assertThrows(BaobabcartException.class, () -> LogFiles.of(List.of("missing.log")));
+        assertThat(failure.code(), is(ResultCode.BAD_SETTING));
+        assertThat(failure.getMessage(), containsString("missing.log"));
+    }
+
+    private static Optional<RequestStory> story(String request, Path... files) {
+        return RequestStory.read(
+                request, LogFiles.of(List.of(files).stream().map(Path::toString).toList()));
+    }
+
+    private Path file(String name, String text) throws IOException {
+        return Files.writeString(folder.resolve(name), text);
+    }
+}
--- a/policy/src/main/java/org/baobabcart/policy/retry/WindowBudget.java
+++ b/policy/src/main/java/org/baobabcart/policy/retry/WindowBudget.java
@@ -1,5 +1,7 @@
 package org.baobabcart.policy.retry;
 
+import java.util.Arrays;
+
 /**
  * Limits repeats to a share of first tries within a sliding window. Not thread-safe.
  *
@@ -11,8 +13,8 @@
 public final class WindowBudget {
     private static final int SLOTS = 20;
 
-    private final Settings settings;
-    private final long slotNanos;
+    private Settings settings;
+    private long slotNanos;
     private final long[] firstTries = new long[SLOTS + 1];
     private final long[] repeats = new long[SLOTS + 1];
     private long currentSlot;
@@ -46,6 +48,18 @@
         return new WindowBudget(settings, nowNanos);
     }
 
+    /** Takes other settings over; what was counted stays where the window has the same length. */
+    public void use(Settings newSettings, long nowNanos) {
+        boolean sameWindow = newSettings.windowNanos() == settings.windowNanos();
+        settings = newSettings;
+        if (!sameWindow) {
+            slotNanos = Math.max(1, newSettings.windowNanos() / SLOTS);
+            currentSlot = slot(nowNanos);
+            Arrays.fill(firstTries, 0);
+            Arrays.fill(repeats, 0);
+        }
+    }
+
     /** Counts a first try. */
     public void firstTry(long nowNanos) {
         advance(nowNanos);
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -182,6 +182,14 @@
         incarnations = now;
     }
 
+    /**
+     * Takes over what settings say of repeats. All else stands until the next start, the share of new versions above all, which
+     * has to be the same on all routers. Any thread may call this.
+     */
+    public void reload(GatewaySettings settings) {
+        runtime.retries().use(settings.retries());
+    }
+
     /** Begins the planned stop if it has not begun, and completes when the process may exit. */
     public Uni<Void> stop() {
         if (stopBegun.compareAndSet(false, true)) {
--- a/router/src/main/java/org/baobabcart/router/gateway/ServiceRetries.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ServiceRetries.java
@@ -8,7 +8,7 @@
 
 /** A retry budget for each service, shared by all event loops of this router. Thread-safe. */
 final class ServiceRetries {
-    private final WindowBudget.Settings settings;
+    private volatile WindowBudget.Settings settings;
     private final LabelledMetrics metrics;
     private final Map<String, WindowBudget> budgets = new ConcurrentHashMap<>();
 
@@ -21,6 +21,16 @@
         return new ServiceRetries(settings, metrics);
     }
 
+    /** Takes other settings over for all services. */
+    void use(WindowBudget.Settings newSettings) {
+        settings = newSettings;
+        budgets.values().forEach(budget -> {
+            synchronized (budget) {
+                budget.use(newSettings, System.nanoTime());
+            }
+        });
+    }
+
     /** Counts the first attempt of a request. */
     void firstTry(String service) {
         WindowBudget budget = budget(service);
