--- a/policy/src/main/java/org/baobabcart/policy/hash/RendezvousHash.java
+++ b/policy/src/main/java/org/baobabcart/policy/hash/RendezvousHash.java
@@ -1,7 +1,6 @@
 package org.baobabcart.policy.hash;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.function.Function;
 
@@ -30,16 +29,21 @@
 
     /** All members by their weights for a duty, the greatest first. */
     public static <T> List<T> ranked(String duty, Collection<T> members, Function<T, String> name) {
+        long dutyHash = hash(FNV_OFFSET, duty);
         return members.stream()
-                .sorted(Comparator.comparingLong((T member) -> weight(duty, name.apply(member)))
-                        .reversed()
-                        .thenComparing(name))
+                .map(member -> Weighted.of(member, name.apply(member), dutyHash))
+                .sorted()
+                .map(Weighted::member)
                 .toList();
     }
 
     /** The weight of a member for a duty, the same at every node; spread evenly over all numbers. */
     public static long weight(String duty, String nodeId) {
-        return mix(hash(FNV_OFFSET, duty) ^ mix(hash(FNV_OFFSET, nodeId)));
+        return weight(hash(FNV_OFFSET, duty), nodeId);
+    }
+
+    private static long weight(long dutyHash, String nodeId) {
+        return mix(dutyHash ^ mix(hash(FNV_OFFSET, nodeId)));
     }
 
     /** A text's point from 0 (inclusive) to 1 (exclusive), the same at every node. */
@@ -61,4 +65,17 @@
         mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
         return mixed ^ (mixed >>> 31);
     }
+
+    /** A member with its weight, which is computed once however often it is compared. Sorts the greatest weight first. */
+    private record Weighted<T>(T member, String name, long weight) implements Comparable<Weighted<T>> {
+        private static <T> Weighted<T> of(T member, String name, long dutyHash) {
+            return new Weighted<>(member, name, RendezvousHash.weight(dutyHash, name));
+        }
+
+        @Override
+        public int compareTo(Weighted<T> other) {
+            int byWeight = Long.compare(other.weight, weight);
+            return byWeight != 0 ? byWeight : name.compareTo(other.name);
+        }
+    }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -4,6 +4,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -109,7 +110,8 @@
         TrafficView view = runtime.attempts().views().current();
         admit(view);
         Pool pool = ServicePool.of(view, runtime, service, versionPoint);
-        if (!runtime.reach().mayServe(view, pool)) {
+        List<VirtualMachine> members = runtime.attempts().dispatcher().membersOf(view, pool);
+        if (!runtime.reach().mayServe(members)) {
             throw BaobabcartException.of(ResultCode.UPSTREAM_UNREACHABLE).withRetryAfter(returnAfter(view));
         }
         Route route = admission.route();
--- a/router/src/main/java/org/baobabcart/router/gateway/Reach.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/Reach.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import org.baobabcart.model.platform.VirtualMachine;
-import org.baobabcart.router.upstream.Pool;
 import org.baobabcart.router.upstream.UpstreamHealth;
 import org.baobabcart.router.view.TrafficView;
 
@@ -30,10 +29,8 @@
         platformReachable = nowReachable;
     }
 
-    /** Whether an upstream of the pool may be reachable; true for a pool without any, which is another kind of lack. */
-    boolean mayServe(TrafficView view, Pool pool) {
-        List<VirtualMachine> members =
-                view.upstreams().stream().filter(pool::includes).toList();
+    /** Whether one of a pool's upstreams may be reachable; true for a pool without any, which is another kind of lack. */
+    boolean mayServe(List<VirtualMachine> members) {
         return members.isEmpty() || anyReachable(members);
     }
 
--- a/router/src/main/java/org/baobabcart/router/gateway/ServicePool.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ServicePool.java
@@ -1,5 +1,6 @@
 package org.baobabcart.router.gateway;
 
+import java.util.List;
 import java.util.Optional;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.VirtualMachine;
@@ -31,7 +32,8 @@
             return others;
         }
         Pool chosen = onTarget ? target : others;
-        return hasMember(view, chosen) && runtime.reach().mayServe(view, chosen) ? chosen : all;
+        List<VirtualMachine> members = runtime.attempts().dispatcher().membersOf(view, chosen);
+        return !members.isEmpty() && runtime.reach().mayServe(members) ? chosen : all;
     }
 
     /** Whether the upstream's version was stopped, which may have happened while a request waited for it. */
@@ -42,8 +44,4 @@
                 .filter(order -> order.target().equals(upstream.version()))
                 .isPresent();
     }
-
-    private static boolean hasMember(TrafficView view, Pool pool) {
-        return view.upstreams().stream().anyMatch(pool::includes);
-    }
 }
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -89,6 +89,11 @@
         return queues.values().stream().mapToInt(AdmissionQueue::size).sum();
     }
 
+    /** The upstreams of a pool that may get new work, looked up once a view. */
+    public synchronized List<VirtualMachine> membersOf(TrafficView view, Pool pool) {
+        return members(view, pool);
+    }
+
     /** Refuses waiting work that could still wait at this time, since the process ends by then. */
     public void refuseWaitingBeyond(long nanoTime) {
         run(() -> {
