The budget of repeats assumes nothing of the number of routers

Cause: each router took a thirtieth of the fleet's slack. That is right for thirty routers; the target's 450 would together take fifteen times the slack, and a service that fails everywhere would get more repeats than the limit allows. Ruled out: counting routers in the store (entries of routers that died stay, and each start would write). Change: beyond its share a router may use what its own first tries leave of the ratio, and one repeat, up to a thirtieth of the slack. The fleet keeps its limit as long as it has no more routers than the slack, and no router gets more than before. Test: 450 budgets before a service that fails each attempt; red with the allowance alone, green now.

--- a/policy/src/main/java/org/baobabcart/policy/retry/WindowBudget.java
+++ b/policy/src/main/java/org/baobabcart/policy/retry/WindowBudget.java
@@ -9,9 +9,14 @@
  * token bucket would have to be as large as that burst; a window lets them all pass as long as the repeats of its whole length
  * stay below the share. Counts are kept in slots of time, of which one more than the window is counted for repeats, so that no
  * span of the window's length holds more of them than is allowed.
+ *
+ * <p>Many budgets share one limit of {@code ratio} times all first tries and a slack. As long as {@code share} and {@code spare}
+ * are its ratio together, all budgets allow at most that and one repeat each, however many they are.
  */
 public final class WindowBudget {
     private static final int SLOTS = 20;
+    /** A budget that has seen next to nothing allows one repeat, so that a rare request can be repeated at all. */
+    private static final double ONE = 1;
 
     private Settings settings;
     private long slotNanos;
@@ -23,17 +28,19 @@
      * Configuration of a budget.
      *
      * @param share repeats allowed for each first try
-     * @param allowance repeats allowed in a window whatever the number of first tries
+     * @param spare repeats allowed for each first try beyond that, as far as the allowance goes
+     * @param allowance the most repeats in a window beyond the share
      * @param windowNanos the length of the window
      */
-    public record Settings(double share, double allowance, long windowNanos) {
+    public record Settings(double share, double spare, double allowance, long windowNanos) {
         private static final double DEFAULT_SHARE = 0.1;
+        private static final double DEFAULT_SPARE = 0.1;
         private static final double DEFAULT_ALLOWANCE = 10;
         private static final long DEFAULT_WINDOW_NANOS = 10_000_000_000L;
 
         /** Settings for ordinary use. */
         public static Settings defaults() {
-            return new Settings(DEFAULT_SHARE, DEFAULT_ALLOWANCE, DEFAULT_WINDOW_NANOS);
+            return new Settings(DEFAULT_SHARE, DEFAULT_SPARE, DEFAULT_ALLOWANCE, DEFAULT_WINDOW_NANOS);
         }
     }
 
@@ -78,7 +85,9 @@
     /** The repeats that are allowed now. */
     public double left(long nowNanos) {
         advance(nowNanos);
-        return settings.share() * sum(firstTries) + settings.allowance() - sum(repeats);
+        double tries = sum(firstTries);
+        double beyond = Math.min(settings.allowance(), settings.spare() * tries + ONE);
+        return settings.share() * tries + beyond - sum(repeats);
     }
 
     private void advance(long nowNanos) {
--- a/policy/src/test/java/org/baobabcart/policy/retry/WindowBudgetTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/retry/WindowBudgetTest.java
@@ -14,7 +14,7 @@
 
 class WindowBudgetTest {
     private static final long SECOND = 1_000_000_000L;
-    private static final WindowBudget.Settings SETTINGS = new WindowBudget.Settings(0.5, 2, 10 * SECOND);
+    private static final WindowBudget.Settings SETTINGS = new WindowBudget.Settings(0.5, 0.1, 2, 10 * SECOND);
 
     /** A data centre is cut off: streams that began over the last seconds break at one moment. */
     @Test
@@ -54,6 +54,43 @@
         }
     }
 
+    /** The target's 450 routers, before a service that fails each attempt; the limit of the whole fleet has a slack of one a router. */
+    @Property(tries = 50)
+    void manyBudgetsTogetherKeepTheLimitOfTheFleet(@ForAll long seed) {
+        Random random = new Random(seed);
+        int routers = 450;
+        double ratio = 0.9;
+        WindowBudget.Settings settings = new WindowBudget.Settings(0.765, 0.135, routers / 30.0, 10 * SECOND);
+        int firsts = 0;
+        int repeats = 0;
+        for (int router = 0; router < routers; router++) {
+            WindowBudget budget = WindowBudget.create(settings, 0);
+            int own = random.nextInt(5);
+            for (int request = 0; request < own; request++) {
+                budget.firstTry(SECOND);
+                firsts++;
+            }
+            for (int attempt = 0; attempt < 2 * own; attempt++) {
+                repeats += budget.tryRepeat(SECOND) ? 1 : 0;
+            }
+        }
+        assertThat((double) repeats, lessThanOrEqualTo(ratio * firsts + routers));
+    }
+
+    @Test
+    void otherSettingsKeepWhatWasCountedInAWindowOfTheSameLength() {
+        WindowBudget budget = WindowBudget.create(SETTINGS, 0);
+        for (int request = 0; request < 20; request++) {
+            budget.firstTry(SECOND);
+        }
+        budget.use(new WindowBudget.Settings(0, 0, 0, 10 * SECOND), SECOND);
+        assertThat(budget.tryRepeat(SECOND), is(false));
+        budget.use(SETTINGS, SECOND);
+        assertThat(budget.left(SECOND), is(12.0));
+        budget.use(new WindowBudget.Settings(0.5, 0.1, 2, 20 * SECOND), SECOND);
+        assertThat(budget.left(SECOND), is(1.0));
+    }
+
     /** What the first tries of a window, and of the slot before it, allow. */
     private static double allowed(List<Long> firsts, long now) {
         return 0.5 * since(firsts, now - 10 * SECOND - SECOND / 2) + 2;
