An attempt that cannot be made gives its slot back, and the last look is a lookup

Cause: found at reading. A fault of an interface while it made an attempt's request would have kept the slot and let the caller wait for its deadline; and the last look before the first byte compared the upstream with all others. Change: any fault ends the loop with its slot given back; the dispatcher's index answers whether an upstream is listed. The admission of a request is a method of its own. Tests: those of the platform's daemon and of the caller API, green.

--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -19,6 +19,7 @@
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.Slot;
+import org.baobabcart.router.upstream.UpstreamRequest;
 import org.baobabcart.router.upstream.Work;
 import org.baobabcart.router.view.TrafficView;
 
@@ -88,7 +89,7 @@
                 pass.ended();
                 giveUp(failure);
             });
-        } catch (BaobabcartException refusal) {
+        } catch (RuntimeException refusal) {
             pass.ended();
             giveUp(refusal);
         }
@@ -109,12 +110,15 @@
         attempts = attempts.withTry();
         long begun = System.nanoTime();
         VirtualMachine upstream = slot.upstream();
+        UpstreamRequest request;
+        try {
+            request = source.request(upstream, begun - queuedNanos);
+        } catch (RuntimeException fault) {
+            failed(slot, pass, fault, 0);
+            return;
+        }
         parts.upstreams()
-                .send(
-                        upstream,
-                        source.request(upstream, begun - queuedNanos),
-                        () -> passGate(upstream),
-                        source.abandoned())
+                .send(upstream, request, () -> passGate(upstream), source.abandoned())
                 .compose(answer -> {
                     long nanos = System.nanoTime() - begun;
                     slot.observe(nanos, Optional.ofNullable(answer.headers().get(Headers.LOAD)));
@@ -141,7 +145,7 @@
             throw BaobabcartException.of(ResultCode.DEADLINE_UNREACHABLE);
         }
         TrafficView view = parts.views().current();
-        if (!view.upstreams().contains(upstream)) {
+        if (!parts.dispatcher().isListed(view, upstream)) {
             throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "leaving");
         }
         if (isQuarantined(view)) {
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -127,26 +127,8 @@
         if (refusing) {
             throw BaobabcartException.of(ResultCode.STOPPING);
         }
-        TrafficView view = runtime.attempts().views().current();
-        EventFields received = EventFields.of(EventField.METHOD, head.method().name())
-                .with(EventField.PATH, head.path())
-                .with(EventField.GENERATION, view.generation());
-        Admission admission;
-        try {
-            admission = Admission.of(view, head);
-        } catch (BaobabcartException refusal) {
-            exchange.record(EventType.REQUEST_RECEIVED, received);
-            throw refusal;
-        }
-        Duration timeout = admission.route().timeout();
-        Duration wait =
-                head.deadline().filter(own -> own.compareTo(timeout) < 0).orElse(timeout);
-        exchange.record(
-                EventType.REQUEST_RECEIVED,
-                received.with(EventField.ROUTE, admission.route().name())
-                        .with(EventField.RANK, admission.rank())
-                        .with(EventField.WORKSPACE, admission.workspace())
-                        .with(EventField.DEADLINE_MS, wait.toMillis()));
+        Admission admission = admit(exchange, head);
+        Duration wait = wait(admission, head);
         exchange.whenEnded(() -> runtime.requests().ended(admission, exchange));
         long deadlineNanos = exchange.begunNanos() + wait.toNanos();
         int limit = limits().bodyBytes();
@@ -159,6 +141,33 @@
                 .onFailure(exchange::refuseUnread);
     }
 
+    /** Looks the request up and records what was found, a refusal too. */
+    private Admission admit(CallerExchange exchange, RequestHead head) {
+        TrafficView view = runtime.attempts().views().current();
+        EventFields received = EventFields.of(EventField.METHOD, head.method().name())
+                .with(EventField.PATH, head.path())
+                .with(EventField.GENERATION, view.generation());
+        try {
+            Admission admission = Admission.of(view, head);
+            exchange.record(
+                    EventType.REQUEST_RECEIVED,
+                    received.with(EventField.ROUTE, admission.route().name())
+                            .with(EventField.RANK, admission.rank())
+                            .with(EventField.WORKSPACE, admission.workspace())
+                            .with(EventField.DEADLINE_MS, wait(admission, head).toMillis()));
+            return admission;
+        } catch (BaobabcartException refusal) {
+            exchange.record(EventType.REQUEST_RECEIVED, received);
+            throw refusal;
+        }
+    }
+
+    /** How long the caller waits: its own deadline, at most the route's. */
+    private static Duration wait(Admission admission, RequestHead head) {
+        Duration timeout = admission.route().timeout();
+        return head.deadline().filter(own -> own.compareTo(timeout) < 0).orElse(timeout);
+    }
+
     private void run(CallerExchange exchange, RequestHead head, Buffer body, long deadlineNanos) {
         if (exchange.isEnded()) {
             return;
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -94,6 +94,11 @@
         return members(view, pool);
     }
 
+    /** Whether the view lists the upstream as it was when a slot at it was given. */
+    public synchronized boolean isListed(TrafficView view, VirtualMachine upstream) {
+        return index.isListed(view, upstream);
+    }
+
     /** Refuses waiting work that could still wait at this time, since the process ends by then. */
     public void refuseWaitingBeyond(long nanoTime) {
         run(() -> {
--- a/router/src/main/java/org/baobabcart/router/upstream/PoolIndex.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/PoolIndex.java
@@ -1,22 +1,36 @@
 package org.baobabcart.router.upstream;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.router.view.TrafficView;
 
-/** The members of each pool, computed once a view. Guarded by the dispatcher's lock. */
+/** The upstreams and the members of each pool, computed once a view. Guarded by the dispatcher's lock. */
 final class PoolIndex {
     private final Map<Pool, List<VirtualMachine>> members = new HashMap<>();
+    private final Set<VirtualMachine> listed = new HashSet<>();
     private List<VirtualMachine> indexed = List.of();
 
+    boolean isListed(TrafficView view, VirtualMachine upstream) {
+        follow(view);
+        return listed.contains(upstream);
+    }
+
     List<VirtualMachine> members(TrafficView view, Pool pool) {
+        follow(view);
+        return members.computeIfAbsent(
+                pool, key -> indexed.stream().filter(key::includes).toList());
+    }
+
+    private void follow(TrafficView view) {
         if (view.upstreams() != indexed) {
             indexed = view.upstreams();
+            listed.clear();
+            listed.addAll(indexed);
             members.clear();
         }
-        return members.computeIfAbsent(
-                pool, key -> indexed.stream().filter(key::includes).toList());
     }
 }
