--- a/cli/src/main/java/org/baobabcart/cli/explain/LogLine.java
+++ b/cli/src/main/java/org/baobabcart/cli/explain/LogLine.java
@@ -48,7 +48,7 @@
                     tree.path("request").asText(),
                     fields));
         } catch (JsonProcessingException exception) {
-            // A line that was cut off, or of another program; the reader counts these.
+            // A line that was cut off, or of another program: neither tells of a request.
             return Optional.empty();
         }
     }
--- a/router/src/main/java/org/baobabcart/router/timeline/StructuredLog.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/StructuredLog.java
@@ -20,8 +20,8 @@
 /**
  * Writes events as JSON, one a line. Thread-safe; recording never blocks.
  *
- * <p>Each type of event has a budget of lines a second, and lines that a slow reader would hold up are left out. What was left
- * out is counted and told in a line of its own.
+ * <p>Each type of event has a budget of lines a second, and lines that a slow reader would hold up are left out. How many were
+ * left out is counted, and told in the next line of that type ({@link EventField#LEFT_OUT}).
  */
 public final class StructuredLog implements Timeline {
     /** The most lines that wait for the writer. */
