One piece where two did the same: slowing answers, unreadable requests, restarts, fixtures

Found at reading the whole change once more; behaviour stays as it is. - Three relays paused an answer and resumed it when the caller had read enough: CallerExchange.slowDown does it now. - Both interfaces told requests that are too long from malformed ones, one by the name of a class: InvalidRequests.code. - GatewayProcess kept the marks of upstreams' starts beside UpstreamController, which has them: the controller tells who has started anew.

Ruled out: making the controllers' start and stop one (they say which follower is theirs in two lines); taking out PooledService, which nothing reads yet, since reading it refuses configurations whose services are unsound.

--- a/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
@@ -20,6 +20,7 @@
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.Connections;
+import org.baobabcart.router.upstream.UpstreamAnswer;
 
 /**
  * One request of a caller and its answer, whatever the interface. Confined to the event loop of the caller's connection.
@@ -174,20 +175,19 @@
         }
     }
 
-    /** Whether the caller has read enough of what was written for more to be written. */
-    public boolean isWritable() {
-        return ended || gone || !request.response().writeQueueFull();
-    }
-
-    /** Runs an action once the caller has read enough; closes the connection of one that stops reading. */
-    public void whenWritable(Runnable action) {
+    /** Pauses an answer until the caller has read enough of what was written; closes the connection of one that stops reading. */
+    public void slowDown(UpstreamAnswer answer) {
+        if (ended || gone || !request.response().writeQueueFull()) {
+            return;
+        }
+        answer.pause();
         long stall = parts.vertx().setTimer(parts.callerStall().toMillis(), ignored -> {
             callerGone("caller stopped reading");
             Connections.abort(request.connection());
         });
         request.response().drainHandler(ignored -> {
             parts.vertx().cancelTimer(stall);
-            action.run();
+            answer.resume();
         });
     }
 
--- a/router/src/main/java/org/baobabcart/router/gateway/Admission.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/Admission.java
@@ -35,6 +35,15 @@
         return new Admission(table, route, Optional.of(holder));
     }
 
+    /**
+     * What the table that is in force now says of the same request; this where the table is still the same.
+     *
+     * @throws BaobabcartException as {@link #of}
+     */
+    Admission under(TrafficView view, RequestHead head) {
+        return view.routes().filter(current -> current == table).isPresent() ? this : of(view, head);
+    }
+
     /** The workspace, or an empty text for an anonymous caller. */
     String workspace() {
         return holder.map(KeyHolder::workspace).orElse(NO_WORKSPACE);
--- a/router/src/main/java/org/baobabcart/router/gateway/AnswerRelay.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/AnswerRelay.java
@@ -58,9 +58,6 @@
 
     private void write(Buffer part) {
         exchange.write(part);
-        if (!exchange.isWritable()) {
-            answer.pause();
-            exchange.whenWritable(answer::resume);
-        }
+        exchange.slowDown(answer);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/EventRelay.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/EventRelay.java
@@ -70,9 +70,6 @@
             lastPassed = id;
         }
         exchange.write(event);
-        if (!exchange.isWritable()) {
-            answer.pause();
-            exchange.whenWritable(answer::resume);
-        }
+        exchange.slowDown(answer);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -9,7 +9,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -70,7 +69,6 @@
     private final ViewPublisher views = ViewPublisher.create(blackboard);
     private final GatewayRuntime runtime;
     private final GatewayServer server;
-    private Map<String, Long> incarnations = Map.of();
     private final UpstreamController upstreams;
     private final List<Controller> controllers;
     private boolean wasReady;
@@ -87,7 +85,12 @@
         this.server = GatewayServer.create(runtime, drain);
         ObjectFollower.Parts following =
                 new ObjectFollower.Parts(store, loop, timers, RandomGenerator.getDefault(), timeline, metrics);
-        this.upstreams = UpstreamController.create(parts.objects(), following, blackboard, timeline);
+        this.upstreams = UpstreamController.create(
+                parts.objects(),
+                following,
+                blackboard,
+                timeline,
+                runtime.attempts().upstreams()::restarted);
         this.controllers = List.of(
                 views,
                 RouteController.create(parts.objects(), following, blackboard, timeline),
@@ -163,23 +166,11 @@
                 .mapEmpty());
     }
 
-    /** Gives up connections to upstreams that are gone or have started anew; called on the control thread. */
+    /** Gives up connections to upstreams that are gone; called on the control thread. */
     private void keepConnections(List<VirtualMachine> machines) {
-        Map<String, Long> now = machines.stream()
-                .collect(
-                        Collectors.toMap(VirtualMachine::name, VirtualMachine::incarnation, (first, second) -> second));
-        runtime.attempts().upstreams().keepOnly(now.keySet());
-        now.forEach((name, incarnation) -> {
-            Long before = incarnations.get(name);
-            if (before != null && !before.equals(incarnation)) {
-                parts.timeline()
-                        .record(
-                                EventType.UPSTREAM_CHANGED,
-                                EventFields.of(EventField.UPSTREAM, name).with(EventField.CHANGE, "started anew"));
-                runtime.attempts().upstreams().restarted(name);
-            }
-        });
-        incarnations = now;
+        runtime.attempts()
+                .upstreams()
+                .keepOnly(machines.stream().map(VirtualMachine::name).collect(Collectors.toSet()));
     }
 
     /**
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -132,7 +132,7 @@
 
     /** Takes over the table in force, which may have changed while the request waited. */
     private void admit(TrafficView view) {
-        admission = Admission.of(view, head);
+        admission = admission.under(view, head);
         if (!admission.route().allows(service)) {
             service = admission.route().serviceAt(servicePoint);
         }
@@ -168,7 +168,7 @@
 
     @Override
     public void check(TrafficView view, VirtualMachine upstream) {
-        Admission now = Admission.of(view, head);
+        Admission now = admission.under(view, head);
         if (!now.route().allows(service)) {
             throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "the route has moved to another service");
         }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -17,6 +17,7 @@
 import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.exchange.ConnectionGuard;
 import org.baobabcart.router.exchange.Drain;
+import org.baobabcart.router.exchange.InvalidRequests;
 import org.baobabcart.router.timeline.EventField;
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
@@ -137,7 +138,7 @@
             throw BaobabcartException.of(ResultCode.BODY_TOO_LARGE, "at most " + limit + " bytes");
         }
         BodyReader.read(runtime.vertx(), request, limit, wait)
-                .onSuccess(body -> run(exchange, head, body, deadlineNanos))
+                .onSuccess(body -> run(exchange, head, admission, body, deadlineNanos))
                 .onFailure(exchange::refuseUnread);
     }
 
@@ -168,7 +169,7 @@
         return head.deadline().filter(own -> own.compareTo(timeout) < 0).orElse(timeout);
     }
 
-    private void run(CallerExchange exchange, RequestHead head, Buffer body, long deadlineNanos) {
+    private void run(CallerExchange exchange, RequestHead head, Admission atHead, Buffer body, long deadlineNanos) {
         if (exchange.isEnded()) {
             return;
         }
@@ -178,7 +179,7 @@
         }
         exchange.whenEnded(() -> runtime.buffers().giveBack(body.length()));
         try {
-            Admission admission = Admission.of(runtime.attempts().views().current(), head);
+            Admission admission = atHead.under(runtime.attempts().views().current(), head);
             GatewayRun.create(runtime, exchange, head, admission, body, deadlineNanos)
                     .start();
         } catch (BaobabcartException refusal) {
@@ -207,9 +208,7 @@
 
     /** Answers a request that the parser refused, whose connection cannot be used further. */
     private void refuseInvalid(HttpServerRequest request) {
-        Throwable cause = request.decoderResult().cause();
-        boolean tooLong = cause != null && cause.getClass().getSimpleName().startsWith("TooLong");
-        ResultCode code = tooLong ? ResultCode.HEADERS_TOO_LARGE : ResultCode.BAD_REQUEST;
+        ResultCode code = InvalidRequests.code(request);
         request.response()
                 .setStatusCode(code.httpStatus())
                 .putHeader(HttpHeaders.CONNECTION, "close")
--- a/router/src/main/java/org/baobabcart/router/gateway/UpstreamController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/UpstreamController.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.result.BaobabcartException;
@@ -32,11 +33,17 @@
     private final Blackboard blackboard;
     private final Timeline timeline;
     private final ObjectFollower follower;
+    private final Consumer<String> restarted;
     private final Map<String, VirtualMachine> known = new HashMap<>();
 
     private UpstreamController(
-            GatewayObjects meaning, ObjectFollower.Parts parts, Blackboard blackboard, Timeline timeline) {
+            GatewayObjects meaning,
+            ObjectFollower.Parts parts,
+            Blackboard blackboard,
+            Timeline timeline,
+            Consumer<String> restarted) {
         this.meaning = meaning;
+        this.restarted = restarted;
         this.blackboard = blackboard;
         this.timeline = timeline;
         this.follower = ObjectFollower.create(
@@ -46,9 +53,18 @@
                 this::changed);
     }
 
+    /**
+     * A controller that knows no upstream.
+     *
+     * @param restarted is told the name of each upstream that has started anew, after the list with it was published
+     */
     static UpstreamController create(
-            GatewayObjects meaning, ObjectFollower.Parts parts, Blackboard blackboard, Timeline timeline) {
-        return new UpstreamController(meaning, parts, blackboard, timeline);
+            GatewayObjects meaning,
+            ObjectFollower.Parts parts,
+            Blackboard blackboard,
+            Timeline timeline,
+            Consumer<String> restarted) {
+        return new UpstreamController(meaning, parts, blackboard, timeline, restarted);
     }
 
     @Override
@@ -73,8 +89,27 @@
         Set<String> vanished = new HashSet<>(known.keySet());
         machines.forEach(machine -> vanished.remove(machine.name()));
         vanished.forEach(this::forget);
+        List<String> startedAnew = machines.stream()
+                .filter(this::hasStartedAnew)
+                .map(VirtualMachine::name)
+                .toList();
         machines.forEach(this::note);
         blackboard.write(Sections.VIRTUAL_MACHINES, List.copyOf(machines));
+        startedAnew.forEach(this::restart);
+    }
+
+    private boolean hasStartedAnew(VirtualMachine machine) {
+        VirtualMachine before = known.get(machine.name());
+        return before != null && before.incarnation() != machine.incarnation();
+    }
+
+    private void restart(String name) {
+        record(EventFields.of(EventField.UPSTREAM, name).with(EventField.CHANGE, "started anew"));
+        restarted.accept(name);
+    }
+
+    private void record(EventFields fields) {
+        timeline.record(EventType.UPSTREAM_CHANGED, fields);
     }
 
     private void read(StoredObject object, List<VirtualMachine> machines) {
@@ -89,20 +124,16 @@
 
     private void forget(String name) {
         known.remove(name);
-        timeline.record(
-                EventType.UPSTREAM_CHANGED,
-                EventFields.of(EventField.UPSTREAM, name).with(EventField.CHANGE, "gone"));
+        record(EventFields.of(EventField.UPSTREAM, name).with(EventField.CHANGE, "gone"));
     }
 
     private void note(VirtualMachine machine) {
         VirtualMachine before = known.put(machine.name(), machine);
         if (!machine.equals(before)) {
-            timeline.record(
-                    EventType.UPSTREAM_CHANGED,
-                    EventFields.of(EventField.UPSTREAM, machine.name())
-                            .with(EventField.STATE, machine.state())
-                            .with(EventField.SERVICE, machine.service())
-                            .with(EventField.VERSION, machine.version()));
+            record(EventFields.of(EventField.UPSTREAM, machine.name())
+                    .with(EventField.STATE, machine.state())
+                    .with(EventField.SERVICE, machine.service())
+                    .with(EventField.VERSION, machine.version()));
         }
     }
 }
--- a/router/src/main/java/org/baobabcart/router/metrics/LabelledMetrics.java
+++ b/router/src/main/java/org/baobabcart/router/metrics/LabelledMetrics.java
@@ -24,7 +24,6 @@
 
     private final MetricRegistry registry;
     private final Map<String, Set<Map<String, String>>> series = new ConcurrentHashMap<>();
-    private final Map<String, Histogram> histograms = new ConcurrentHashMap<>();
 
     private LabelledMetrics(MetricRegistry registry) {
         this.registry = registry;
@@ -46,9 +45,7 @@
 
     /** A histogram with a bounded relative error, over the life of the process. */
     public Histogram histogram(String name, Map<String, String> labels) {
-        return histograms.computeIfAbsent(
-                bounded(name, labels),
-                full -> registry.histogram(full, () -> new Histogram(new HdrHistogramReservoir())));
+        return registry.histogram(bounded(name, labels), () -> new Histogram(new HdrHistogramReservoir()));
     }
 
     /** A counter of events. */
--- a/router/src/main/java/org/baobabcart/router/timeline/StructuredLog.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/StructuredLog.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.baobabcart.router.control.TimerService;
 
 /**
@@ -32,7 +31,6 @@
     /** The most lines of one write: about 100 kB. */
     private static final int LINES_AT_ONCE = 512;
 
-    private static final Duration WRITER_WAIT = Duration.ofSeconds(1);
     private static final long NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
     private static final JsonFactory JSON = new JsonFactory();
 
@@ -107,10 +105,7 @@
     private void write() {
         try {
             while (true) {
-                TimelineEvent event = queue.poll(WRITER_WAIT.toMillis(), TimeUnit.MILLISECONDS);
-                if (event != null) {
-                    writeAll(event);
-                }
+                writeAll(queue.take());
             }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -1,7 +1,5 @@
 package org.baobabcart.router.traffic;
 
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.buffer.Buffer;
@@ -20,6 +18,7 @@
 import org.baobabcart.router.exchange.BodyReader;
 import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.exchange.ConnectionGuard;
+import org.baobabcart.router.exchange.InvalidRequests;
 import org.baobabcart.router.timeline.EventField;
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
@@ -173,10 +172,7 @@
     }
 
     private void refuseInvalid(HttpServerRequest request) {
-        Throwable cause = request.decoderResult().cause();
-        boolean large = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        ResultCode code = large ? ResultCode.HEADERS_TOO_LARGE : ResultCode.BAD_REQUEST;
-        begin(request).refuseUnread(BaobabcartException.of(code));
+        begin(request).refuseUnread(BaobabcartException.of(InvalidRequests.code(request)));
     }
 
     /** What is done with a request whose body has arrived. */
--- a/router/src/main/java/org/baobabcart/router/traffic/StreamRelay.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/StreamRelay.java
@@ -142,9 +142,6 @@
         if (direct.isEmpty() || done.future().isComplete()) {
             return;
         }
-        if (!direct.get().isWritable()) {
-            answer.pause();
-            direct.get().whenWritable(answer::resume);
-        }
+        direct.get().slowDown(answer);
     }
 }
