--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/gateway/StoredOrders.java
@@ -0,0 +1,80 @@
+package org.baobabcart.router.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.time.Duration;
+import java.util.Optional;
+import org.baobabcart.model.gateway.MoveStage;
+import org.baobabcart.model.gateway.RouteTable;
+import org.baobabcart.model.gateway.VersionOrder;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.model.platform.VirtualMachine;
+
+/** Orders in a store of the tests' own, one for each service. Stateless. */
+final class StoredOrders implements GatewayObjects {
+    static final String KIND = "orders";
+    static final String SERVICE = "service";
+    static final String TARGET = "v2";
+
+    /** An order that nobody has taken up, of the only creation. */
+    static StoredObject object(Duration length) {
+        return object("first", length);
+    }
+
+    /** An order that nobody has taken up. */
+    static StoredObject object(String created, Duration length) {
+        return StoredObject.fresh(
+                KIND,
+                SERVICE,
+                JsonNodeFactory.instance.objectNode().put("created", created).put("millis", length.toMillis()));
+    }
+
+    @Override
+    public String configurationKind() {
+        return "tables";
+    }
+
+    @Override
+    public String upstreamKind() {
+        return "upstreams";
+    }
+
+    @Override
+    public String orderKind() {
+        return KIND;
+    }
+
+    @Override
+    public Optional<RouteTable> routeTable(StoredObject object) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<VirtualMachine> upstream(StoredObject object) {
+        return Optional.empty();
+    }
+
+    @Override
+    public VersionOrder order(StoredObject object) {
+        JsonNode spec = object.spec();
+        JsonNode status = object.status();
+        boolean isCurrent = status.path("created").equals(spec.path("created"));
+        return new VersionOrder(
+                SERVICE,
+                TARGET,
+                Duration.ofMillis(spec.path("millis").asLong()),
+                isCurrent ? VersionOrder.State.valueOf(status.path("state").asText()) : VersionOrder.State.ORDERED,
+                isCurrent ? MoveStage.of(status.path("stage").asText()).orElseThrow() : MoveStage.HELD,
+                object.resourceVersion(),
+                spec.path("created").asText());
+    }
+
+    @Override
+    public JsonNode status(VersionOrder order) {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("created", order.created())
+                .put("state", order.state().name())
+                .put("stage", order.stage().text());
+    }
+}
