Judge a new version by the ranks of its times, attempts under way included

What callers saw: answers of a version that is slow for half of its requests, for as long as the version was not found out.

Cause, the third hypothesis of docs/incidents/slow-roll-out.md: times were taken when answers began, so that slow answers were missing for as long as they were slow, and means of logarithms were compared beyond a factor of 1.6.

Change: Mann and Whitney's ranks by kind of work and then together, Gehan's scores for attempts that still wait or have waited in vain. Evidence keeps histograms, which add up over routers.

VersionEvidenceTest asks the same of the new judge.

--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/version/TimeHistogram.java
@@ -0,0 +1,123 @@
+package org.baobabcart.policy.version;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * How many times fell into each bucket, eight buckets for each doubling from a millisecond to a minute. Immutable.
+ *
+ * <p>All routers have the same buckets, so that what they counted can be summed.
+ */
+public final class TimeHistogram {
+    private static final int BUCKETS_PER_DOUBLING = 8;
+    private static final int DOUBLINGS = 16;
+    private static final int BUCKETS = BUCKETS_PER_DOUBLING * DOUBLINGS;
+    private static final double LOG_TWO = Math.log(2);
+    private static final TimeHistogram EMPTY = new TimeHistogram(new long[BUCKETS]);
+
+    private final long[] counts;
+
+    private TimeHistogram(long[] counts) {
+        this.counts = counts;
+    }
+
+    /** No times. */
+    public static TimeHistogram empty() {
+        return EMPTY;
+    }
+
+    /** The histogram with these counts by bucket; buckets that there are not are left out. */
+    public static TimeHistogram of(Map<Integer, Long> byBucket) {
+        long[] counts = new long[BUCKETS];
+        byBucket.forEach((bucket, count) -> {
+            if (bucket >= 0 && bucket < BUCKETS) {
+                counts[bucket] = Math.max(0, count);
+            }
+        });
+        return new TimeHistogram(counts);
+    }
+
+    /** The bucket of a time; times below the first or above the last bucket count as these. */
+    static int bucket(double millis) {
+        double bucket = Math.floor(Math.log(Math.max(1, millis)) / LOG_TWO * BUCKETS_PER_DOUBLING);
+        return (int) Math.min(BUCKETS - 1, bucket);
+    }
+
+    /** The lower end of a bucket, in milliseconds. */
+    static double millis(int bucket) {
+        return Math.pow(2, (double) bucket / BUCKETS_PER_DOUBLING);
+    }
+
+    /** The times with one more. */
+    public TimeHistogram with(double millis) {
+        long[] more = counts.clone();
+        more[bucket(millis)]++;
+        return new TimeHistogram(more);
+    }
+
+    /** The times of both. */
+    public TimeHistogram plus(TimeHistogram other) {
+        long[] sum = counts.clone();
+        Arrays.setAll(sum, bucket -> counts[bucket] + other.counts[bucket]);
+        return new TimeHistogram(sum);
+    }
+
+    /** The times that came after an earlier count; a bucket that has fewer now has none. */
+    public TimeHistogram minus(TimeHistogram earlier) {
+        long[] difference = counts.clone();
+        Arrays.setAll(difference, bucket -> Math.max(0, counts[bucket] - earlier.counts[bucket]));
+        return new TimeHistogram(difference);
+    }
+
+    /** The number of times. */
+    public long total() {
+        return Arrays.stream(counts).sum();
+    }
+
+    /** The number of times in this bucket. */
+    long in(int bucket) {
+        return bucket < 0 || bucket >= BUCKETS ? 0 : counts[bucket];
+    }
+
+    /** The number of times in the buckets before this one. */
+    long before(int bucket) {
+        return Arrays.stream(counts, 0, Math.max(0, Math.min(BUCKETS, bucket))).sum();
+    }
+
+    /** The bucket that holds the median; the first of all where there are no times. */
+    int medianBucket() {
+        long half = (total() + 1) / 2;
+        int bucket = 0;
+        while (bucket < BUCKETS - 1 && before(bucket + 1) < half) {
+            bucket++;
+        }
+        return bucket;
+    }
+
+    /** The counts by bucket, without empty buckets. */
+    public Map<Integer, Long> byBucket() {
+        Map<Integer, Long> filled = new TreeMap<>();
+        for (int bucket = 0; bucket < BUCKETS; bucket++) {
+            if (counts[bucket] > 0) {
+                filled.put(bucket, counts[bucket]);
+            }
+        }
+        return filled;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TimeHistogram histogram && Arrays.equals(counts, histogram.counts);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(counts);
+    }
+
+    @Override
+    public String toString() {
+        return byBucket().toString();
+    }
+}
--- a/policy/src/main/java/org/baobabcart/policy/version/VersionCounts.java
+++ b/policy/src/main/java/org/baobabcart/policy/version/VersionCounts.java
@@ -3,17 +3,13 @@
 /**
  * Outcomes of one version on one kind of work. Immutable.
  *
- * <p>Times are kept as sums of their logarithms, since they spread over orders of magnitude.
- *
  * @param answers answers without a fault
  * @param failures answers with a fault, and attempts that ended without one
- * @param times times that were taken
- * @param logSum the sum of the logarithms of the times
- * @param logSquareSum the sum of the squares of the logarithms
+ * @param begun the times after which answers began
+ * @param unbegun the times for which attempts have waited in vain for an answer to begin: those that have ended so, and those that still wait
  */
-public record VersionCounts(long answers, long failures, long times, double logSum, double logSquareSum) {
-    private static final VersionCounts NONE = new VersionCounts(0, 0, 0, 0, 0);
-    private static final double LEAST_MILLIS = 0.01;
+public record VersionCounts(long answers, long failures, TimeHistogram begun, TimeHistogram unbegun) {
+    private static final VersionCounts NONE = new VersionCounts(0, 0, TimeHistogram.empty(), TimeHistogram.empty());
 
     /** Nothing counted. */
     public static VersionCounts none() {
@@ -22,18 +18,22 @@
 
     /** The counts after one more answer. */
     public VersionCounts withAnswer() {
-        return new VersionCounts(answers + 1, failures, times, logSum, logSquareSum);
+        return new VersionCounts(answers + 1, failures, begun, unbegun);
     }
 
     /** The counts after one more failure. */
     public VersionCounts withFailure() {
-        return new VersionCounts(answers, failures + 1, times, logSum, logSquareSum);
+        return new VersionCounts(answers, failures + 1, begun, unbegun);
+    }
+
+    /** The counts after one more answer has begun. */
+    public VersionCounts withBegun(double millis) {
+        return new VersionCounts(answers, failures, begun.with(millis), unbegun);
     }
 
-    /** The counts after one more time. */
-    public VersionCounts withTime(double millis) {
-        double log = Math.log(Math.max(LEAST_MILLIS, millis));
-        return new VersionCounts(answers, failures, times + 1, logSum + log, logSquareSum + log * log);
+    /** The counts with one more attempt that has waited in vain so far. */
+    public VersionCounts withUnbegun(double millis) {
+        return new VersionCounts(answers, failures, begun, unbegun.with(millis));
     }
 
     /** The sum of both. */
@@ -41,9 +41,17 @@
         return new VersionCounts(
                 answers + other.answers,
                 failures + other.failures,
-                times + other.times,
-                logSum + other.logSum,
-                logSquareSum + other.logSquareSum);
+                begun.plus(other.begun),
+                unbegun.plus(other.unbegun));
+    }
+
+    /** What was counted after an earlier state of these counts. */
+    public VersionCounts minus(VersionCounts earlier) {
+        return new VersionCounts(
+                Math.max(0, answers - earlier.answers),
+                Math.max(0, failures - earlier.failures),
+                begun.minus(earlier.begun),
+                unbegun.minus(earlier.unbegun));
     }
 
     /** All answers and failures. */
@@ -55,16 +63,4 @@
     public double failureRate() {
         return total() == 0 ? 0 : (double) failures / total();
     }
-
-    /** The mean of the logarithms of the times. */
-    double logMean() {
-        return times == 0 ? 0 : logSum / times;
-    }
-
-    /** The variance of that mean. */
-    double logMeanVariance() {
-        double mean = logMean();
-        double variance = times < 2 ? 0 : Math.max(0, (logSquareSum - times * mean * mean) / (times - 1));
-        return times == 0 ? 0 : variance / times;
-    }
 }
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/version/VersionJudge.java
@@ -0,0 +1,173 @@
+package org.baobabcart.policy.version;
+
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Judges a new version by its failures and by when its answers begin. Stateless.
+ *
+ * <p>The load that it answers: few requests meet a new version, a part of whose answers are failures or several times slower, on all
+ * kinds of work or on one. The other versions are compared as they answer at the same time, so that what hits both alike stops no move.
+ *
+ * <p>Times spread over orders of magnitude and their longest ones come from queues, so that neither means nor quantiles tell much of a few
+ * answers. They are compared by their ranks (Mann and Whitney, "On a test of whether one of two random variables is stochastically
+ * larger than the other", 1947), each kind of work by itself and then together. An attempt that still waits counts as one that
+ * takes longer than it has waited (Gehan, "A generalized Wilcoxon test for comparing arbitrarily singly-censored samples", 1965);
+ * without those, a slow version looks like its fast answers.
+ */
+public final class VersionJudge {
+    /** So few failures may come about by chance, such as an answer that was spoilt on its way. */
+    private static final int LEAST_FAILURES = 3;
+    /** What a version may fail more often than the others. */
+    private static final double FAILURE_MARGIN = 0.12;
+
+    private static final double FAILURE_FACTOR = 2;
+
+    /** Engines of one service differ in speed, and those of a new version have no prompts in memory yet: 3 buckets are a factor of 1.3. */
+    private static final int MARGIN_BUCKETS = 3;
+    /** One kind of work alone may be slower, such as long prompts that are read for the first time: a factor of 2.6. */
+    private static final int MARGIN_BUCKETS_OF_ONE_KIND = 11;
+    /** Fewer times of the others say little of what is usual. */
+    private static final int LEAST_USUAL = 6;
+    /** Fewer answers may all be slow by chance. */
+    private static final int LEAST_BAD_ANSWERS = 12;
+    /** Answers from which on nothing that speaks against a version speaks for it. */
+    private static final int LEAST_SOUND_ANSWERS = 20;
+
+    private static final int LEAST_SUSPECT_ANSWERS = 6;
+    /** So many standard errors come about by chance less than once in a thousand comparisons. */
+    private static final double BAD_STANDARD_ERRORS = 3.3;
+    /** A version like the others lies below it five times in six, and with the margin nearly always. */
+    private static final double SUSPECT_STANDARD_ERRORS = 1;
+
+    private VersionJudge() {}
+
+    /** What the evidence says of a version that answers at the same time as others. */
+    public static VersionJudgement judge(ServiceEvidence evidence, String target) {
+        return failure(evidence, target)
+                .or(() -> slowness(evidence, target))
+                .map(reason -> new VersionJudgement(VersionVerdict.BAD, reason))
+                .orElseGet(() -> speed(evidence, target));
+    }
+
+    /**
+     * What the evidence says of a version that answers alone by now. Its times are not compared with those that others had under
+     * another load.
+     */
+    public static VersionJudgement judgeFailures(ServiceEvidence evidence, String target) {
+        return failure(evidence, target)
+                .map(reason -> new VersionJudgement(VersionVerdict.BAD, reason))
+                .orElseGet(() -> new VersionJudgement(VersionVerdict.UNKNOWN, "no more failures than others"));
+    }
+
+    private static Optional<String> failure(ServiceEvidence evidence, String target) {
+        return failing("all work", evidence.of(target), evidence.besides(target))
+                .or(() -> evidence.works(target).stream()
+                        .flatMap(work ->
+                                failing(work, evidence.of(target, work), evidence.besides(target, work)).stream())
+                        .findFirst());
+    }
+
+    private static Optional<String> failing(String work, VersionCounts target, VersionCounts others) {
+        double allowed = others.failureRate() * FAILURE_FACTOR + FAILURE_MARGIN;
+        if (target.failures() < LEAST_FAILURES || target.failureRate() <= allowed) {
+            return Optional.empty();
+        }
+        return Optional.of(String.format(
+                "%s: %d of %d failed, others %d of %d",
+                work, target.failures(), target.total(), others.failures(), others.total()));
+    }
+
+    private static Optional<String> slowness(ServiceEvidence evidence, String target) {
+        Ranks all = allRanks(evidence, target);
+        if (all.isBad()) {
+            return Optional.of(all.text("all work"));
+        }
+        return evidence.works(target).stream()
+                .flatMap(work -> Optional.of(ranks(evidence, target, work, MARGIN_BUCKETS_OF_ONE_KIND))
+                        .filter(Ranks::isBad)
+                        .map(ranks -> ranks.text(work))
+                        .stream())
+                .findFirst();
+    }
+
+    private static VersionJudgement speed(ServiceEvidence evidence, String target) {
+        Ranks ranks = allRanks(evidence, target);
+        return new VersionJudgement(ranks.verdict(), ranks.text("all work"));
+    }
+
+    private static Ranks allRanks(ServiceEvidence evidence, String target) {
+        return evidence.works(target).stream()
+                .map(work -> ranks(evidence, target, work, MARGIN_BUCKETS))
+                .reduce(Ranks.none(), Ranks::plus);
+    }
+
+    /** The ranks of one kind of work; none where the others have had too little of it. */
+    private static Ranks ranks(ServiceEvidence evidence, String target, String work, int margin) {
+        TimeHistogram usual = evidence.besides(target, work).begun();
+        VersionCounts counts = evidence.of(target, work);
+        long others = usual.total();
+        if (others < LEAST_USUAL) {
+            return Ranks.none();
+        }
+        long answers = 0;
+        double slower = 0;
+        for (Map.Entry<Integer, Long> begun : counts.begun().byBucket().entrySet()) {
+            int bucket = begun.getKey() - margin;
+            answers += begun.getValue();
+            slower += begun.getValue() * (usual.before(bucket) + usual.in(bucket) / 2.0) / others;
+        }
+        int median = usual.medianBucket();
+        for (Map.Entry<Integer, Long> open : counts.unbegun().byBucket().entrySet()) {
+            int bucket = open.getKey() - margin;
+            if (bucket > median) {
+                answers += open.getValue();
+                slower += open.getValue() * (1 + (double) usual.before(bucket) / others) / 2;
+            }
+        }
+        double excess = slower - answers / 2.0;
+        return new Ranks(answers, excess, answers / 12.0 * (1 + (double) answers / others));
+    }
+
+    /**
+     * How the times of a version rank among those of others.
+     *
+     * @param answers the times that were ranked
+     * @param excess the sum over these of the part of the others' times that are shorter, above one half each
+     * @param variance the variance of that sum where both are alike
+     */
+    private record Ranks(long answers, double excess, double variance) {
+        private static final Ranks NONE = new Ranks(0, 0, 0);
+
+        static Ranks none() {
+            return NONE;
+        }
+
+        Ranks plus(Ranks other) {
+            return new Ranks(answers + other.answers, excess + other.excess, variance + other.variance);
+        }
+
+        private double standardErrors() {
+            return answers == 0 ? 0 : excess / Math.sqrt(variance);
+        }
+
+        boolean isBad() {
+            return answers >= LEAST_BAD_ANSWERS && standardErrors() >= BAD_STANDARD_ERRORS;
+        }
+
+        VersionVerdict verdict() {
+            if (answers >= LEAST_SUSPECT_ANSWERS && standardErrors() > SUSPECT_STANDARD_ERRORS) {
+                return VersionVerdict.SUSPECT;
+            }
+            boolean isSound = answers >= LEAST_SOUND_ANSWERS && standardErrors() <= 0;
+            return isSound ? VersionVerdict.SOUND : VersionVerdict.UNKNOWN;
+        }
+
+        String text(String work) {
+            double rank = answers == 0 ? 0 : excess / answers + 1 / 2.0;
+            return String.format(
+                    "%s: slower than %.2f of the others in %d answers, %.1f standard errors",
+                    work, rank, answers, standardErrors());
+        }
+    }
+}
--- a/policy/src/test/java/org/baobabcart/policy/version/VersionEvidenceTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/version/VersionEvidenceTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 class VersionEvidenceTest {
+    private static final double NANOS_PER_MILLI = 1e6;
     private static final VersionOutcomeKey OLD = new VersionOutcomeKey("model", "v1", "chat");
     private static final VersionOutcomeKey NEW = new VersionOutcomeKey("model", "v2", "chat");
     private static final VersionOutcomeKey NEW_NOTES = new VersionOutcomeKey("model", "v2", "notes");
@@ -20,7 +21,7 @@
         }
         int exposed = 0;
         Random random = new Random(5301);
-        while (evidence.fault("model", "v2").isEmpty()) {
+        while (!isBad(evidence)) {
             exposed++;
             if (random.nextBoolean()) {
                 evidence.failed(NEW);
@@ -40,17 +41,17 @@
         for (int index = 0; index < 4; index++) {
             evidence.failed(NEW_NOTES);
         }
-        assertThat(evidence.fault("model", "v2").isPresent(), is(true));
+        assertThat(isBad(evidence), is(true));
     }
 
     @Test
     void aVersionThatTakesSeveralTimesAsLongIsFound() {
         Random random = new Random(5302);
         for (int index = 0; index < 12; index++) {
-            evidence.timed(OLD, spread(random, 100));
-            evidence.timed(NEW, spread(random, 800));
+            timed(evidence, OLD, spread(random, 100));
+            timed(evidence, NEW, spread(random, 800));
         }
-        assertThat(evidence.fault("model", "v2").isPresent(), is(true));
+        assertThat(isBad(evidence), is(true));
     }
 
     /** Thirty routers compare each kind of work of a good version again and again. */
@@ -62,16 +63,24 @@
             VersionEvidence own = VersionEvidence.create();
             boolean bad = false;
             for (int index = 0; index < 60; index++) {
-                own.timed(OLD, spread(random, 100));
-                own.timed(OLD, spread(random, 100));
-                own.timed(NEW, spread(random, 100));
-                bad |= own.fault("model", "v2").isPresent();
+                timed(own, OLD, spread(random, 100));
+                timed(own, OLD, spread(random, 100));
+                timed(own, NEW, spread(random, 100));
+                bad |= isBad(own);
             }
             stopped += bad ? 1 : 0;
         }
         assertThat(stopped, lessThanOrEqualTo(1));
     }
 
+    private static void timed(VersionEvidence evidence, VersionOutcomeKey key, double millis) {
+        evidence.began(evidence.sent(key, 0), (long) (millis * NANOS_PER_MILLI));
+    }
+
+    private static boolean isBad(VersionEvidence evidence) {
+        return VersionJudge.judge(evidence.of("model", 0), "v2").verdict() == VersionVerdict.BAD;
+    }
+
     private static double spread(Random random, double median) {
         return median * Math.exp(random.nextGaussian() * 0.8);
     }
@@ -86,7 +95,7 @@
                 evidence.failed(NEW);
             }
         }
-        assertThat(evidence.fault("model", "v2").isPresent(), is(false));
+        assertThat(isBad(evidence), is(false));
     }
 
     @Test
@@ -95,6 +104,6 @@
             evidence.failed(NEW);
         }
         evidence.forget("model");
-        assertThat(evidence.fault("model", "v2").isPresent(), is(false));
+        assertThat(isBad(evidence), is(false));
     }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRun.java
@@ -15,6 +15,7 @@
 import org.baobabcart.model.result.Ran;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.policy.version.OpenAttempt;
 import org.baobabcart.policy.version.VersionOutcomeKey;
 import org.baobabcart.router.attempt.AttemptLoop;
 import org.baobabcart.router.attempt.AttemptSource;
@@ -36,7 +37,6 @@
     private static final int STATUS_SUCCESS = 200;
     private static final int STATUS_AFTER_SUCCESS = 300;
     private static final int STATUS_SERVER_ERROR = 500;
-    private static final double NANOS_PER_MILLI = 1e6;
     /** The balancer asks once a second and leaves a router out after two questions without a good answer. */
     private static final Duration BALANCER_TURNS_ELSEWHERE = Duration.ofMillis(2_500);
     /** Upstreams out of reach are asked twice a second. */
@@ -55,6 +55,7 @@
     private Admission admission;
     private String service;
     private Optional<KeptFailure> kept = Optional.empty();
+    private Optional<OpenAttempt> open = Optional.empty();
 
     private GatewayRun(
             GatewayRuntime runtime,
@@ -91,7 +92,7 @@
     void start() {
         exchange.startDeadline(deadlineNanos);
         runtime.retries().firstTry(service);
-        loop.run().onFailure(this::giveUp);
+        loop.run().onComplete(ignored -> endAttempt()).onFailure(this::giveUp);
     }
 
     @Override
@@ -106,6 +107,7 @@
 
     @Override
     public Work work(Attempts soFar) {
+        endAttempt();
         TrafficView view = runtime.attempts().views().current();
         admit(view);
         Pool pool = ServicePool.of(view, runtime, service, versionPoint);
@@ -182,12 +184,24 @@
         if (ServicePool.isWithdrawn(view, upstream)) {
             throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "its version is withdrawn");
         }
+        open = Optional.of(runtime.evidence().sent(outcomeKey(upstream), System.nanoTime()));
+    }
+
+    @Override
+    public void notRun() {
+        open.ifPresent(runtime.evidence()::notRun);
+    }
+
+    /** Takes note that no answer to the last attempt will begin any more; nothing changes where one has. */
+    private void endAttempt() {
+        open.ifPresent(attempt -> runtime.evidence().ended(attempt, System.nanoTime()));
+        open = Optional.empty();
     }
 
     /** Keeps the time to the beginning of an answer, by which versions are compared and load is seen. */
     @Override
     public void answerBegan(VirtualMachine upstream, long nanos) {
-        runtime.evidence().timed(outcomeKey(upstream), nanos / NANOS_PER_MILLI);
+        open.ifPresent(attempt -> runtime.evidence().began(attempt, System.nanoTime()));
         runtime.requests().attempted(service, "answered", nanos);
         models.noteBeginning(nanos);
     }
--- a/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
@@ -17,7 +17,10 @@
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.version.FollowedOrder;
 import org.baobabcart.policy.version.VersionEvidence;
+import org.baobabcart.policy.version.VersionJudge;
+import org.baobabcart.policy.version.VersionJudgement;
 import org.baobabcart.policy.version.VersionMove;
+import org.baobabcart.policy.version.VersionVerdict;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Controller;
 import org.baobabcart.router.control.Sections;
@@ -167,10 +170,10 @@
         if (current.order().state().ended()) {
             return current;
         }
-        Optional<String> fault =
-                evidence.fault(current.order().service(), current.order().target());
-        if (fault.isPresent()) {
-            note(current.order(), "bad: " + fault.get());
+        VersionOrder order = current.order();
+        VersionJudgement judgement = VersionJudge.judge(evidence.of(order.service(), now), order.target());
+        if (judgement.verdict() == VersionVerdict.BAD) {
+            note(order, "bad: " + judgement.reason());
             return current.withState(VersionOrder.State.WITHDRAWN);
         }
         return current;
--- a/router/src/test/java/org/baobabcart/router/gateway/SimulatedFleet.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/SimulatedFleet.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.baobabcart.model.gateway.VersionOrder;
+import org.baobabcart.policy.version.OpenAttempt;
 import org.baobabcart.policy.version.VersionEvidence;
 import org.baobabcart.policy.version.VersionMove;
 import org.baobabcart.policy.version.VersionOutcomeKey;
@@ -85,8 +86,9 @@
             exposed++;
         }
         double millis = (onTarget ? target : SimulatedVersion.usual()).millis(random);
+        OpenAttempt attempt = router.evidence().sent(key, timers.nanoTime());
         timers.after("answer", Duration.ofNanos((long) (millis * NANOS_PER_MILLI)), () -> {
-            router.evidence().timed(key, millis);
+            router.evidence().began(attempt, timers.nanoTime());
             router.evidence().answered(key);
         });
     }
