A move goes on only when the evidence of all routers shows its target sound

Cause, the first and second hypothesis of docs/incidents/slow-roll-out.md: each router judged by its own answers, about one in thirty, and at 70% of the order's time the clock sent everything to the target whether anybody could judge it or not.

Peers, evidence merged into the order's status, every router reading all reports: docs/design/version-moves.md.

Change: routers write what they see of a target to one object each; the order's reviewer, the router whose conditional write named itself, sums it up, announces each step 0.4 s before it is in force, and withdraws a target that is bad or still under suspicion at 80% of the time. Another router takes over after 3 s of silence. Shares are such that a review of any length stays within two thirds of the tolerated exposure. Changes of orders are asked for at once after the last one, since a step has to reach all routers in its 0.4 s.

VersionMoveTest: that all requests go to the target at 70% by the clock alone was the fault; in its place stands that they never do without an announced step, at any time. The equal share after the trial is now what is left of the exposure (above 0.4 at 0.15), since it has to hold for as long as a review takes.

--- a/model/src/main/java/org/baobabcart/model/gateway/VersionOrder.java
+++ b/model/src/main/java/org/baobabcart/model/gateway/VersionOrder.java
@@ -9,7 +9,7 @@
  * @param target the version to move to
  * @param duration the time in which the move has to be done
  * @param state how far it has come, as last written to the platform
- * @param stage the last stage of the move that a router wrote to the platform
+ * @param progress how far the move has come, as a router last wrote it to the platform
  * @param resourceVersion the platform's version of the order
  * @param created the platform's mark of the order's creation, by which a new order of the same name is told apart
  */
@@ -18,17 +18,25 @@
         String target,
         Duration duration,
         State state,
-        MoveStage stage,
+        MoveProgress progress,
         String resourceVersion,
         String created) {
     /** The same order in another state. */
     public VersionOrder withState(State newState) {
-        return new VersionOrder(service, target, duration, newState, stage, resourceVersion, created);
+        return new VersionOrder(service, target, duration, newState, progress, resourceVersion, created);
     }
 
-    /** The same order at another stage. */
-    public VersionOrder withStage(MoveStage newStage) {
-        return new VersionOrder(service, target, duration, state, newStage, resourceVersion, created);
+    /** The same order with another progress. */
+    public VersionOrder withProgress(MoveProgress newProgress) {
+        return new VersionOrder(service, target, duration, state, newProgress, resourceVersion, created);
+    }
+
+    /** Whether both are the same order of the operator, whatever has become of it. */
+    public boolean isSameOrder(VersionOrder other) {
+        return service.equals(other.service)
+                && target.equals(other.target)
+                && created.equals(other.created)
+                && duration.equals(other.duration);
     }
 
     /** How far an order has come. */
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -97,6 +97,7 @@
                 RouteController.create(parts.objects(), following, blackboard, timeline),
                 upstreams,
                 VersionOrderController.create(
+                        parts.settings().name(),
                         parts.objects(),
                         following,
                         blackboard,
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/gateway/MoveReviewer.java
@@ -0,0 +1,128 @@
+package org.baobabcart.router.gateway;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.baobabcart.model.gateway.MoveStage;
+import org.baobabcart.model.gateway.VersionOrder;
+import org.baobabcart.policy.version.FollowedOrder;
+import org.baobabcart.policy.version.MoveDecision;
+import org.baobabcart.policy.version.MoveReview;
+import org.baobabcart.policy.version.ServiceEvidence;
+import org.baobabcart.policy.version.VersionJudgement;
+import org.baobabcart.policy.version.VersionMove;
+
+/**
+ * Reviews the moves that name this router as their reviewer. Confined to the control thread.
+ *
+ * <p>A move has one reviewer at a time: the router whose conditional write named itself last. A reviewer that was paused meanwhile finds
+ * its next write refused, and reads there who reviews now.
+ */
+final class MoveReviewer {
+    /** How long other routers may hear nothing of a move before one of them reviews it. */
+    static final Duration SILENCE = Duration.ofSeconds(3);
+
+    private static final Duration REVIEW_PERIOD = Duration.ofMillis(400);
+    /** Below the silence by more than a write takes. */
+    private static final Duration CONFIRMATION = Duration.ofSeconds(2);
+
+    private final String router;
+    private final EvidenceExchange exchange;
+    private final VersionMove move;
+    private final MoveReview review;
+    private final Map<String, Review> reviews = new HashMap<>();
+
+    /**
+     * A move under review.
+     *
+     * @param stage the stage that is in force
+     * @param atStep what was known when it came into force, or when this router began to review
+     * @param dueNanos when to decide next
+     * @param confirmNanos when to tell the others that it is still reviewed
+     */
+    private record Review(MoveStage stage, ServiceEvidence atStep, long dueNanos, long confirmNanos) {}
+
+    private MoveReviewer(String router, EvidenceExchange exchange, VersionMove move) {
+        this.router = router;
+        this.exchange = exchange;
+        this.move = move;
+        this.review = new MoveReview(move);
+    }
+
+    static MoveReviewer create(String router, EvidenceExchange exchange, VersionMove move) {
+        return new MoveReviewer(router, exchange, move);
+    }
+
+    /** What this router's own evidence says of the target of an order. */
+    VersionJudgement judge(FollowedOrder followed, ServiceEvidence own, long now) {
+        return review.judge(followed, own, now);
+    }
+
+    /** Whether this router reviews an order. */
+    boolean isReviewer(VersionOrder order) {
+        return !order.state().ended() && order.progress().reviewer().equals(router);
+    }
+
+    /** Forgets an order that this router no longer reviews. */
+    void leave(VersionOrder order) {
+        if (reviews.remove(order.service()) == null) {
+            return;
+        }
+        if (order.state().ended()) {
+            exchange.removeOutdated(order);
+        }
+        if (reviews.isEmpty()) {
+            exchange.stopReading();
+        }
+    }
+
+    /** What is to be written of an order that this router reviews, with the reason; empty for nothing yet. */
+    Optional<MoveDecision> decide(FollowedOrder followed, long now) {
+        VersionOrder order = followed.order();
+        exchange.startReading();
+        if (!exchange.isKnown()) {
+            return Optional.empty();
+        }
+        ServiceEvidence evidence = exchange.pooled(order);
+        Review before = reviews.get(order.service());
+        MoveStage inForce = inForce(followed, before, now);
+        Review current = before == null || before.stage() != inForce
+                ? new Review(inForce, evidence, now, now + CONFIRMATION.toNanos())
+                : before;
+        reviews.put(order.service(), current);
+        if (now - current.dueNanos() < 0) {
+            return Optional.empty();
+        }
+        MoveDecision decision = review.decide(followed, evidence, evidence.minus(current.atStep()), now);
+        boolean isNews = !decision.order().equals(order);
+        boolean isConfirmationDue = now - current.confirmNanos() >= 0;
+        long confirmNanos = isNews || isConfirmationDue ? now + CONFIRMATION.toNanos() : current.confirmNanos();
+        reviews.put(
+                order.service(), new Review(inForce, current.atStep(), now + REVIEW_PERIOD.toNanos(), confirmNanos));
+        if (isNews) {
+            return Optional.of(decision);
+        }
+        return isConfirmationDue ? Optional.of(confirmed(followed, decision, now)) : Optional.empty();
+    }
+
+    private static MoveStage inForce(FollowedOrder followed, Review before, long now) {
+        boolean hasBegun = followed.progress(now) >= followed.order().progress().from();
+        return hasBegun || before == null ? followed.order().progress().stage() : before.stage();
+    }
+
+    private MoveDecision confirmed(FollowedOrder followed, MoveDecision decision, long now) {
+        return new MoveDecision(taken(followed, now), decision.reason());
+    }
+
+    /** The order, reviewed by this router from now on or still. */
+    VersionOrder taken(FollowedOrder followed, long now) {
+        VersionOrder order = followed.order();
+        return order.withProgress(order.progress().withReviewer(router, followed.progress(now)));
+    }
+
+    /** The order at the beginning of its trial, reviewed by this router. */
+    VersionOrder tried(FollowedOrder followed, long now) {
+        return followed.order().withProgress(move.trial(router, followed.progress(now)));
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,10 +13,8 @@
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
-import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.version.FollowedOrder;
 import org.baobabcart.policy.version.VersionEvidence;
-import org.baobabcart.policy.version.VersionJudge;
 import org.baobabcart.policy.version.VersionJudgement;
 import org.baobabcart.policy.version.VersionMove;
 import org.baobabcart.policy.version.VersionVerdict;
@@ -35,15 +32,15 @@
 /**
  * Carries out orders that move services to other versions. Confined to the control thread.
  *
- * <p>Each router follows the same orders and writes their state by conditional updates; of several that write at once one
- * wins and the others read what it wrote. A target that this router found bad gets no more of its requests at once, before the
- * state is written. A state that ends an order is never taken back.
+ * <p>Each router follows the same orders. One of them reviews a move and announces its steps; another one takes over where nothing is heard
+ * of it. A target that a router finds bad by its own evidence gets no more of its requests at once, before the state is written. A
+ * state that ends an order is never taken back.
  */
 final class VersionOrderController implements Controller {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK = Duration.ofMillis(200);
-    /** Longer than a write takes, so that an answer is waited for before the next try. */
-    private static final Duration REWRITE = Duration.ofMillis(500);
+    /** The time over which routers spread it that they take over a review. */
+    private static final Duration TAKE_OVER_SPREAD = Duration.ofMillis(1_500);
 
     private final GatewayObjects meaning;
     private final ObjectFollower.Parts parts;
@@ -51,14 +48,18 @@
     private final Timeline timeline;
     private final VersionMove move;
     private final VersionEvidence evidence;
+    private final EvidenceExchange exchange;
+    private final MoveReviewer reviewer;
+    private final OrderWrites writes;
     private final ObjectFollower follower;
     private final Map<String, StoredObject> stored = new HashMap<>();
     private final Map<String, FollowedOrder> followed = new HashMap<>();
-    private final Map<String, PlannedWrite> planned = new HashMap<>();
-    private final Set<String> writing = new HashSet<>();
+    private final Map<String, Long> takeOverNanos = new HashMap<>();
+    private final Set<String> tried = new HashSet<>();
     private Optional<TimerService.Subscription> ticks = Optional.empty();
 
     private VersionOrderController(
+            String router,
             GatewayObjects meaning,
             ObjectFollower.Parts parts,
             Blackboard blackboard,
@@ -71,44 +72,68 @@
         this.timeline = timeline;
         this.move = move;
         this.evidence = evidence;
+        this.exchange = EvidenceExchange.create(router, parts, evidence);
+        this.reviewer = MoveReviewer.create(router, exchange, move);
+        this.writes = OrderWrites.create(meaning, parts, this::written);
         this.follower = ObjectFollower.create(meaning.orderKind(), parts, FollowerSettings.defaults(), this::changed);
     }
 
+    /**
+     * A controller that follows nothing yet.
+     *
+     * @param router the name of this router
+     * @param evidence what this router sees of the versions
+     */
     static VersionOrderController create(
+            String router,
             GatewayObjects meaning,
             ObjectFollower.Parts parts,
             Blackboard blackboard,
             Timeline timeline,
             VersionMove move,
             VersionEvidence evidence) {
-        return new VersionOrderController(meaning, parts, blackboard, timeline, move, evidence);
+        return new VersionOrderController(router, meaning, parts, blackboard, timeline, move, evidence);
     }
 
     @Override
     public void start() {
         follower.start();
-        ticks = Optional.of(parts.timers().every("version-orders", TICK, this::review));
+        ticks = Optional.of(parts.timers().every("version-orders", TICK, this::tick));
     }
 
     @Override
     public Uni<Void> stop() {
         ticks.ifPresent(TimerService.Subscription::cancel);
         follower.stop();
+        exchange.stopReading();
         return Uni.createFrom().voidItem();
     }
 
     private void changed(Map<String, StoredObject> objects) {
         stored.keySet().retainAll(objects.keySet());
         followed.keySet().retainAll(objects.keySet());
-        planned.keySet().retainAll(objects.keySet());
+        takeOverNanos.keySet().retainAll(objects.keySet());
+        tried.retainAll(objects.keySet());
+        writes.retain(objects.keySet());
         objects.values().forEach(this::take);
         publish();
     }
 
+    private void written(StoredObject object) {
+        if (stored.containsKey(object.name())) {
+            take(object);
+            publish();
+        }
+    }
+
     private void take(StoredObject object) {
         try {
             VersionOrder order = meaning.order(object);
-            stored.put(object.name(), object);
+            StoredObject before = stored.put(object.name(), object);
+            if (before == null || !before.resourceVersion().equals(object.resourceVersion())) {
+                long silence = MoveReviewer.SILENCE.toNanos() + parts.random().nextLong(TAKE_OVER_SPREAD.toNanos());
+                takeOverNanos.put(object.name(), parts.timers().nanoTime() + silence);
+            }
             take(object.name(), order);
         } catch (BaobabcartException fault) {
             LOGGER.atWarning().log(
@@ -120,124 +145,120 @@
     private void take(String name, VersionOrder order) {
         FollowedOrder before = followed.get(name);
         long now = parts.timers().nanoTime();
-        if (before == null || !isSame(before.order(), order)) {
+        if (before == null || !isContinued(before.order(), order)) {
             evidence.forget(order.service());
             followed.put(name, move.follow(order, now));
-            planned.remove(name);
+            writes.forget(name);
+            tried.remove(name);
             note(order, "seen");
             return;
         }
-        boolean ownStop = before.order().state() == VersionOrder.State.WITHDRAWN
+        VersionOrder earlier = before.order();
+        boolean isOwnStop = earlier.state() == VersionOrder.State.WITHDRAWN
                 && !order.state().ended();
-        if (!ownStop && before.order().state() != order.state()) {
+        if (!isOwnStop && earlier.state() != order.state()) {
             note(order, "told");
+        } else if (earlier.progress().stage() != order.progress().stage()) {
+            note(order, "step to " + order.progress().stage().text());
         }
-        followed.put(
-                name,
-                ownStop
-                        ? new FollowedOrder(order.withState(VersionOrder.State.WITHDRAWN), before.seenNanos())
-                        : new FollowedOrder(order, before.seenNanos()));
+        FollowedOrder renewed = move.renew(before, order, now);
+        followed.put(name, isOwnStop ? renewed.withState(VersionOrder.State.WITHDRAWN) : renewed);
     }
 
-    private static boolean isSame(VersionOrder before, VersionOrder now) {
-        return before.target().equals(now.target())
-                && before.created().equals(now.created())
-                && before.duration().equals(now.duration())
-                && (now.state().ended() || !before.state().ended() || before.state() == VersionOrder.State.WITHDRAWN);
+    private static boolean isContinued(VersionOrder before, VersionOrder now) {
+        boolean isTakenBack =
+                before.state() == VersionOrder.State.COMPLETED && !now.state().ended();
+        return before.isSameOrder(now) && !isTakenBack;
     }
 
-    /** What this router writes of an order next, and when. */
-    private record PlannedWrite(VersionOrder.State state, MoveStage stage, long atNanos) {}
-
-    private void review() {
-        long now = parts.timers().nanoTime();
-        boolean changed = false;
+    private void tick() {
+        boolean isChanged = false;
         for (String name : List.copyOf(followed.keySet())) {
             FollowedOrder current = followed.get(name);
-            FollowedOrder next = next(current, now);
-            if (next.order().state() != current.order().state()) {
-                followed.put(name, next);
-                changed = true;
+            if (current.order().state().ended()) {
+                writeStop(name, current);
+                reviewer.leave(current.order());
+                continue;
             }
-            writeIfDue(name, next, now);
+            isChanged |= carryOn(name, current);
         }
-        if (changed) {
+        if (isChanged) {
             publish();
         }
     }
 
-    private FollowedOrder next(FollowedOrder current, long now) {
-        if (current.order().state().ended()) {
-            return current;
-        }
+    /** Takes an order that has not ended one tick on; tells whether this router stopped it. */
+    private boolean carryOn(String name, FollowedOrder current) {
         VersionOrder order = current.order();
-        VersionJudgement judgement = VersionJudge.judge(evidence.of(order.service(), now), order.target());
-        if (judgement.verdict() == VersionVerdict.BAD) {
-            note(order, "bad: " + judgement.reason());
-            return current.withState(VersionOrder.State.WITHDRAWN);
-        }
-        return current;
-    }
-
-    private void writeIfDue(String name, FollowedOrder current, long now) {
-        VersionOrder told = meaning.order(stored.get(name));
-        VersionOrder.State state = wanted(current, now);
-        MoveStage stage = move.stage(current, now);
-        boolean isTold = told.state() == state && told.stage().compareTo(stage) >= 0;
-        if (isTold || told.state().ended() || writing.contains(name)) {
-            return;
+        long now = parts.timers().nanoTime();
+        if (move.stage(current, now) == MoveStage.HELD) {
+            if (order.state() == VersionOrder.State.ORDERED) {
+                writes.write(stored.get(name), order.withState(VersionOrder.State.MOVING), move.writeSpread(order));
+            }
+            return false;
         }
-        PlannedWrite write = planned.get(name);
-        if (write == null || write.state() != state || write.stage() != stage) {
-            write = new PlannedWrite(state, stage, now + delay(current.order(), state));
-            planned.put(name, write);
+        if (tried.add(name)) {
+            // The versions are compared as they answer from now on.
+            evidence.forget(order.service());
         }
-        if (now - write.atNanos() < 0) {
-            return;
+        VersionJudgement own = reviewer.judge(current, evidence.of(order.service(), now), now);
+        if (own.verdict() == VersionVerdict.BAD) {
+            stopped(name, current, "bad: " + own.reason());
+            return true;
         }
-        planned.put(name, new PlannedWrite(state, stage, now + REWRITE.toNanos()));
-        write(name, current.order().withState(state).withStage(stage));
+        exchange.report(order);
+        return lead(name, current, now);
     }
 
-    /** Routers come to the same conclusion at one time, save that a target is bad, which has to be known at once. */
-    private long delay(VersionOrder order, VersionOrder.State state) {
-        long spread = move.writeSpread(order).toNanos();
-        boolean atOnce = state == VersionOrder.State.WITHDRAWN || spread == 0;
-        return atOnce ? 0 : parts.random().nextLong(spread);
+    /** Reviews an order, or sees to it that some router does; tells whether this router stopped it. */
+    private boolean lead(String name, FollowedOrder current, long now) {
+        VersionOrder order = current.order();
+        if (!reviewer.isReviewer(order)) {
+            reviewer.leave(order);
+            claim(name, current, now);
+            return false;
+        }
+        return reviewer.decide(current, now)
+                .map(decision -> decided(name, current, decision.order(), decision.reason()))
+                .orElse(false);
     }
 
-    private VersionOrder.State wanted(FollowedOrder current, long now) {
-        if (current.order().state() == VersionOrder.State.ORDERED) {
-            return VersionOrder.State.MOVING;
+    private void claim(String name, FollowedOrder current, long now) {
+        VersionOrder order = current.order();
+        if (!order.progress().isReviewed()) {
+            VersionOrder begun = reviewer.tried(current, now).withState(VersionOrder.State.MOVING);
+            writes.write(stored.get(name), begun, move.writeSpread(order));
+        } else if (now - takeOverNanos.get(name) >= 0) {
+            writes.write(stored.get(name), reviewer.taken(current, now), Duration.ZERO);
         }
-        return move.isComplete(current, now)
-                ? VersionOrder.State.COMPLETED
-                : current.order().state();
     }
 
-    private void write(String name, VersionOrder order) {
-        writing.add(name);
-        parts.store()
-                .updateStatus(stored.get(name).withStatus(meaning.status(order)))
-                .emitOn(parts.loop())
-                .subscribe()
-                .with(object -> written(name, object), failure -> notWritten(name, order, failure));
+    private boolean decided(String name, FollowedOrder current, VersionOrder decided, String reason) {
+        if (decided.state() == VersionOrder.State.WITHDRAWN) {
+            stopped(name, current, "bad: " + reason);
+            return true;
+        }
+        if (decided.state() != current.order().state()
+                || decided.progress().stage() != current.order().progress().stage()) {
+            note(decided, "decided: " + reason);
+        }
+        writes.write(stored.get(name), decided, Duration.ZERO);
+        return false;
     }
 
-    private void written(String name, StoredObject object) {
-        writing.remove(name);
-        if (stored.containsKey(name)) {
-            take(object);
-            publish();
-        }
+    /** Stops an order for this router's own requests at once. */
+    private void stopped(String name, FollowedOrder current, String reason) {
+        note(current.order(), reason);
+        FollowedOrder stop = current.withState(VersionOrder.State.WITHDRAWN);
+        followed.put(name, stop);
+        writeStop(name, stop);
     }
 
-    private void notWritten(String name, VersionOrder order, Throwable failure) {
-        writing.remove(name);
-        boolean conflict = failure instanceof BaobabcartException exception && exception.code() == ResultCode.CONFLICT;
-        LOGGER.atInfo().log(
-                "event=version_order_not_written service=%s state=%s conflict=%s cause=%s",
-                order.service(), order.state(), conflict, failure.getMessage());
+    private void writeStop(String name, FollowedOrder current) {
+        VersionOrder told = meaning.order(stored.get(name));
+        if (!told.state().ended()) {
+            writes.write(stored.get(name), current.order(), Duration.ZERO);
+        }
     }
 
     private void note(VersionOrder order, String change) {
@@ -250,6 +271,6 @@
     }
 
     private void publish() {
-        blackboard.write(Sections.VERSION_ORDERS, List.copyOf(new ArrayList<>(followed.values())));
+        blackboard.write(Sections.VERSION_ORDERS, List.copyOf(followed.values()));
     }
 }
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/gateway/EvidenceReportTest.java
@@ -0,0 +1,54 @@
+package org.baobabcart.router.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.time.Duration;
+import java.util.Map;
+import org.baobabcart.model.gateway.VersionOrder;
+import org.baobabcart.policy.version.ServiceEvidence;
+import org.baobabcart.policy.version.TimeHistogram;
+import org.baobabcart.policy.version.VersionCounts;
+import org.baobabcart.policy.version.VersionWork;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EvidenceReportTest {
+    private static final VersionOrder ORDER = new StoredOrders().order(StoredOrders.object(Duration.ofSeconds(9)));
+
+    @Test
+    void aReportIsTheSameAfterItWasWrittenAndRead() {
+        TimeHistogram begun = TimeHistogram.of(Map.of(3, 7L, 40, 2L));
+        ServiceEvidence evidence = new ServiceEvidence(Map.of(
+                new VersionWork("v1", "chat small"), new VersionCounts(9, 1, begun, TimeHistogram.empty()),
+                new VersionWork("v2", "chat small"), new VersionCounts(0, 0, TimeHistogram.empty(), begun)));
+        EvidenceReport report = EvidenceReport.of(ORDER, evidence);
+        assertThat(EvidenceReport.fromJson(report.toJson()), is(report));
+        assertThat(report.isOn(ORDER), is(true));
+    }
+
+    @Test
+    void aReportOnAnEarlierOrderIsToldApart() {
+        VersionOrder later = new StoredOrders().order(StoredOrders.object("second", Duration.ofSeconds(9)));
+        assertThat(EvidenceReport.of(ORDER, ServiceEvidence.none()).isOn(later), is(false));
+    }
+
+    /** Any process may write to the platform's store. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "[]",
+                "7",
+                "{\"order\": [], \"outcomes\": 3}",
+                "{\"outcomes\": [7, null, {\"begun\": \"x\", \"unbegun\": {\"a\": 1, \"-3\": 2, \"99999999999\": 1}}]}",
+                "{\"outcomes\": [{\"answers\": -5, \"failures\": \"many\", \"begun\": {\"3\": -1, \"4\": []}}]}"
+            })
+    void whatAnotherWriterHasPutThereCountsAsNothing(String text) throws JsonProcessingException {
+        EvidenceReport report = EvidenceReport.fromJson(new ObjectMapper().readTree(text));
+        report.evidence().counts().values().forEach(counts -> assertThat(counts, is(VersionCounts.none())));
+        assertThat(report.isOn(ORDER), is(false));
+    }
+}
--- a/router/src/test/java/org/baobabcart/router/gateway/VersionFleetTest.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/VersionFleetTest.java
@@ -1,11 +1,14 @@
 package org.baobabcart.router.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Duration;
 import org.baobabcart.model.gateway.VersionOrder;
+import org.baobabcart.model.platform.StoredObject;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -35,4 +38,53 @@
         fleet.run(LENGTH);
         assertThat(fleet.state(), is(VersionOrder.State.COMPLETED));
     }
+
+    /** A router's evidence is lost with it, and so is its review. */
+    @ParameterizedTest
+    @CsvSource({"true, 6421", "true, 6422", "false, 6423", "false, 6424"})
+    void anotherRouterTakesOverWhereTheReviewerIsLost(boolean isSlow, long seed) {
+        SimulatedFleet fleet = SimulatedFleet.of(37, REQUESTS_PER_SECOND, EXPOSURE, seed);
+        Duration length = Duration.ofSeconds(24);
+        fleet.order(length, isSlow ? SimulatedVersion.partlySlow(0.5, 8) : SimulatedVersion.usual());
+        fleet.run(length.multipliedBy(54).dividedBy(100));
+        fleet.loseReviewer();
+        fleet.run(length.multipliedBy(46).dividedBy(100));
+        assertThat(fleet.state(), is(isSlow ? VersionOrder.State.WITHDRAWN : VersionOrder.State.COMPLETED));
+        if (isSlow) {
+            assertThat(fleet.exposed(), lessThanOrEqualTo((long) (fleet.requests() * EXPOSURE) + EXPOSURE_SLACK));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, 6431", "false, 6432"})
+    void anOutageOfTheStoreInMidTrialMovesNothingOnByItself(boolean isSlow, long seed) {
+        SimulatedFleet fleet = SimulatedFleet.of(37, REQUESTS_PER_SECOND, EXPOSURE, seed);
+        Duration length = Duration.ofSeconds(24);
+        fleet.order(length, isSlow ? SimulatedVersion.partlySlow(0.5, 8) : SimulatedVersion.usual());
+        fleet.run(length.multipliedBy(53).dividedBy(100));
+        fleet.store().setOutage(true);
+        fleet.run(Duration.ofSeconds(3));
+        long exposed = fleet.exposed();
+        assertThat(exposed, lessThanOrEqualTo((long) (fleet.requests() * EXPOSURE)));
+        fleet.store().setOutage(false);
+        fleet.run(length.multipliedBy(47).dividedBy(100).minusSeconds(3));
+        assertThat(fleet.state(), is(isSlow ? VersionOrder.State.WITHDRAWN : VersionOrder.State.COMPLETED));
+    }
+
+    /** Reports of routers that are gone for good would pile up in the store. */
+    @ParameterizedTest
+    @CsvSource({"5, 6441"})
+    void reportsOnEarlierOrdersAreRemoved(int routers, long seed) {
+        SimulatedFleet fleet = SimulatedFleet.of(routers, REQUESTS_PER_SECOND, EXPOSURE, seed);
+        fleet.store()
+                .create(StoredObject.fresh(
+                        EvidenceReport.KIND,
+                        EvidenceReport.name(StoredOrders.SERVICE, "router-of-last-year"),
+                        JsonNodeFactory.instance.objectNode().put("order", "service/v1/long ago")))
+                .await()
+                .indefinitely();
+        fleet.order(LENGTH, SimulatedVersion.usual());
+        fleet.run(LENGTH);
+        assertThat(fleet.store().list(EvidenceReport.KIND).await().indefinitely(), hasSize(routers));
+    }
 }
--- a/router/src/test/java/org/baobabcart/router/gateway/VersionOrderControllerTest.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/VersionOrderControllerTest.java
@@ -26,6 +26,7 @@
     private final ManualTimerService timers = ManualTimerService.create();
     private final Duration spread = MOVE.writeSpread(new StoredOrders().order(StoredOrders.object("first", LENGTH)));
     private final VersionOrderController controller = VersionOrderController.create(
+            "router-1",
             new StoredOrders(),
             new ObjectFollower.Parts(
                     store,
