The reviewer of an order that the operator takes back stops reading reports

Cause: reviews were forgotten only at an order's end, so that a router kept a watch on reports for ever after the operator had removed the order. VersionFleetTest.nobodyReadsReportsOnAnOrderThatTheOperatorHasTakenBack: six watches in place of five before, five after.

--- a/router/src/main/java/org/baobabcart/router/gateway/EvidenceExchange.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/EvidenceExchange.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
@@ -132,7 +133,7 @@
     /** What all routers have seen since the trial of this order began, as far as it is known here. */
     ServiceEvidence pooled(VersionOrder order) {
         String ownName = EvidenceReport.name(order.service(), router);
-        return reports.values().stream()
+        return reportsOn(order.service())
                 .filter(object -> !object.name().equals(ownName))
                 .map(object -> EvidenceReport.fromJson(object.spec()))
                 .filter(report -> report.isOn(order))
@@ -140,11 +141,14 @@
                 .reduce(own.of(order.service(), parts.timers().nanoTime()), ServiceEvidence::plus);
     }
 
+    private Stream<StoredObject> reportsOn(String service) {
+        String prefix = EvidenceReport.name(service, "");
+        return reports.values().stream().filter(object -> object.name().startsWith(prefix));
+    }
+
     /** Removes reports on earlier orders of a service, whose routers are gone. */
     void removeOutdated(VersionOrder order) {
-        String prefix = EvidenceReport.name(order.service(), "");
-        reports.values().stream()
-                .filter(object -> object.name().startsWith(prefix))
+        reportsOn(order.service())
                 .filter(object -> !EvidenceReport.fromJson(object.spec()).isOn(order))
                 .forEach(object -> parts.store()
                         .delete(object)
--- a/router/src/main/java/org/baobabcart/router/gateway/MoveReviewer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/MoveReviewer.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.baobabcart.model.gateway.MoveStage;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.policy.version.FollowedOrder;
@@ -72,6 +73,16 @@
         if (order.state().ended()) {
             exchange.removeOutdated(order);
         }
+        stopReadingIfIdle();
+    }
+
+    /** Forgets the orders of all services but these. */
+    void retain(Set<String> services) {
+        reviews.keySet().retainAll(services);
+        stopReadingIfIdle();
+    }
+
+    private void stopReadingIfIdle() {
         if (reviews.isEmpty()) {
             exchange.stopReading();
         }
@@ -79,31 +90,30 @@
 
     /** What is to be written of an order that this router reviews, with the reason; empty for nothing yet. */
     Optional<MoveDecision> decide(FollowedOrder followed, long now) {
-        VersionOrder order = followed.order();
         exchange.startReading();
         if (!exchange.isKnown()) {
             return Optional.empty();
         }
-        ServiceEvidence evidence = exchange.pooled(order);
-        Review before = reviews.get(order.service());
+        String service = followed.order().service();
+        Review before = reviews.get(service);
         MoveStage inForce = inForce(followed, before, now);
-        Review current = before == null || before.stage() != inForce
-                ? new Review(inForce, evidence, now, now + CONFIRMATION.toNanos())
-                : before;
-        reviews.put(order.service(), current);
-        if (now - current.dueNanos() < 0) {
+        boolean isStep = before == null || before.stage() != inForce;
+        if (!isStep && now - before.dueNanos() < 0) {
             return Optional.empty();
         }
+        ServiceEvidence evidence = exchange.pooled(followed.order());
+        Review current = isStep ? new Review(inForce, evidence, now, now + CONFIRMATION.toNanos()) : before;
         MoveDecision decision = review.decide(followed, evidence, evidence.minus(current.atStep()), now);
-        boolean isNews = !decision.order().equals(order);
+        boolean isNews = !decision.order().equals(followed.order());
         boolean isConfirmationDue = now - current.confirmNanos() >= 0;
         long confirmNanos = isNews || isConfirmationDue ? now + CONFIRMATION.toNanos() : current.confirmNanos();
-        reviews.put(
-                order.service(), new Review(inForce, current.atStep(), now + REVIEW_PERIOD.toNanos(), confirmNanos));
+        reviews.put(service, new Review(inForce, current.atStep(), now + REVIEW_PERIOD.toNanos(), confirmNanos));
         if (isNews) {
             return Optional.of(decision);
         }
-        return isConfirmationDue ? Optional.of(confirmed(followed, decision, now)) : Optional.empty();
+        return isConfirmationDue
+                ? Optional.of(new MoveDecision(taken(followed, now), decision.reason()))
+                : Optional.empty();
     }
 
     private static MoveStage inForce(FollowedOrder followed, Review before, long now) {
@@ -111,10 +121,6 @@
         return hasBegun || before == null ? followed.order().progress().stage() : before.stage();
     }
 
-    private MoveDecision confirmed(FollowedOrder followed, MoveDecision decision, long now) {
-        return new MoveDecision(taken(followed, now), decision.reason());
-    }
-
     /** The order, reviewed by this router from now on or still. */
     VersionOrder taken(FollowedOrder followed, long now) {
         VersionOrder order = followed.order();
--- a/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.baobabcart.model.gateway.MoveStage;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.StoredObject;
@@ -116,6 +117,9 @@
         tried.retainAll(objects.keySet());
         writes.retain(objects.keySet());
         objects.values().forEach(this::take);
+        reviewer.retain(followed.values().stream()
+                .map(order -> order.order().service())
+                .collect(Collectors.toUnmodifiableSet()));
         publish();
     }
 
--- a/router/src/test/java/org/baobabcart/router/gateway/VersionFleetTest.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/VersionFleetTest.java
@@ -1,6 +1,7 @@
 package org.baobabcart.router.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -9,6 +10,7 @@
 import java.time.Duration;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.StoredObject;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -87,4 +89,23 @@
         fleet.run(LENGTH);
         assertThat(fleet.store().list(EvidenceReport.KIND).await().indefinitely(), hasSize(routers));
     }
+
+    /** The reviewer would read reports for ever. */
+    @Test
+    void nobodyReadsReportsOnAnOrderThatTheOperatorHasTakenBack() {
+        SimulatedFleet fleet = SimulatedFleet.of(5, REQUESTS_PER_SECOND, EXPOSURE, 6451);
+        int watchesOfOrders = fleet.store().watches();
+        fleet.order(LENGTH, SimulatedVersion.usual());
+        fleet.run(LENGTH.multipliedBy(6).dividedBy(10));
+        assertThat(fleet.store().watches(), greaterThan(watchesOfOrders));
+        fleet.store()
+                .delete(fleet.store()
+                        .read(StoredOrders.KIND, StoredOrders.SERVICE)
+                        .await()
+                        .indefinitely())
+                .await()
+                .indefinitely();
+        fleet.run(Duration.ofSeconds(1));
+        assertThat(fleet.store().watches(), is(watchesOfOrders));
+    }
 }
