A late answer to a write takes back nothing that the watch has told since

Cause: the object in the answer was taken over whatever had been learnt meanwhile. Where another router had ended the order by then, a router went back to it as under way, with evidence forgotten, until the next change. VersionOrderControllerTest.anAnswerThatComesLateTakesNothingBack: MOVING before, COMPLETED after.

--- a/router/src/main/java/org/baobabcart/router/gateway/OrderWrites.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/OrderWrites.java
@@ -6,7 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.baobabcart.model.gateway.MoveStage;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.StoredObject;
@@ -26,7 +26,7 @@
 
     private final GatewayObjects meaning;
     private final ObjectFollower.Parts parts;
-    private final Consumer<StoredObject> listener;
+    private final BiConsumer<StoredObject, StoredObject> listener;
     private final Map<String, PlannedWrite> planned = new HashMap<>();
     private final Set<String> writing = new HashSet<>();
 
@@ -39,7 +39,8 @@
         }
     }
 
-    private OrderWrites(GatewayObjects meaning, ObjectFollower.Parts parts, Consumer<StoredObject> listener) {
+    private OrderWrites(
+            GatewayObjects meaning, ObjectFollower.Parts parts, BiConsumer<StoredObject, StoredObject> listener) {
         this.meaning = meaning;
         this.parts = parts;
         this.listener = listener;
@@ -48,9 +49,10 @@
     /**
      * Writes of nothing yet.
      *
-     * @param listener gets each object as it was written
+     * @param listener gets each object as it was read and as it was written
      */
-    static OrderWrites create(GatewayObjects meaning, ObjectFollower.Parts parts, Consumer<StoredObject> listener) {
+    static OrderWrites create(
+            GatewayObjects meaning, ObjectFollower.Parts parts, BiConsumer<StoredObject, StoredObject> listener) {
         return new OrderWrites(meaning, parts, listener);
     }
 
@@ -91,7 +93,7 @@
                 .updateStatus(before.withStatus(meaning.status(order)))
                 .emitOn(parts.loop())
                 .subscribe()
-                .with(object -> written(name, object), failure -> notWritten(name, order, failure));
+                .with(object -> written(before, object), failure -> notWritten(name, order, failure));
     }
 
     private static PlannedWrite plan(VersionOrder order, long atNanos) {
@@ -99,10 +101,10 @@
                 order.state(), order.progress().stage(), order.progress().reviewer(), atNanos);
     }
 
-    private void written(String name, StoredObject object) {
-        writing.remove(name);
-        planned.remove(name);
-        listener.accept(object);
+    private void written(StoredObject before, StoredObject after) {
+        writing.remove(after.name());
+        planned.remove(after.name());
+        listener.accept(before, after);
     }
 
     private void notWritten(String name, VersionOrder order, Throwable failure) {
--- a/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
@@ -123,9 +123,11 @@
         publish();
     }
 
-    private void written(StoredObject object) {
-        if (stored.containsKey(object.name())) {
-            take(object);
+    /** Takes over what was written, unless the watch has told of it, or of something later, by now. */
+    private void written(StoredObject before, StoredObject after) {
+        StoredObject known = stored.get(after.name());
+        if (known != null && known.resourceVersion().equals(before.resourceVersion())) {
+            take(after);
             publish();
         }
     }
--- a/router/src/test/java/org/baobabcart/router/gateway/VersionOrderControllerTest.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/VersionOrderControllerTest.java
@@ -1,17 +1,20 @@
 package org.baobabcart.router.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
+import java.util.List;
 import java.util.random.RandomGenerator;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.policy.version.VersionEvidence;
 import org.baobabcart.policy.version.VersionMove;
 import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.platform.ObjectFollower;
 import org.baobabcart.router.testing.InMemoryObjectStore;
 import org.baobabcart.router.testing.ManualTimerService;
@@ -64,6 +67,39 @@
         assertThat(state(), is(VersionOrder.State.MOVING));
     }
 
+    /** The answer to a write comes after the watch has told of what another router has written next. */
+    @Test
+    void anAnswerThatComesLateTakesNothingBack() {
+        Blackboard blackboard = Blackboard.create();
+        VersionOrderController late = VersionOrderController.create(
+                "router-2",
+                new StoredOrders(),
+                new ObjectFollower.Parts(
+                        LateAnswers.of(store, timers, Duration.ofSeconds(5)),
+                        Runnable::run,
+                        timers,
+                        new LastMoment(),
+                        (type, request, fields) -> {},
+                        new MetricRegistry()),
+                blackboard,
+                (type, request, fields) -> {},
+                MOVE,
+                VersionEvidence.create());
+        store.create(StoredOrders.object("first", LENGTH)).await().indefinitely();
+        late.start();
+        timers.advance(spread.plus(TICKS));
+        assertThat(state(), is(VersionOrder.State.MOVING));
+        VersionOrder completed = new StoredOrders().order(read()).withState(VersionOrder.State.COMPLETED);
+        store.updateStatus(read().withStatus(new StoredOrders().status(completed)))
+                .await()
+                .indefinitely();
+        timers.advance(Duration.ofSeconds(6));
+        List<VersionOrder.State> known = blackboard.read(Sections.VERSION_ORDERS).stream()
+                .map(followed -> followed.order().state())
+                .toList();
+        assertThat(known, contains(VersionOrder.State.COMPLETED));
+    }
+
     private StoredObject read() {
         return store.read(StoredOrders.KIND, StoredOrders.SERVICE).await().indefinitely();
     }
