A stage without a reviewer is not taken back by the router that claims the review

Cause: a status without a reviewer was taken for an order whose trial begins, whatever stage stood there, such as one written by a router of an earlier release during an upgrade. VersionOrderControllerTest.aStageThatWasReachedWithoutAReviewerIsNotTakenBack: TRIAL before, ALL after.

--- a/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
@@ -232,8 +232,10 @@
     private void claim(String name, FollowedOrder current, long now) {
         VersionOrder order = current.order();
         if (!order.progress().isReviewed()) {
-            VersionOrder begun = reviewer.tried(current, now).withState(VersionOrder.State.MOVING);
-            writes.write(stored.get(name), begun, move.writeSpread(order));
+            // A status without a reviewer may have steps all the same: a router of an earlier release has written it.
+            boolean isUntried = order.progress().stage() == MoveStage.HELD;
+            VersionOrder claimed = isUntried ? reviewer.tried(current, now) : reviewer.taken(current, now);
+            writes.write(stored.get(name), claimed.withState(VersionOrder.State.MOVING), move.writeSpread(order));
         } else if (now - takeOverNanos.get(name) >= 0) {
             writes.write(stored.get(name), reviewer.taken(current, now), Duration.ZERO);
         }
--- a/router/src/test/java/org/baobabcart/router/gateway/VersionOrderControllerTest.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/VersionOrderControllerTest.java
@@ -9,6 +9,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.baobabcart.model.gateway.MoveProgress;
+import org.baobabcart.model.gateway.MoveStage;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.policy.version.VersionEvidence;
@@ -67,6 +69,24 @@
         assertThat(state(), is(VersionOrder.State.MOVING));
     }
 
+    /** A router of an earlier release writes no reviewer. */
+    @Test
+    void aStageThatWasReachedWithoutAReviewerIsNotTakenBack() {
+        store.create(StoredOrders.object("first", LENGTH)).await().indefinitely();
+        VersionOrder moved = new StoredOrders()
+                .order(read())
+                .withState(VersionOrder.State.MOVING)
+                .withProgress(new MoveProgress(MoveStage.ALL, 0, 0, 0, ""));
+        store.updateStatus(read().withStatus(new StoredOrders().status(moved)))
+                .await()
+                .indefinitely();
+        controller.start();
+        timers.advance(spread.plus(TICKS));
+        MoveProgress progress = new StoredOrders().order(read()).progress();
+        assertThat(progress.stage(), is(MoveStage.ALL));
+        assertThat(progress.reviewer(), is("router-1"));
+    }
+
     /** The answer to a write comes after the watch has told of what another router has written next. */
     @Test
     void anAnswerThatComesLateTakesNothingBack() {
