A version that answers speak against by half a standard error is under suspicion

Cause, from its log: 38 answers by the decision at 80% of the time ranked at 0.55 of the others', one standard error above them, while the old engines had queues of their own. Suspicion began only beyond one, so that the target counted as hardly asked and got all requests.

Ruled out: too few reports (38 of some 45 attempts were in), reports not written (none).

Change: suspicion from half a standard error and 12 answers on. VersionJudgeTest.aVersionThatMayBeSlowIsUnderSuspicion is red before.

--- a/policy/src/main/java/org/baobabcart/policy/version/VersionJudge.java
+++ b/policy/src/main/java/org/baobabcart/policy/version/VersionJudge.java
@@ -29,16 +29,15 @@
     private static final int MARGIN_BUCKETS_OF_ONE_KIND = 11;
     /** Fewer times of the others say little of what is usual. */
     private static final int LEAST_USUAL = 6;
-    /** Fewer answers may all be slow by chance. */
-    private static final int LEAST_BAD_ANSWERS = 12;
+    /** Fewer answers may all be slow, or fast, by chance. */
+    private static final int LEAST_RANKED_ANSWERS = 12;
     /** Answers from which on nothing that speaks against a version speaks for it. */
     private static final int LEAST_SOUND_ANSWERS = 20;
 
-    private static final int LEAST_SUSPECT_ANSWERS = 6;
     /** So many standard errors come about by chance less than once in a thousand comparisons. */
     private static final double BAD_STANDARD_ERRORS = 3.3;
-    /** A version like the others lies below it five times in six, and with the margin nearly always. */
-    private static final double SUSPECT_STANDARD_ERRORS = 1;
+    /** With the margin, a version like the others lies below zero. */
+    private static final double SUSPECT_STANDARD_ERRORS = 0.5;
 
     private VersionJudge() {}
 
@@ -152,11 +151,14 @@
         }
 
         boolean isBad() {
-            return answers >= LEAST_BAD_ANSWERS && standardErrors() >= BAD_STANDARD_ERRORS;
+            return answers >= LEAST_RANKED_ANSWERS && standardErrors() >= BAD_STANDARD_ERRORS;
         }
 
         VersionVerdict verdict() {
-            if (answers >= LEAST_SUSPECT_ANSWERS && standardErrors() > SUSPECT_STANDARD_ERRORS) {
+            if (answers < LEAST_RANKED_ANSWERS) {
+                return VersionVerdict.UNKNOWN;
+            }
+            if (standardErrors() > SUSPECT_STANDARD_ERRORS) {
                 return VersionVerdict.SUSPECT;
             }
             boolean isSound = answers >= LEAST_SOUND_ANSWERS && standardErrors() <= 0;
--- a/policy/src/test/java/org/baobabcart/policy/version/VersionJudgeTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/version/VersionJudgeTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
+import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
@@ -91,6 +92,17 @@
         assertThat(judge(0).verdict(), is(not(VersionVerdict.BAD)));
     }
 
+    /** A slow version was kept whose 38 answers spoke against it by one standard error. */
+    @Test
+    void aVersionThatMayBeSlowIsUnderSuspicion() {
+        TimeHistogram usual = TimeHistogram.of(Map.of(40, 250L, 60, 250L));
+        TimeHistogram target = TimeHistogram.of(Map.of(53, 35L, 70, 3L));
+        ServiceEvidence seen = new ServiceEvidence(Map.of(
+                OLD.work(), new VersionCounts(500, 0, usual, TimeHistogram.empty()),
+                NEW.work(), new VersionCounts(38, 0, target, TimeHistogram.empty())));
+        assertThat(VersionJudge.judge(seen, TARGET).verdict(), is(VersionVerdict.SUSPECT));
+    }
+
     /** One router after the other sums up what it has heard, again and again. */
     @Test
     void aVersionLikeTheOthersIsFoundSoundAndHardlyEverBad() {
--- a/router/src/test/java/org/baobabcart/router/gateway/SimulatedFleet.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/SimulatedFleet.java
@@ -90,7 +90,7 @@
         if (onTarget) {
             exposed++;
         }
-        double millis = (onTarget ? target : SimulatedVersion.usual()).millis(random);
+        double millis = (onTarget ? target : SimulatedVersion.usual().withSpread(target.spread())).millis(random);
         OpenAttempt attempt = router.evidence().sent(key, timers.nanoTime());
         timers.after("answer", Duration.ofNanos((long) (millis * NANOS_PER_MILLI)), () -> {
             router.evidence().began(attempt, timers.nanoTime());
--- a/router/src/test/java/org/baobabcart/router/gateway/SimulatedVersion.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/SimulatedVersion.java
@@ -7,23 +7,27 @@
  *
  * @param slowPart the part of its answers that begin late
  * @param factor how many times later those begin
+ * @param spread the standard deviation of the logarithm of a time
  */
-record SimulatedVersion(double slowPart, double factor) {
+record SimulatedVersion(double slowPart, double factor, double spread) {
     private static final double MEDIAN_MILLIS = 80;
-    /** The standard deviation of the logarithm of a time. */
     private static final double SPREAD = 0.7;
 
     static SimulatedVersion usual() {
-        return new SimulatedVersion(0, 1);
+        return new SimulatedVersion(0, 1, SPREAD);
     }
 
     static SimulatedVersion partlySlow(double slowPart, double factor) {
-        return new SimulatedVersion(slowPart, factor);
+        return new SimulatedVersion(slowPart, factor, SPREAD);
+    }
+
+    SimulatedVersion withSpread(double newSpread) {
+        return new SimulatedVersion(slowPart, factor, newSpread);
     }
 
     /** The time to the beginning of an answer. */
     double millis(Random random) {
-        double usual = MEDIAN_MILLIS * Math.exp(random.nextGaussian() * SPREAD);
+        double usual = MEDIAN_MILLIS * Math.exp(random.nextGaussian() * spread);
         return random.nextDouble() < slowPart ? usual * factor : usual;
     }
 }
--- a/router/src/test/java/org/baobabcart/router/gateway/VersionFleetTest.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/VersionFleetTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -20,6 +21,10 @@
     private static final long EXPOSURE_SLACK = 30;
     private static final Duration LENGTH = Duration.ofSeconds(15);
     private static final double REQUESTS_PER_SECOND = 320;
+    private static final double FEW_REQUESTS_PER_SECOND = 41;
+    private static final double LOOSE_EXPOSURE = 0.15;
+    private static final double WIDE_SPREAD = 1.3;
+    private static final int MOVES = 40;
 
     /** A roll-out to a version that answered half of its requests eight times slower was completed by fleets of 30 routers and more. */
     @ParameterizedTest
@@ -108,4 +113,24 @@
         fleet.run(Duration.ofSeconds(1));
         assertThat(fleet.store().watches(), is(watchesOfOrders));
     }
+
+    /** Some 45 answers of the target by the time of the decision, whose times spread from 20 to 2,000 ms. */
+    @Test
+    void aSlowVersionOfAServiceWithFewRequestsIsHardlyEverKept() {
+        SimulatedVersion slow = SimulatedVersion.partlySlow(0.5, 8).withSpread(WIDE_SPREAD);
+                + kept(SimulatedVersion.usual().withSpread(WIDE_SPREAD), 6600));
+        assertThat(kept(slow, 6500), lessThanOrEqualTo(2));
+        assertThat(kept(SimulatedVersion.usual().withSpread(WIDE_SPREAD), 6600), greaterThanOrEqualTo(MOVES - 4));
+    }
+
+    private static int kept(SimulatedVersion version, long firstSeed) {
+        int kept = 0;
+        for (int move = 0; move < MOVES; move++) {
+            SimulatedFleet fleet = SimulatedFleet.of(5, FEW_REQUESTS_PER_SECOND, LOOSE_EXPOSURE, firstSeed + move);
+            fleet.order(LENGTH, version);
+            fleet.run(LENGTH);
+            kept += fleet.state() == VersionOrder.State.COMPLETED ? 1 : 0;
+        }
+        return kept;
+    }
 }
