Log the parts of a broken attempt, whether its answer had begun, and what a probe of its engine found

Cause: the logs could not tell whether one request, its repeats or new requests with a common part end the engines, nor which of the broken requests had begun. Change: two fields of ATTEMPT_FAILED and the event UPSTREAM_PROBED; no decision changes.

--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptHandler.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptHandler.java
@@ -1,6 +1,7 @@
 package org.baobabcart.router.attempt;
 
 import io.vertx.core.Future;
+import java.util.List;
 import java.util.Optional;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.result.BaobabcartException;
@@ -29,6 +30,11 @@
         return Optional.empty();
     }
 
+    /** Returns the ids of the parts of the request's prompt, in order; empty for requests without a known structure. */
+    default List<String> promptParts() {
+        return List.of();
+    }
+
     /**
      * Returns the request for a slot for the next attempt, according to the current control state.
      *
--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -41,6 +41,8 @@
     private final Promise<T> result = Promise.promise();
     private RequestAttempts attempts;
     private long queuedNanos;
+    /** Whether the answer of the last attempt has begun to arrive. */
+    private boolean answerBegun;
 
     private AttemptLoop(
             AttemptDependencies dependencies, CallerExchange exchange, AttemptHandler<T> handler, RetryPolicy repeat) {
@@ -119,6 +121,7 @@
 
     private void send(Slot slot, CrashGuard.Permit permit) {
         attempts = attempts.withTry();
+        answerBegun = false;
         long startNanos = System.nanoTime();
         VirtualMachine upstream = slot.upstream();
         UpstreamRequest request;
@@ -135,7 +138,10 @@
                     long nanos = System.nanoTime() - startNanos;
                     slot.responseStarted(
                             nanos, Optional.ofNullable(response.headers().get(Headers.LOAD)));
-                    response.onFirstChunk(permit::responseStarted);
+                    response.onFirstChunk(() -> {
+                        answerBegun = true;
+                        permit.responseStarted();
+                    });
                     handler.responseStarted(upstream, nanos);
                     return handler.consume(upstream, response);
                 })
@@ -217,7 +223,9 @@
                 EventFields.of(EventField.UPSTREAM, slot.upstream().name())
                         .with(EventField.ATTEMPT, attempts.history().sent())
                         .with(EventField.FAILURE, failure.kind())
-                        .with(EventField.CAUSE, failure.detail()));
+                        .with(EventField.CAUSE, failure.detail())
+                        .with(EventField.ANSWER_BEGUN, answerBegun)
+                        .with(EventField.PARTS, String.join(",", handler.promptParts())));
         attempts = attempts.withFailedUpstream(slot.upstream().name());
         handler.failed(slot.upstream(), failure.kind(), nanos);
         Future<Void> sharedStateUpdated = updateSharedState(slot.upstream(), failure.kind());
@@ -272,7 +280,12 @@
     /** Closes the pooled connections of the upstream and probes on a new one whether it still accepts connections. */
     private Future<Boolean> probe(VirtualMachine upstream) {
         dependencies.upstreams().discardConnections(upstream.name());
-        return dependencies.health().checkReachability(upstream).onSuccess(alive -> handler.probed(upstream, alive));
+        return dependencies.health().checkReachability(upstream).onSuccess(alive -> {
+            exchange.record(
+                    EventType.UPSTREAM_PROBED,
+                    EventFields.of(EventField.UPSTREAM, upstream.name()).with(EventField.REACHABLE, alive));
+            handler.probed(upstream, alive);
+        });
     }
 
     private void attributeCrash(VirtualMachine upstream, boolean alive) {
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.baobabcart.model.gateway.Route;
 import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.request.PromptPart;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.Ran;
 import org.baobabcart.model.result.ResultCode;
@@ -105,6 +106,11 @@
         return exchange.abandoned();
     }
 
+    @Override
+    public List<String> promptParts() {
+        return head.prefix().stream().map(PromptPart::id).toList();
+    }
+
     @Override
     public SlotRequest slotRequest(RequestAttempts attempts) {
         recordAttemptEnd();
--- a/router/src/main/java/org/baobabcart/router/timeline/EventField.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventField.java
@@ -4,6 +4,7 @@
 
 /** The fields of events; a field has the same meaning in all events. {@code docs/EVENTS.md} lists the same fields. */
 public enum EventField {
+    ANSWER_BEGUN("whether the answer of the attempt had begun to arrive"),
     ATTEMPT("number of the attempt at an upstream, from 1"),
     ATTEMPT_ID("id under which an attempt is claimed"),
     BILLS("bills that were stored"),
@@ -30,11 +31,13 @@
     NAME("name of the process or document"),
     ORDER("id of an order"),
     OUTCOME("what is known of an attempt"),
+    PARTS("ids of parts of the prompt, in order"),
     PATH("path of the request"),
     PRESSURE("time in which the largest model begins to answer, over the time in which it should"),
     PROMPT_TOKENS("tokens of the prompt"),
     RAN("whether an upstream may have run the request: no or unknown"),
     RANK("rank of the request, 0 being the most urgent"),
+    REACHABLE("whether it takes a new connection"),
     RESULT("name of the result code"),
     RETRY_AFTER_MS("time after which the caller should come back"),
     ROUTE("name of the route"),
--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -90,7 +90,13 @@
             EventField.UPSTREAM,
             EventField.ATTEMPT,
             EventField.FAILURE,
-            EventField.CAUSE),
+            EventField.CAUSE,
+            EventField.ANSWER_BEGUN,
+            EventField.PARTS),
+    UPSTREAM_PROBED(
+            "an upstream was asked for its health on a new connection, after an attempt at it broke or stalled",
+            EventField.UPSTREAM,
+            EventField.REACHABLE),
     REQUEST_RETRIED("the request is queued again after a failed attempt", EventField.FAILURE, EventField.TRIED),
     REQUEST_ESCALATED(
             "whether a larger model is asked after a smaller one's answer",
