--- a/model/src/main/java/org/baobabcart/model/result/ResultCode.java
+++ b/model/src/main/java/org/baobabcart/model/result/ResultCode.java
@@ -61,6 +61,8 @@
     ANSWER_INCOMPLETE(1306, 502, Ran.UNKNOWN, "The answer broke off"),
     /** The caller disconnected before its response was complete. */
     CALLER_GONE(1307, 499, Ran.UNKNOWN, "The caller went away"),
+    /** The request may be the one that crashed an upstream and could not be tried in time. */
+    REQUEST_SUSPECT(1308, 503, Ran.NO, "This request may have crashed an upstream and could not be tried in time"),
     /** The call needs an idempotency key. */
     KEY_REQUIRED(1401, 400, Ran.NO, "This call needs an Idempotency-Key header"),
     /** The idempotency key was used before, and the outcome of that call is unknown. */
--- /dev/null
+++ b/policy/src/main/java/org/baobabcart/policy/crash/CrashReport.java
@@ -0,0 +1,36 @@
+package org.baobabcart.policy.crash;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What one router has to say about recent crashes; each report of a router replaces its earlier ones. Immutable.
+ *
+ * @param router the name of the router
+ * @param sequence increases with each report of one process
+ * @param crashes the crashes that it observed, oldest first
+ * @param begun for each accused key that it can clear, how often it has cleared it: another number than before is news
+ * @param quarantines the quarantines that it concluded
+ * @param lifted the names of quarantines that are no longer in force
+ */
+public record CrashReport(
+        String router,
+        long sequence,
+        List<CrashObservation> crashes,
+        Map<String, Integer> begun,
+        List<Quarantine> quarantines,
+        Set<String> lifted) {
+    /** Copies the collections. */
+    public CrashReport {
+        crashes = List.copyOf(crashes);
+        begun = Map.copyOf(begun);
+        quarantines = List.copyOf(quarantines);
+        lifted = Set.copyOf(lifted);
+    }
+
+    /** Returns a report without any statement. */
+    public static CrashReport empty(String router) {
+        return new CrashReport(router, 0, List.of(), Map.of(), List.of(), Set.of());
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/ControlPlane.java
+++ b/router/src/main/java/org/baobabcart/router/ControlPlane.java
@@ -7,6 +7,7 @@
 import org.baobabcart.router.control.Controller;
 import org.baobabcart.router.control.Section;
 import org.baobabcart.router.control.Sections;
+import org.baobabcart.router.crash.PeerCrashReports;
 import org.baobabcart.router.document.DocumentController;
 import org.baobabcart.router.document.DocumentDependencies;
 import org.baobabcart.router.document.DocumentKind;
@@ -32,7 +33,6 @@
 import org.baobabcart.router.rollout.RollOutController;
 import org.baobabcart.router.rollout.RollOutDependencies;
 import org.baobabcart.router.sheet.SheetDocuments;
-import org.baobabcart.router.upstream.CrashController;
 
 /**
  * Creates and holds the controllers that run on the control thread: membership, documents, the list of VMs, roll-outs
@@ -86,10 +86,8 @@
         members.addParticipant(documents);
         members.addParticipant(rollOutControl);
         core.feedback().addListener(rollOutControl);
-        CrashController crashes =
-                CrashController.create(core.blackboard(), core.timeline(), members::gossipSoon, self.nodeId());
-        members.addParticipant(crashes);
-        core.feedback().addListener(crashes);
+        members.addParticipant(PeerCrashReports.create(
+                core.crashes(), core.timers(), () -> core.loop().execute(members::gossipSoon)));
         OrderDependencies orderDependencies = orderDependencies(core);
         LeaseController leases = LeaseController.create(orderDependencies, self);
         OrderController orders = OrderController.create(
--- a/router/src/main/java/org/baobabcart/router/RouterCore.java
+++ b/router/src/main/java/org/baobabcart/router/RouterCore.java
@@ -7,6 +7,7 @@
 import org.baobabcart.router.control.ControlLoop;
 import org.baobabcart.router.control.SystemTimerService;
 import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.crash.CrashLedger;
 import org.baobabcart.router.peer.PeerSettings;
 import org.baobabcart.router.peer.ThriftPeerClient;
 import org.baobabcart.router.platform.HttpObjectStore;
@@ -34,6 +35,7 @@
  * @param peers calls other routers
  * @param views publishes control state to the traffic threads
  * @param feedback passes observations of the traffic threads to the control thread
+ * @param crashes the crashes of upstreams that are known
  * @param random random numbers that need not be unpredictable; confined to the control thread
  */
 record RouterCore(
@@ -49,6 +51,7 @@
         ThriftPeerClient peers,
         ViewPublisher views,
         FeedbackQueue feedback,
+        CrashLedger crashes,
         RandomGenerator random) {
     static RouterCore create(RouterSettings settings) {
         Transport transport = Transport.of(settings.security()).withOutgoingAddress(settings.outgoingAddress());
@@ -73,6 +76,7 @@
                 ThriftPeerClient.create(vertx, PeerSettings.defaults().withTransport(transport)),
                 ViewPublisher.create(blackboard),
                 FeedbackQueue.create(loop, metrics),
+                CrashLedger.create(settings.name(), timers.wallClockMillis(), timers::nanoTime, timeline),
                 RandomGenerator.getDefault());
     }
 }
--- a/router/src/main/java/org/baobabcart/router/TrafficPlane.java
+++ b/router/src/main/java/org/baobabcart/router/TrafficPlane.java
@@ -83,7 +83,15 @@
 
     private TrafficDependencies trafficDependencies(RouterCore core) {
         return new TrafficDependencies(
-                core.views(), claims, bills, core.feedback(), core.timeline(), core.metrics(), ratings(core), signers);
+                core.views(),
+                claims,
+                bills,
+                core.feedback(),
+                core.crashes(),
+                core.timeline(),
+                core.metrics(),
+                ratings(core),
+                signers);
     }
 
     private static TrafficSettings trafficSettings(RouterCore core) {
--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptHandler.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptHandler.java
@@ -1,8 +1,6 @@
 package org.baobabcart.router.attempt;
 
 import io.vertx.core.Future;
-import java.util.List;
-import java.util.Optional;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.policy.retry.FailureKind;
@@ -18,23 +16,13 @@
  *
  * @param <T> the result type of a consumed response
  */
-public interface AttemptHandler<T> {
+public interface AttemptHandler<T> extends Attributable {
     /** Returns the time by which the response must be complete. */
     long deadlineNanos();
 
     /** Returns a future that completes when the result of a running attempt is no longer needed. */
     Future<AttemptException> abandoned();
 
-    /** Returns a digest that is equal for all attempts of the same work; empty if crashes are not attributed to requests. */
-    default Optional<String> fingerprint() {
-        return Optional.empty();
-    }
-
-    /** Returns the ids of the parts of the request's prompt, in order; empty for requests without a known structure. */
-    default List<String> promptParts() {
-        return List.of();
-    }
-
     /**
      * Returns the request for a slot for the next attempt, according to the current control state.
      *
--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -11,7 +11,7 @@
 import org.baobabcart.model.result.Ran;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.attempt.AttemptHistory;
-import org.baobabcart.policy.crash.CrashCounts;
+import org.baobabcart.policy.crash.CrashSeverity;
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.timeline.EventField;
@@ -80,20 +80,18 @@
     }
 
     private void attempt() {
-        if (isQuarantined(dependencies.views().current())) {
-            fail(BaobabcartException.of(ResultCode.REQUEST_QUARANTINED));
-            return;
-        }
-        Future<CrashGuard.Permit> permitAcquired = handler.fingerprint()
-                .map(dependencies.crashGuard()::acquirePermit)
-                .orElseGet(() -> Future.succeededFuture(CrashGuard.unguarded()));
-        permitAcquired.onSuccess(this::queue).onFailure(this::fail);
+        dependencies
+                .crashGuard()
+                .acquirePermit(handler, handler.deadlineNanos())
+                .onSuccess(this::queue)
+                .onFailure(this::fail);
     }
 
     private void queue(CrashGuard.Permit permit) {
         queuedNanos = System.nanoTime();
         try {
-            SlotRequest slotRequest = handler.slotRequest(attempts);
+            SlotRequest slotRequest = handler.slotRequest(attempts)
+                    .withAvoided(dependencies.crashGuard().avoidedUpstreams(permit));
             Future<Slot> acquired = dependencies.dispatcher().acquire(slotRequest, exchange.abandoned());
             if (!acquired.isComplete()) {
                 exchange.record(EventType.REQUEST_QUEUED, queuedFields(slotRequest));
@@ -122,6 +120,7 @@
     private void send(Slot slot, CrashGuard.Permit permit) {
         attempts = attempts.withTry();
         answerBegun = false;
+        permit.assigned(slot.upstream());
         long startNanos = System.nanoTime();
         VirtualMachine upstream = slot.upstream();
         UpstreamRequest request;
@@ -133,7 +132,7 @@
         }
         dependencies
                 .upstreams()
-                .send(upstream, request, () -> checkBeforeSend(upstream), handler.abandoned())
+                .send(upstream, request, () -> checkBeforeSend(upstream, permit), handler.abandoned())
                 .compose(response -> {
                     long nanos = System.nanoTime() - startNanos;
                     slot.responseStarted(
@@ -156,7 +155,7 @@
     }
 
     /** Performs the final checks before the first byte is sent; throws if the attempt may not be sent. */
-    private void checkBeforeSend(VirtualMachine upstream) {
+    private void checkBeforeSend(VirtualMachine upstream, CrashGuard.Permit permit) {
         if (handler.abandoned().isComplete()) {
             throw handler.abandoned().result();
         }
@@ -167,9 +166,7 @@
         if (!dependencies.dispatcher().isEligible(view, upstream)) {
             throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "the upstream no longer accepts work");
         }
-        if (isQuarantined(view)) {
-            throw BaobabcartException.of(ResultCode.REQUEST_QUARANTINED);
-        }
+        dependencies.crashGuard().check(permit);
         handler.check(view, upstream);
         updateAttempts(attempts.withSend());
         exchange.record(
@@ -181,12 +178,6 @@
                         .with(EventField.GENERATION, view.generation()));
     }
 
-    private boolean isQuarantined(TrafficView view) {
-        return handler.fingerprint()
-                .filter(fingerprint -> dependencies.crashGuard().isQuarantined(view, fingerprint))
-                .isPresent();
-    }
-
     private void updateAttempts(RequestAttempts newAttempts) {
         attempts = newAttempts;
         exchange.setMayHaveRun(mayHaveRunBefore || newAttempts.history().mayHaveRun());
@@ -228,7 +219,7 @@
                         .with(EventField.PARTS, String.join(",", handler.promptParts())));
         attempts = attempts.withFailedUpstream(slot.upstream().name());
         handler.failed(slot.upstream(), failure.kind(), nanos);
-        Future<Void> sharedStateUpdated = updateSharedState(slot.upstream(), failure.kind());
+        Future<Void> sharedStateUpdated = updateSharedState(slot.upstream(), failure.kind(), permit);
         slot.release(Optional.of(failure.kind()));
         sharedStateUpdated.onComplete(ignored -> {
             permit.attemptEnded();
@@ -257,7 +248,7 @@
      * Updates the state shared with other requests after a failed attempt. The result is delayed only if a retry has to wait
      * until the crash is attributed to the request.
      */
-    private Future<Void> updateSharedState(VirtualMachine upstream, FailureKind kind) {
+    private Future<Void> updateSharedState(VirtualMachine upstream, FailureKind kind, CrashGuard.Permit permit) {
         switch (kind) {
             case NOT_CONNECTED -> {
                 dependencies.health().markUnreachable(upstream);
@@ -266,8 +257,9 @@
             case NOT_RUN -> dependencies.health().markUnavailable(upstream);
             case SILENT, BROKEN -> {
                 Future<Boolean> probed = probe(upstream);
-                if (kind == FailureKind.BROKEN && handler.fingerprint().isPresent()) {
-                    probed.onSuccess(alive -> attributeCrash(upstream, alive));
+                if (kind == FailureKind.BROKEN && !answerBegun) {
+                    probed.onSuccess(alive -> permit.crashed(
+                            upstream, alive ? CrashSeverity.BROKEN_CONNECTION : CrashSeverity.LOST_UPSTREAM));
                     boolean retryPossible = attempts.history().maySend() && !exchange.responseStarted();
                     return retryPossible ? probed.mapEmpty() : Future.succeededFuture();
                 }
@@ -288,12 +280,6 @@
         });
     }
 
-    private void attributeCrash(VirtualMachine upstream, boolean alive) {
-        int weight = alive ? CrashCounts.BROKEN_CONNECTION : CrashCounts.LOST_UPSTREAM;
-        handler.fingerprint()
-                .ifPresent(fingerprint -> dependencies.crashGuard().crashed(upstream.name(), fingerprint, weight));
-    }
-
     private void fail(Throwable cause) {
         result.tryFail(cause instanceof AttemptException failure ? failure.toResult() : cause);
     }
--- a/router/src/main/java/org/baobabcart/router/attempt/CrashGuard.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/CrashGuard.java
@@ -1,189 +1,292 @@
 package org.baobabcart.router.attempt;
 
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
-import org.baobabcart.policy.crash.CrashCounts;
-import org.baobabcart.router.view.TrafficFeedback;
-import org.baobabcart.router.view.TrafficView;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.crash.CrashSeverity;
+import org.baobabcart.policy.crash.CrashVerdict;
+import org.baobabcart.policy.crash.RequestFingerprint;
+import org.baobabcart.router.crash.CrashLedger;
 
 /**
- * Limits the upstream crashes that one request can cause through this router, however often and however many times in parallel
- * its caller sends it. Thread-safe.
+ * Limits the upstream crashes that requests cause through this router. Thread-safe.
  *
- * <p>Requests are identified by fingerprint. A request to which no upstream has started to respond yet runs only as many times in
- * parallel as the limit still allows crashes. A request that was running when an upstream crashed is a suspect. Only one suspect
- * runs at a time until its first byte, so that the next crash is attributed to a single request rather than to all requests
- * that shared the upstream. The counts of this router take effect immediately; those of the whole fleet arrive with the view.
+ * <p>A suspect request runs only while no other request with the same accused key awaits its first byte here, and at an upstream
+ * without another suspect if there is one, so that the next crash is attributed to a single request. A suspect that would have to wait too long
+ * is refused. A quarantined request is refused at once.
  */
 public final class CrashGuard {
-    private static final String THIS_ROUTER = "";
-    private static final int KNOWN_SAFE_LIMIT = 16 * 1024;
+    private static final Duration MAX_WAIT = Duration.ofSeconds(3);
+    /** The part of the time left that a suspect may wait; the rest is for the attempt itself. */
+    private static final int WAIT_DIVISOR = 3;
+
+    private static final Duration CHECK_PERIOD = Duration.ofMillis(50);
 
     private final Vertx vertx;
-    private final TrafficFeedback feedback;
-    private final Map<String, Boolean> knownSafe = new LinkedHashMap<>();
-    private final Map<String, Integer> awaitingResponse = new HashMap<>();
+    private final CrashLedger ledger;
+    private final Meter quarantinedRefused;
+    private final Meter suspectsRefused;
+    private final CopyLimit copies = new CopyLimit();
+    private final Set<Permit> unanswered = new LinkedHashSet<>();
     private final Deque<Waiter> waiting = new ArrayDeque<>();
-    private CrashCounts counts = CrashCounts.empty();
-    private boolean suspectRunning;
+    private boolean checkScheduled;
 
-    /** Permission to run one attempt. */
-    public interface Permit {
-        /** Must be called when the upstream starts to respond. */
-        void responseStarted();
+    private record Waiter(
+            Attributable request,
+            RequestFingerprint fingerprint,
+            long endNanos,
+            Context context,
+            Promise<Permit> promise) {}
 
-        /** Must be called when the attempt has ended. */
-        void attemptEnded();
+    private CrashGuard(Vertx vertx, CrashLedger ledger, MetricRegistry metrics) {
+        this.vertx = vertx;
+        this.ledger = ledger;
+        this.quarantinedRefused = metrics.meter("crash.quarantined-refused");
+        this.suspectsRefused = metrics.meter("crash.suspects-refused");
+        ledger.onEvidenceChanged(this::admitWaiters);
+        metrics.gauge("crash.suspects-waiting", () -> this::waitingCount);
+        metrics.gauge(
+                "crash.quarantines", () -> () -> ledger.evidence().quarantines().size());
     }
 
-    private record Waiter(String fingerprint, Context context, Promise<Permit> promise) {}
+    /** Creates a guard that follows the verdicts of a ledger. */
+    public static CrashGuard create(Vertx vertx, CrashLedger ledger, MetricRegistry metrics) {
+        return new CrashGuard(vertx, ledger, metrics);
+    }
 
-    private CrashGuard(Vertx vertx, TrafficFeedback feedback) {
-        this.vertx = vertx;
-        this.feedback = feedback;
+    private synchronized int waitingCount() {
+        return waiting.size();
     }
 
     /**
-     * Creates a guard without counted crashes.
+     * Acquires a permit to run an attempt; completes on the calling event loop, or fails if the request is refused.
      *
-     * @param feedback reports crashes to the control thread
+     * @param deadlineNanos the time by which the response must be complete
      */
-    public static CrashGuard create(Vertx vertx, TrafficFeedback feedback) {
-        return new CrashGuard(vertx, feedback);
+    public Future<Permit> acquirePermit(Attributable request, long deadlineNanos) {
+        // The fingerprint is costly, so it is computed only if it is compared with something.
+        Optional<RequestFingerprint> fingerprint =
+                ledger.isQuiet() && !request.limitsCopies() ? Optional.empty() : request.fingerprint();
+        if (fingerprint.isEmpty()) {
+            synchronized (this) {
+                return Future.succeededFuture(begin(new Permit(request, Optional.empty(), Optional.empty(), false)));
+            }
+        }
+        ledger.review();
+        synchronized (this) {
+            return decide(request, fingerprint.get())
+                    .orElseGet(() -> enqueue(request, fingerprint.get(), deadlineNanos));
+        }
     }
 
-    /** Returns a permit for work that is not limited. */
-    public static Permit unguarded() {
-        return new Permit() {
-            @Override
-            public void responseStarted() {}
+    /** Returns a permit or a refusal; empty if the request has to wait. */
+    private Optional<Future<Permit>> decide(Attributable request, RequestFingerprint fingerprint) {
+        switch (ledger.verdict(fingerprint)) {
+            case QUARANTINED -> {
+                return Optional.of(
+                        ledger.tryBeginTrial(fingerprint)
+                                ? Future.succeededFuture(beginSuspect(request, fingerprint, true))
+                                : Future.failedFuture(quarantined(fingerprint)));
+            }
+            case SUSPECT -> {
+                String key = ledger.evidence().leadingKey(fingerprint);
+                boolean mayRun =
+                        ledger.mayTry(fingerprint) && unanswered.stream().noneMatch(running -> running.hasKey(key));
+                return mayRun
+                        ? Optional.of(Future.succeededFuture(beginSuspect(request, fingerprint, false)))
+                        : Optional.empty();
+            }
+            default -> {
+                return beginClear(request, fingerprint).map(Future::succeededFuture);
+            }
+        }
+    }
 
-            @Override
-            public void attemptEnded() {}
-        };
+    private Permit begin(Permit permit) {
+        unanswered.add(permit);
+        return permit;
     }
 
-    /** Acquires a permit to run an attempt of the request; completes on the calling event loop. */
-    public Future<Permit> acquirePermit(String fingerprint) {
-        Waiter waiter = new Waiter(fingerprint, vertx.getOrCreateContext(), Promise.promise());
-        synchronized (this) {
-            if (knownSafe.containsKey(fingerprint) || mayRun(fingerprint)) {
-                return Future.succeededFuture(begin(fingerprint));
-            }
-            waiting.add(waiter);
+    private Optional<Permit> beginClear(Attributable request, RequestFingerprint fingerprint) {
+        if (!request.limitsCopies()) {
+            return Optional.of(begin(new Permit(request, Optional.empty(), Optional.empty(), false)));
         }
+        if (!copies.mayRun(fingerprint.request())) {
+            return Optional.empty();
+        }
+        copies.started(fingerprint.request());
+        return Optional.of(begin(new Permit(request, Optional.empty(), Optional.of(fingerprint.request()), false)));
+    }
+
+    private Permit beginSuspect(Attributable request, RequestFingerprint fingerprint, boolean trial) {
+        String key = ledger.evidence().leadingKey(fingerprint);
+        return begin(new Permit(request, Optional.of(key), Optional.empty(), trial));
+    }
+
+    private Future<Permit> enqueue(Attributable request, RequestFingerprint fingerprint, long deadlineNanos) {
+        long now = System.nanoTime();
+        long wait = Math.min(MAX_WAIT.toNanos(), (deadlineNanos - now) / WAIT_DIVISOR);
+        Waiter waiter = new Waiter(request, fingerprint, now + wait, vertx.getOrCreateContext(), Promise.promise());
+        waiting.add(waiter);
+        scheduleCheck();
         return waiter.promise.future();
     }
 
-    /** Counts a crash of an upstream that was running the request. */
-    public void crashed(String upstream, String fingerprint, int weight) {
-        synchronized (this) {
-            counts = counts.withCrash(fingerprint, THIS_ROUTER, weight);
-            knownSafe.remove(fingerprint);
-        }
-        for (int unit = 0; unit < weight; unit++) {
-            feedback.crashed(upstream, fingerprint);
-        }
+    /** Returns the refusal of a quarantined request, with the time until such a request is tried again. */
+    private BaobabcartException quarantined(RequestFingerprint fingerprint) {
+        quarantinedRefused.mark();
+        String keys = ledger.evidence()
+                .quarantineOf(fingerprint)
+                .map(quarantine -> "in common with those that crashed upstreams: " + quarantine.name())
+                .orElse("");
+        BaobabcartException refusal = BaobabcartException.of(ResultCode.REQUEST_QUARANTINED, keys);
+        return ledger.timeToTrial(fingerprint).map(refusal::withRetryAfter).orElse(refusal);
     }
 
-    /** Returns whether the request has crashed upstreams so often that it is not sent to any of them any more. */
-    public synchronized boolean isQuarantined(TrafficView view, String fingerprint) {
-        return view.quarantined().contains(fingerprint)
-                || counts.total(fingerprint) >= CrashCounts.QUARANTINE_THRESHOLD;
+    /**
+     * Checks right before the first byte of an attempt whether the request has been quarantined since its permit was acquired.
+     *
+     * @throws BaobabcartException if so
+     */
+    void check(Permit permit) {
+        if (ledger.isQuiet() || permit.trial) {
+            return;
+        }
+        permit.request.fingerprint().ifPresent(fingerprint -> {
+            if (ledger.verdict(fingerprint) == CrashVerdict.QUARANTINED) {
+                throw quarantined(fingerprint);
+            }
+        });
     }
 
-    private boolean mayRun(String fingerprint) {
-        int crashes = counts.total(fingerprint);
-        if (crashes >= CrashCounts.QUARANTINE_THRESHOLD) {
-            return true;
+    /** Returns the upstreams at which another suspect awaits its first byte, if the permit is for a suspect. */
+    synchronized Set<String> avoidedUpstreams(Permit permit) {
+        if (permit.suspectKey.isEmpty()) {
+            return Set.of();
         }
-        int running = awaitingResponse.getOrDefault(fingerprint, 0);
-        boolean withinBound =
-                running == 0 || crashes + CrashCounts.LOST_UPSTREAM * (running + 1) <= CrashCounts.QUARANTINE_THRESHOLD;
-        return withinBound && (crashes == 0 || !suspectRunning);
+        return unanswered.stream()
+                .filter(running -> running != permit && running.suspectKey.isPresent())
+                .flatMap(running -> running.upstream.stream())
+                .collect(Collectors.toSet());
     }
 
-    private Permit begin(String fingerprint) {
-        int crashes = counts.total(fingerprint);
-        boolean counted = !knownSafe.containsKey(fingerprint) && crashes < CrashCounts.QUARANTINE_THRESHOLD;
-        boolean suspect = counted && crashes > 0;
-        if (counted) {
-            awaitingResponse.merge(fingerprint, 1, Integer::sum);
+    private void scheduleCheck() {
+        if (checkScheduled || waiting.isEmpty()) {
+            return;
         }
-        suspectRunning |= suspect;
-        return new CountedPermit(fingerprint, counted, suspect);
+        checkScheduled = true;
+        vertx.setTimer(CHECK_PERIOD.toMillis(), ignored -> {
+            ledger.review();
+            synchronized (this) {
+                checkScheduled = false;
+            }
+            admitWaiters();
+        });
     }
 
-    private void release(CountedPermit permit, boolean responseStarted) {
-        List<Runnable> actions;
+    private void admitWaiters() {
+        List<Runnable> actions = new ArrayList<>();
         synchronized (this) {
-            if (!permit.open) {
-                return;
-            }
-            permit.open = false;
-            if (permit.counted) {
-                awaitingResponse.computeIfPresent(permit.fingerprint, (name, count) -> count > 1 ? count - 1 : null);
-            }
-            if (permit.suspect) {
-                suspectRunning = false;
-            }
-            if (responseStarted && counts.total(permit.fingerprint) == 0) {
-                markSafe(permit.fingerprint);
-            }
-            actions = admitWaiters();
+            waiting.removeIf(waiter -> {
+                Optional<Future<Permit>> decision =
+                        decide(waiter.request, waiter.fingerprint).or(() -> refuseIfExpired(waiter));
+                decision.ifPresent(result ->
+                        actions.add(() -> waiter.context.runOnContext(ignored -> result.onComplete(waiter.promise))));
+                return decision.isPresent();
+            });
+            scheduleCheck();
         }
         actions.forEach(Runnable::run);
     }
 
-    private void markSafe(String fingerprint) {
-        knownSafe.put(fingerprint, true);
-        if (knownSafe.size() > KNOWN_SAFE_LIMIT) {
-            knownSafe.remove(knownSafe.keySet().iterator().next());
+    private Optional<Future<Permit>> refuseIfExpired(Waiter waiter) {
+        if (System.nanoTime() - waiter.endNanos < 0) {
+            return Optional.empty();
         }
+        suspectsRefused.mark();
+        return Optional.of(Future.failedFuture(BaobabcartException.of(ResultCode.REQUEST_SUSPECT)));
     }
 
-    private List<Runnable> admitWaiters() {
-        List<Runnable> actions = new ArrayList<>();
-        waiting.removeIf(waiter -> {
-            boolean allowed = knownSafe.containsKey(waiter.fingerprint) || mayRun(waiter.fingerprint);
-            if (allowed) {
-                Permit permit = begin(waiter.fingerprint);
-                actions.add(() -> waiter.context.runOnContext(ignored -> waiter.promise.complete(permit)));
+    /** Permission to run one attempt. */
+    public final class Permit {
+        private final Attributable request;
+        private final Optional<String> suspectKey;
+        private final Optional<String> copy;
+        private final boolean trial;
+        private Optional<String> upstream = Optional.empty();
+        private boolean ended;
+
+        private Permit(Attributable request, Optional<String> suspectKey, Optional<String> copy, boolean trial) {
+            this.request = request;
+            this.suspectKey = suspectKey;
+            this.copy = copy;
+            this.trial = trial;
+        }
+
+        private boolean hasKey(String key) {
+            List<String> parts = request.promptParts();
+            boolean isRequest = parts.isEmpty()
+                    && request.fingerprint()
+                            .filter(fingerprint -> fingerprint.request().equals(key))
+                            .isPresent();
+            return isRequest || parts.contains(key);
+        }
+
+        /** Must be called when the attempt is assigned to an upstream. */
+        void assigned(VirtualMachine assigned) {
+            synchronized (CrashGuard.this) {
+                upstream = Optional.of(assigned.name());
             }
-            return allowed;
-        });
-        return actions;
-    }
+        }
 
-    private final class CountedPermit implements Permit {
-        private final String fingerprint;
-        private final boolean counted;
-        private final boolean suspect;
-        private boolean open = true;
+        /** Must be called when the first complete part of the answer has arrived. */
+        void responseStarted() {
+            if (ledger.isQuiet()) {
+                ledger.recordAnswered(request.promptParts());
+            } else {
+                request.fingerprint().ifPresent(ledger::recordAnswered);
+            }
+            end(true);
+        }
 
-        private CountedPermit(String fingerprint, boolean counted, boolean suspect) {
-            this.fingerprint = fingerprint;
-            this.counted = counted;
-            this.suspect = suspect;
+        /** Must be called if the upstream broke the connection before the answer began. */
+        void crashed(VirtualMachine crashedUpstream, CrashSeverity severity) {
+            request.fingerprint().ifPresent(fingerprint -> ledger.recordCrash(crashedUpstream, severity, fingerprint));
         }
 
-        @Override
-        public void responseStarted() {
-            release(this, true);
+        /** Must be called when the attempt has ended. */
+        void attemptEnded() {
+            end(false);
         }
 
-        @Override
-        public void attemptEnded() {
-            release(this, false);
+        private void end(boolean answered) {
+            synchronized (CrashGuard.this) {
+                if (ended) {
+                    return;
+                }
+                ended = true;
+                unanswered.remove(this);
+                copy.ifPresent(digest -> copies.ended(digest, answered));
+                if (waiting.isEmpty()) {
+                    return;
+                }
+            }
+            admitWaiters();
         }
     }
 }
--- a/router/src/main/java/org/baobabcart/router/control/Sections.java
+++ b/router/src/main/java/org/baobabcart/router/control/Sections.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.baobabcart.model.gateway.RouteTable;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.rollout.RollOutState;
@@ -39,9 +38,6 @@
     /** Whether the platform answered the last calls; written by the monitored object store. */
     public static final Section<Boolean> PLATFORM_REACHABLE = Section.named("platform-reachable", false);
 
-    /** Fingerprints of prompts that are no longer sent to any upstream; written by the crash controller. */
-    public static final Section<Set<String>> QUARANTINED = Section.named("quarantined", Set.of());
-
     /** The lease on orders to engines, if this router holds it; written by the lease controller. */
     public static final Section<Optional<OrderLease>> ORDER_LEASE = Section.named("order-lease", Optional.empty());
 
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/crash/CrashReportJson.java
@@ -0,0 +1,99 @@
+package org.baobabcart.router.crash;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.baobabcart.policy.crash.CrashObservation;
+import org.baobabcart.policy.crash.CrashReport;
+import org.baobabcart.policy.crash.CrashSeverity;
+import org.baobabcart.policy.crash.Quarantine;
+import org.baobabcart.policy.crash.RequestFingerprint;
+
+/**
+ * The format in which crash reports are stored. Content that is not in this format, as any process may write to the store, is read as
+ * far as it is, and says nothing otherwise.
+ */
+final class CrashReportJson {
+    private static final String SEQUENCE = "sequence";
+    private static final String CRASHES = "crashes";
+    private static final String CRASH = "crash";
+    private static final String LOST = "lost";
+    private static final String UNANSWERED = "unanswered";
+    private static final String REQUEST = "request";
+    private static final String PARTS = "parts";
+    private static final String BEGUN = "begun";
+    private static final String QUARANTINES = "quarantines";
+    private static final String LIFTED = "lifted";
+
+    private CrashReportJson() {}
+
+    static JsonNode write(CrashReport report) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode().put(SEQUENCE, report.sequence());
+        ArrayNode crashes = root.putArray(CRASHES);
+        for (CrashObservation observation : report.crashes()) {
+            ObjectNode crash = crashes.addObject()
+                    .put(CRASH, observation.crash())
+                    .put(LOST, observation.severity() == CrashSeverity.LOST_UPSTREAM);
+            ArrayNode unanswered = crash.putArray(UNANSWERED);
+            for (RequestFingerprint request : observation.unanswered()) {
+                ObjectNode entry = unanswered.addObject().put(REQUEST, request.request());
+                addAll(entry.putArray(PARTS), request.parts());
+            }
+        }
+        ObjectNode begun = root.putObject(BEGUN);
+        report.begun().forEach(begun::put);
+        ArrayNode quarantines = root.putArray(QUARANTINES);
+        report.quarantines().forEach(quarantine -> addAll(quarantines.addArray(), quarantine.keys()));
+        addAll(root.putArray(LIFTED), report.lifted());
+        return root;
+    }
+
+    private static void addAll(ArrayNode array, Collection<String> texts) {
+        texts.forEach(array::add);
+    }
+
+    static CrashReport read(String router, JsonNode root) {
+        List<CrashObservation> crashes = new ArrayList<>();
+        for (JsonNode crash : root.path(CRASHES)) {
+            List<RequestFingerprint> unanswered = new ArrayList<>();
+            for (JsonNode entry : crash.path(UNANSWERED)) {
+                unanswered.add(new RequestFingerprint(entry.path(REQUEST).asText(), texts(entry.path(PARTS))));
+            }
+            CrashSeverity severity =
+                    crash.path(LOST).asBoolean() ? CrashSeverity.LOST_UPSTREAM : CrashSeverity.BROKEN_CONNECTION;
+            crashes.add(new CrashObservation(crash.path(CRASH).asText(), severity, unanswered));
+        }
+        Map<String, Integer> begun = new HashMap<>();
+        root.path(BEGUN)
+                .properties()
+                .forEach(entry -> begun.put(entry.getKey(), entry.getValue().asInt()));
+        List<Quarantine> quarantines = new ArrayList<>();
+        for (JsonNode keys : root.path(QUARANTINES)) {
+            Set<String> names = new HashSet<>(texts(keys));
+            if (!names.isEmpty()) {
+                quarantines.add(new Quarantine(names));
+            }
+        }
+        return new CrashReport(
+                router,
+                root.path(SEQUENCE).asLong(),
+                crashes,
+                begun,
+                quarantines,
+                new HashSet<>(texts(root.path(LIFTED))));
+    }
+
+    private static List<String> texts(JsonNode array) {
+        List<String> texts = new ArrayList<>();
+        array.forEach(text -> texts.add(text.asText()));
+        return texts;
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/exchange/CallerError.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/CallerError.java
@@ -83,6 +83,7 @@
                     NOT_READY,
                     NO_UPSTREAM,
                     UPSTREAM_UNREACHABLE,
+                    REQUEST_SUSPECT,
                     KEY_IN_PROGRESS,
                     CLAIM_UNAVAILABLE -> true;
             default -> false;
--- a/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
@@ -305,7 +305,7 @@
 
     private Future<Void> sendError(CallerError error) {
         HttpServerResponse response = request.response();
-        response.setStatusCode(error.code().httpStatus());
+        response.setStatusCode(dependencies.errorFormat().httpStatus(error));
         dependencies.errorFormat().headers(requestId, error).forEach(response::putHeader);
         announceClose();
         return response.end(error.toJson());
--- a/router/src/main/java/org/baobabcart/router/exchange/ErrorFormat.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/ErrorFormat.java
@@ -16,6 +16,11 @@
     /** Returns the headers of an error response. */
     Map<String, String> headers(String requestId, CallerError error);
 
+    /** Returns the HTTP status of an error response. */
+    default int httpStatus(CallerError error) {
+        return error.code().httpStatus();
+    }
+
     /** Returns the final event of a failed stream; empty if the error is signalled only by closing the connection. */
     Optional<Buffer> finalEvent(CallerError error);
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/EvidenceExchange.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/EvidenceExchange.java
@@ -3,19 +3,16 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.stream.Stream;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.StoredObject;
-import org.baobabcart.model.result.BaobabcartException;
-import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.version.ServiceEvidence;
 import org.baobabcart.policy.version.VersionOutcomeRecorder;
 import org.baobabcart.router.platform.InformerSettings;
 import org.baobabcart.router.platform.ObjectInformer;
+import org.baobabcart.router.platform.OwnedObjectWriter;
 
 /**
  * Shares the outcomes of target versions between routers through the platform's store. Confined to the control thread.
@@ -32,9 +29,8 @@
     private final String router;
     private final ObjectInformer.Dependencies dependencies;
     private final VersionOutcomeRecorder outcomeRecorder;
-    private final Map<String, StoredObject> storedReports = new HashMap<>();
+    private final Map<String, OwnedObjectWriter> writers = new HashMap<>();
     private final Map<String, Long> dueNanos = new HashMap<>();
-    private final Set<String> pendingWrites = new HashSet<>();
     private Map<String, StoredObject> reports = Map.of();
     private Optional<ObjectInformer> informer = Optional.empty();
 
@@ -62,56 +58,24 @@
         long now = dependencies.timers().nanoTime();
         Long due = dueNanos.computeIfAbsent(
                 service, ignored -> now + dependencies.random().nextLong(REPORT_PERIOD.toNanos()));
-        if (now - due < 0 || !pendingWrites.add(service)) {
+        OwnedObjectWriter writer = writers.computeIfAbsent(
+                service,
+                key -> OwnedObjectWriter.create(
+                        dependencies.store(),
+                        dependencies.loop(),
+                        EvidenceReport.KIND,
+                        EvidenceReport.name(service, router)));
+        if (now - due < 0 || writer.isPending()) {
             return;
         }
         dueNanos.put(service, now + REPORT_PERIOD.toNanos());
         EvidenceReport report = EvidenceReport.of(order, outcomeRecorder.evidence(service, now));
-        write(service, report);
-    }
-
-    private void write(String service, EvidenceReport report) {
-        StoredObject before = storedReports.get(service);
-        (before == null
-                        ? dependencies
-                                .store()
-                                .create(StoredObject.create(
-                                        EvidenceReport.KIND, EvidenceReport.name(service, router), report.toJson()))
-                        : dependencies.store().update(before.withSpec(report.toJson())))
-                .emitOn(dependencies.loop())
-                .subscribe()
-                .with(object -> onWritten(service, object), failure -> onWriteFailed(service, failure));
-    }
-
-    private void onWritten(String service, StoredObject object) {
-        pendingWrites.remove(service);
-        storedReports.put(service, object);
-    }
-
-    /**
-     * Handles a failed write. If the object was created, changed or removed by another writer, or the
-     * outcome of the write is unknown, it is read again and written on the next call of {@link #report}.
-     */
-    private void onWriteFailed(String service, Throwable failure) {
-        ResultCode code = failure instanceof BaobabcartException exception ? exception.code() : ResultCode.INTERNAL;
-        LOGGER.atInfo().log(
-                "event=evidence_not_written service=%s code=%s cause=%s", service, code, failure.getMessage());
-        storedReports.remove(service);
-        if (code != ResultCode.CONFLICT && code != ResultCode.WRITE_OUTCOME_UNKNOWN) {
-            pendingWrites.remove(service);
-            return;
-        }
-        dependencies
-                .store()
-                .read(EvidenceReport.KIND, EvidenceReport.name(service, router))
-                .emitOn(dependencies.loop())
-                .subscribe()
-                .with(object -> onRead(service, object), absent -> pendingWrites.remove(service));
-    }
-
-    private void onRead(String service, StoredObject object) {
-        onWritten(service, object);
-        dueNanos.put(service, dependencies.timers().nanoTime());
+        writer.write(report.toJson(), new OwnedObjectWriter.Listener() {
+            @Override
+            public void conflicted() {
+                dueNanos.put(service, dependencies.timers().nanoTime());
+            }
+        });
     }
 
     /** Starts reading the reports of all routers; does nothing if already started. */
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayErrorFormat.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayErrorFormat.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import org.baobabcart.model.result.Ran;
+import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.exchange.CallerError;
 import org.baobabcart.router.exchange.ErrorFormat;
 
@@ -41,6 +43,18 @@
         return codec.errorHeaders(requestId, Duration.ofMillis(millis));
     }
 
+    /**
+     * Returns the status of the code, except for a quarantined request, which is proper: its status tells whether it may have run, as
+     * callers rely on.
+     */
+    @Override
+    public int httpStatus(CallerError error) {
+        if (error.code() != ResultCode.REQUEST_QUARANTINED) {
+            return error.code().httpStatus();
+        }
+        return error.ran() == Ran.NO ? ResultCode.NO_UPSTREAM.httpStatus() : ResultCode.UPSTREAM_FAILED.httpStatus();
+    }
+
     @Override
     public Optional<Buffer> finalEvent(CallerError error) {
         return Optional.empty();
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -27,6 +27,8 @@
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.control.SystemTimerService;
 import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.crash.CrashLedger;
+import org.baobabcart.router.crash.StoredCrashReports;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
 import org.baobabcart.router.platform.MonitoredObjectStore;
@@ -43,7 +45,6 @@
 import org.baobabcart.router.upstream.UpstreamClientSettings;
 import org.baobabcart.router.upstream.UpstreamHealth;
 import org.baobabcart.router.upstream.UpstreamNotices;
-import org.baobabcart.router.view.TrafficFeedback;
 import org.baobabcart.router.view.TrafficView;
 import org.baobabcart.router.view.ViewPublisher;
 
@@ -82,7 +83,9 @@
         Timeline timeline = dependencies.timeline();
         ObjectStore store = MonitoredObjectStore.of(dependencies.store(), blackboard, loop, timeline, metrics);
         VersionOutcomeRecorder outcomeRecorder = VersionOutcomeRecorder.create();
-        this.runtime = runtime(outcomeRecorder);
+        CrashLedger crashes = CrashLedger.create(
+                dependencies.settings().name(), timers.wallClockMillis(), timers::nanoTime, timeline);
+        this.runtime = runtime(outcomeRecorder, crashes);
         this.server = GatewayServer.create(runtime, drain);
         ObjectInformer.Dependencies informerDependencies =
                 new ObjectInformer.Dependencies(store, loop, timers, RandomGenerator.getDefault(), timeline, metrics);
@@ -103,7 +106,8 @@
                         blackboard,
                         timeline,
                         dependencies.settings().move(),
-                        outcomeRecorder));
+                        outcomeRecorder),
+                StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies));
     }
 
     /** Creates a router that does not listen yet. */
@@ -111,7 +115,7 @@
         return new GatewayProcess(dependencies);
     }
 
-    private GatewayRuntime runtime(VersionOutcomeRecorder outcomeRecorder) {
+    private GatewayRuntime runtime(VersionOutcomeRecorder outcomeRecorder, CrashLedger crashes) {
         Vertx vertx = dependencies.vertx();
         GatewaySettings settings = dependencies.settings();
         UpstreamClient client = UpstreamClient.create(
@@ -132,7 +136,7 @@
         metrics.gauge("process.heap-bytes", () -> GatewayProcess::usedHeapBytes);
         metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
         metrics.gauge("gateway.buffered-bytes", () -> bufferBudget::usedBytes);
-        CrashGuard crashGuard = CrashGuard.create(vertx, TrafficFeedback.none());
+        CrashGuard crashGuard = CrashGuard.create(vertx, crashes, metrics);
         return new GatewayRuntime(
                 vertx,
                 settings,
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
@@ -11,10 +11,12 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.baobabcart.model.gateway.Route;
 import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.request.KeyHash;
 import org.baobabcart.model.request.PromptPart;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.Ran;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.crash.RequestFingerprint;
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.policy.version.PendingAttempt;
 import org.baobabcart.policy.version.VersionOutcomeKey;
@@ -57,6 +59,7 @@
     private String service;
     private Optional<BufferedResponse> lastErrorResponse = Optional.empty();
     private Optional<PendingAttempt> pendingAttempt = Optional.empty();
+    private Optional<RequestFingerprint> fingerprint = Optional.empty();
 
     private GatewayRequestExecution(
             GatewayRuntime runtime,
@@ -108,7 +111,21 @@
 
     @Override
     public List<String> promptParts() {
-        return head.prefix().stream().map(PromptPart::id).toList();
+        List<PromptPart> prefix = head.prefix();
+        return prefix.stream()
+                .limit(Math.max(0, prefix.size() - 1))
+                .map(PromptPart::id)
+                .toList();
+    }
+
+    @Override
+    public Optional<RequestFingerprint> fingerprint() {
+        if (fingerprint.isEmpty()) {
+            String request = String.join(
+                    "\n", match.workspace(), head.host(), head.method().name(), head.target(), body.toString());
+            fingerprint = Optional.of(new RequestFingerprint(KeyHash.of(request), promptParts()));
+        }
+        return fingerprint;
     }
 
     @Override
@@ -343,7 +360,7 @@
             return failure.withRan(Ran.NO);
         }
         boolean claimsNotRun = failure.code().ran() == Ran.NO;
-        return claimsNotRun
+        return claimsNotRun && failure.code() != ResultCode.REQUEST_QUARANTINED
                 ? BaobabcartException.of(ResultCode.UPSTREAM_FAILED).withCause(failure)
                 : failure.withRan(Ran.UNKNOWN);
     }
--- a/router/src/main/java/org/baobabcart/router/timeline/EventField.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventField.java
@@ -18,7 +18,7 @@
     FAILURE("how the attempt failed"),
     FENCING("fencing number of a lease"),
     FILE("name of the settings file"),
-    FINGERPRINT("digest of a prompt"),
+    FINGERPRINT("digests of requests and ids of parts of prompts"),
     FIRST_BYTE_MS("time from the head of the request to the first byte of its answer"),
     GENERATION("generation of the document or table in force"),
     HOLDER("who holds it"),
@@ -31,7 +31,7 @@
     NAME("name of the process or document"),
     ORDER("id of an order"),
     OUTCOME("what is known of an attempt"),
-    PARTS("ids of parts of the prompt, in order"),
+    PARTS("ids of the parts of the prompt that other requests may share, in order"),
     PATH("path of the request"),
     PRESSURE("time in which the largest model begins to answer, over the time in which it should"),
     PROMPT_TOKENS("tokens of the prompt"),
@@ -55,6 +55,7 @@
     VERSION("version that an upstream runs"),
     WAITED_MS("time spent in the queue"),
     WAITING("requests in the queue of this router"),
+    WEIGHT("weight of the crashes that accuse it"),
     WITHDRAWALS("number of versions withdrawn"),
     WORKSPACE("name of the caller's workspace");
 
--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -124,7 +124,10 @@
     BILL_HELD("another router or the platform holds the bill", EventField.HOLDER),
     BILL_COMMITTED("a segment of bills is in the platform", EventField.SEGMENT, EventField.BILLS),
     FINGERPRINT_QUARANTINED(
-            "a prompt has crashed so many upstreams that none gets it any more", EventField.FINGERPRINT),
+            "requests with these keys in common crash upstreams and are not sent, or are sent again",
+            EventField.FINGERPRINT,
+            EventField.CHANGE,
+            EventField.WEIGHT),
     LEASE_CHANGED(
             "the lease on the orders of a data centre was taken, renewed or lost",
             EventField.CHANGE,
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -61,7 +61,11 @@
                 new DrainState(),
                 VersionOutcomeReporter.create(dependencies));
         AttemptDependencies attempts = new AttemptDependencies(
-                dependencies.views(), dispatcher, upstreams, health, CrashGuard.create(vertx, dependencies.feedback()));
+                dependencies.views(),
+                dispatcher,
+                upstreams,
+                health,
+                CrashGuard.create(vertx, dependencies.crashes(), dependencies.metrics()));
         ExchangeDependencies exchanges = new ExchangeDependencies(
                 vertx,
                 dependencies.timeline(),
--- a/router/src/main/java/org/baobabcart/router/traffic/ModelRequest.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/ModelRequest.java
@@ -8,11 +8,14 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.StreamSupport;
 import org.baobabcart.model.request.KeyHash;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.crash.RequestFingerprint;
 
 /**
  * A chat or text completion request. Immutable by contract: the tree must not be modified after construction.
@@ -28,6 +31,9 @@
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .build();
     private static final int AFFINITY_PREFIX_LENGTH = 256;
+    /** The first messages are the ones that prompts have in common. */
+    private static final int MAX_PARTS = 8;
+
     private static final int DEFAULT_MAX_TOKENS = 1024;
 
     /** The kinds of requests to models. */
@@ -92,9 +98,15 @@
         return body.path("stream_options").path("include_usage").asBoolean(false);
     }
 
-    /** Returns a digest of the prompt. */
-    String fingerprint() {
-        return KeyHash.of(body.get(kind.promptField).toString());
+    /** Returns the fingerprint of the prompt. Each message of a chat but the last is a part that other prompts may share. */
+    RequestFingerprint fingerprint() {
+        JsonNode content = body.get(kind.promptField);
+        List<String> parts = new ArrayList<>();
+        int shared = kind == Kind.CHAT ? Math.min(content.size() - 1, MAX_PARTS) : 0;
+        for (int index = 0; index < shared; index++) {
+            parts.add(KeyHash.of(content.get(index).toString()));
+        }
+        return new RequestFingerprint(KeyHash.of(content.toString()), parts);
     }
 
     /**
--- a/router/src/main/java/org/baobabcart/router/traffic/PlannedAttemptHandler.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/PlannedAttemptHandler.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
 import org.baobabcart.model.gateway.RetryPolicy;
@@ -9,6 +10,7 @@
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.Ran;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.crash.RequestFingerprint;
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.policy.version.VersionPolicy;
 import org.baobabcart.router.attempt.AttemptHandler;
@@ -81,10 +83,20 @@
     }
 
     @Override
-    public Optional<String> fingerprint() {
+    public Optional<RequestFingerprint> fingerprint() {
         return plan.fingerprint();
     }
 
+    @Override
+    public boolean limitsCopies() {
+        return true;
+    }
+
+    @Override
+    public List<String> promptParts() {
+        return plan.fingerprint().map(RequestFingerprint::parts).orElse(List.of());
+    }
+
     @Override
     public SlotRequest slotRequest(RequestAttempts soFar) {
         boolean first = soFar.tried() == 0 && firstStep;
--- a/router/src/main/java/org/baobabcart/router/traffic/TrafficDependencies.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/TrafficDependencies.java
@@ -5,6 +5,7 @@
 import org.baobabcart.policy.session.SessionSigner;
 import org.baobabcart.router.bill.BillService;
 import org.baobabcart.router.claim.ClaimService;
+import org.baobabcart.router.crash.CrashLedger;
 import org.baobabcart.router.timeline.Timeline;
 import org.baobabcart.router.view.TrafficFeedback;
 import org.baobabcart.router.view.TrafficViewSource;
@@ -16,6 +17,7 @@
  * @param claims claims of idempotency keys
  * @param bills the bill service
  * @param feedback receives observations for the control thread
+ * @param crashes the crashes of upstreams that are known
  * @param timeline the time line of events
  * @param metrics metrics of the process
  * @param ratings the client of the rating service
@@ -26,6 +28,7 @@
         ClaimService claims,
         BillService bills,
         TrafficFeedback feedback,
+        CrashLedger crashes,
         Timeline timeline,
         MetricRegistry metrics,
         RatingClient ratings,
--- a/router/src/main/java/org/baobabcart/router/upstream/SlotRequest.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/SlotRequest.java
@@ -1,5 +1,6 @@
 package org.baobabcart.router.upstream;
 
+import java.util.HashSet;
 import java.util.Set;
 
 /**
@@ -33,4 +34,25 @@
     public SlotRequest {
         avoidedUpstreams = Set.copyOf(avoidedUpstreams);
     }
+
+    /** Returns a copy that avoids more upstreams. */
+    public SlotRequest withAvoided(Set<String> more) {
+        if (more.isEmpty()) {
+            return this;
+        }
+        Set<String> all = new HashSet<>(avoidedUpstreams);
+        all.addAll(more);
+        return new SlotRequest(
+                requestId,
+                pool,
+                rank,
+                workspace,
+                weight,
+                targetNanos,
+                latestStartNanos,
+                deadlineNanos,
+                size,
+                affinity,
+                all);
+    }
 }
--- a/router/src/main/java/org/baobabcart/router/view/FeedbackListener.java
+++ b/router/src/main/java/org/baobabcart/router/view/FeedbackListener.java
@@ -4,9 +4,6 @@
 
 /** Receives observations of traffic on the control thread. */
 public interface FeedbackListener {
-    /** Called when an upstream closed the connection or crashed while it ran a request with this fingerprint. */
-    default void crashed(String upstream, String fingerprint) {}
-
     /** Called when an upstream could not be reached or made no progress. */
     default void unreachable(String upstream) {}
 
--- a/router/src/main/java/org/baobabcart/router/view/FeedbackQueue.java
+++ b/router/src/main/java/org/baobabcart/router/view/FeedbackQueue.java
@@ -41,11 +41,6 @@
         listeners.add(listener);
     }
 
-    @Override
-    public void crashed(String upstream, String fingerprint) {
-        offer(listener -> listener.crashed(upstream, fingerprint));
-    }
-
     @Override
     public void unreachable(String upstream) {
         offer(listener -> listener.unreachable(upstream));
--- a/router/src/main/java/org/baobabcart/router/view/TrafficFeedback.java
+++ b/router/src/main/java/org/baobabcart/router/view/TrafficFeedback.java
@@ -7,9 +7,6 @@
  * and non-blocking.
  */
 public interface TrafficFeedback {
-    /** Reports that an upstream closed the connection or crashed while it ran a request with this fingerprint. */
-    void crashed(String upstream, String fingerprint);
-
     /** Reports that an upstream could not be reached or made no progress. */
     void unreachable(String upstream);
 
@@ -19,9 +16,6 @@
     /** Returns feedback that ignores all observations. */
     static TrafficFeedback none() {
         return new TrafficFeedback() {
-            @Override
-            public void crashed(String upstream, String fingerprint) {}
-
             @Override
             public void unreachable(String upstream) {}
 
--- a/router/src/main/java/org/baobabcart/router/view/TrafficView.java
+++ b/router/src/main/java/org/baobabcart/router/view/TrafficView.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.baobabcart.model.gateway.RouteTable;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.rollout.RollOutState;
@@ -16,7 +15,6 @@
  * @param sheet the sheet in force; empty before the first one
  * @param rollOuts progress and withdrawals of roll-outs
  * @param upstreams engines and services that may be given new requests
- * @param quarantined fingerprints of requests that crash upstreams
  * @param stopping whether the process accepts no more requests
  * @param routes the routes of the opaque request path; empty before the first ones and where that path is not used
  * @param versionOrders orders to move services to other versions, with the time since each was first seen
@@ -25,25 +23,19 @@
         Optional<PublishedSheet> sheet,
         RollOutState rollOuts,
         List<VirtualMachine> upstreams,
-        Set<String> quarantined,
         boolean stopping,
         Optional<RouteTable> routes,
         List<TrackedVersionOrder> versionOrders) {
     /** Copies the collections. */
     public TrafficView {
         upstreams = List.copyOf(upstreams);
-        quarantined = Set.copyOf(quarantined);
         versionOrders = List.copyOf(versionOrders);
     }
 
     /** Creates a view of a process that does not use the opaque request path. */
     public TrafficView(
-            Optional<PublishedSheet> sheet,
-            RollOutState rollOuts,
-            List<VirtualMachine> upstreams,
-            Set<String> quarantined,
-            boolean stopping) {
-        this(sheet, rollOuts, upstreams, quarantined, stopping, Optional.empty(), List.of());
+            Optional<PublishedSheet> sheet, RollOutState rollOuts, List<VirtualMachine> upstreams, boolean stopping) {
+        this(sheet, rollOuts, upstreams, stopping, Optional.empty(), List.of());
     }
 
     /** Returns the order that moves a service to another version, whether or not it has ended. */
@@ -62,6 +54,6 @@
 
     /** Returns the view of a process before any control state is known. */
     public static TrafficView empty() {
-        return new TrafficView(Optional.empty(), RollOutState.empty(), List.of(), Set.of(), false);
+        return new TrafficView(Optional.empty(), RollOutState.empty(), List.of(), false);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/view/ViewPublisher.java
+++ b/router/src/main/java/org/baobabcart/router/view/ViewPublisher.java
@@ -32,7 +32,6 @@
         blackboard.subscribe(Sections.SHEET, ignored -> publish());
         blackboard.subscribe(Sections.ROLL_OUTS, ignored -> publish());
         blackboard.subscribe(Sections.VIRTUAL_MACHINES, ignored -> publish());
-        blackboard.subscribe(Sections.QUARANTINED, ignored -> publish());
         blackboard.subscribe(Sections.DRAINING, ignored -> publish());
         blackboard.subscribe(Sections.ROUTES, ignored -> publish());
         blackboard.subscribe(Sections.VERSION_ORDERS, ignored -> publish());
@@ -54,7 +53,6 @@
                 blackboard.read(Sections.SHEET),
                 blackboard.read(Sections.ROLL_OUTS),
                 liveUpstreams(blackboard.read(Sections.VIRTUAL_MACHINES)),
-                blackboard.read(Sections.QUARANTINED),
                 blackboard.read(Sections.DRAINING),
                 blackboard.read(Sections.ROUTES),
                 blackboard.read(Sections.VERSION_ORDERS));
--- a/router/src/test/java/org/baobabcart/router/traffic/CallerApiTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerApiTest.java
@@ -14,7 +14,6 @@
 import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.OptionalDouble;
-import java.util.Set;
 import org.baobabcart.model.request.Headers;
 import org.baobabcart.model.rollout.RollOutProgress;
 import org.baobabcart.model.rollout.RollOutState;
@@ -133,11 +132,7 @@
         fakes.setView(sheet(), engine.engine("layout-large", "v1"), engine.engine("layout-large", "v2"));
         RollOutProgress progress = new RollOutProgress("layout-large", "v2", RollOutStatus.RUNNING, 0, "");
         fakes.view = new TrafficView(
-                fakes.view.sheet(),
-                RollOutState.empty().withProgress(progress, "w"),
-                fakes.view.upstreams(),
-                Set.of(),
-                false);
+                fakes.view.sheet(), RollOutState.empty().withProgress(progress, "w"), fakes.view.upstreams(), false);
         fakes.rating = OptionalDouble.of(0.25);
         chat("layout-large@v2", true);
         await(() -> fakes.versionOutcomes.equals(List.of("layout-large@v2 true OptionalDouble[0.25]")));
--- a/router/src/test/java/org/baobabcart/router/traffic/CallerBehaviourTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerBehaviourTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -79,7 +80,7 @@
         }
         closed.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
         await(() -> fakes.bills.size() == 1);
-        assertThat(fakes.crashes, hasSize(0));
+        assertThat(fakes.crashes.evidence().accusedKeys(), empty());
     }
 
     @Test
--- a/router/src/test/java/org/baobabcart/router/traffic/FakeDependencies.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/FakeDependencies.java
@@ -26,6 +26,7 @@
 import org.baobabcart.router.claim.ClaimDecision;
 import org.baobabcart.router.claim.ClaimOutcome;
 import org.baobabcart.router.claim.ClaimService;
+import org.baobabcart.router.crash.CrashLedger;
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
@@ -37,7 +38,7 @@
     final List<Bill> bills = new CopyOnWriteArrayList<>();
     final List<Double> latencyLosses = new CopyOnWriteArrayList<>();
     final List<ClaimOutcome> outcomes = new CopyOnWriteArrayList<>();
-    final List<String> crashes = new CopyOnWriteArrayList<>();
+    final CrashLedger crashes = CrashLedger.create("r1", 0, System::nanoTime, this);
     final List<String> versionOutcomes = new CopyOnWriteArrayList<>();
     final List<String> unreachable = new CopyOnWriteArrayList<>();
     final Map<String, ReplyEntry> stored = new ConcurrentHashMap<>();
@@ -55,12 +56,12 @@
     TrafficDependencies dependencies() {
         SessionKey key = new SessionKey("k1", "secret of the test".getBytes(StandardCharsets.UTF_8));
         SessionSigner signer = SessionSigner.of(List.of(key));
-        return new TrafficDependencies(() -> view, this, this, this, this, metrics, this, () -> signer);
+        return new TrafficDependencies(() -> view, this, this, this, crashes, this, metrics, this, () -> signer);
     }
 
     void setView(Sheet sheet, VirtualMachine... upstreams) {
         PublishedSheet published = new PublishedSheet(1, "p", "test", 0, sheet);
-        view = new TrafficView(Optional.of(published), RollOutState.empty(), List.of(upstreams), Set.of(), false);
+        view = new TrafficView(Optional.of(published), RollOutState.empty(), List.of(upstreams), false);
     }
 
     @Override
@@ -95,11 +96,6 @@
         return billResult;
     }
 
-    @Override
-    public void crashed(String upstream, String fingerprint) {
-        crashes.add(upstream);
-    }
-
     @Override
     public void unreachable(String upstream) {
         unreachable.add(upstream);
--- a/router/src/test/java/org/baobabcart/router/traffic/UpstreamFailureTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/UpstreamFailureTest.java
@@ -17,7 +17,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -31,7 +30,8 @@
 import org.baobabcart.model.sheet.Sheet;
 import org.baobabcart.model.sheet.Version;
 import org.baobabcart.model.sheet.Withdrawal;
-import org.baobabcart.policy.crash.CrashCounts;
+import org.baobabcart.policy.crash.CrashEvidence;
+import org.baobabcart.policy.crash.CrashSeverity;
 import org.baobabcart.policy.upstream.ConcurrencyLimit;
 import org.baobabcart.router.claim.ClaimOutcome;
 import org.baobabcart.router.view.TrafficView;
@@ -236,17 +236,17 @@
         chat("layout-large", true);
         chat("layout-large", true);
         assertFailed(chat("layout-large", false), 422, 1305, "no");
-        assertThat(requestsOf(engines), is(CrashCounts.QUARANTINE_THRESHOLD / CrashCounts.LOST_UPSTREAM));
+        assertThat(requestsOf(engines), is(CrashEvidence.QUARANTINE_WEIGHT / CrashSeverity.LOST_UPSTREAM.weight()));
     }
 
     @Test
     void requestThatBreaksFourConnectionsIsQuarantined() throws Exception {
         List<FakeUpstream> engines = showEngines(5);
-        for (int index = 0; index < CrashCounts.QUARANTINE_THRESHOLD; index++) {
+        for (int index = 0; index < CrashEvidence.QUARANTINE_WEIGHT; index++) {
             chat("layout-large", true);
         }
         assertFailed(chat("layout-large", false), 422, 1305, "no");
-        assertThat(requestsOf(engines), is(CrashCounts.QUARANTINE_THRESHOLD));
+        assertThat(requestsOf(engines), is(CrashEvidence.QUARANTINE_WEIGHT));
     }
 
     @Test
@@ -256,7 +256,7 @@
         for (CompletableFuture<HttpResponse<String>> response : startMany(30, index -> "the same prompt")) {
             response.get();
         }
-        assertThat(requestsOf(engines), is(CrashCounts.QUARANTINE_THRESHOLD / CrashCounts.LOST_UPSTREAM));
+        assertThat(requestsOf(engines), is(CrashEvidence.QUARANTINE_WEIGHT / CrashSeverity.LOST_UPSTREAM.weight()));
     }
 
     @Test
@@ -275,7 +275,7 @@
         TrafficView view = fakes.view;
         PublishedSheet published = view.sheet().orElseThrow();
         RollOutState withdrawn = RollOutState.empty().withWithdrawal(new Withdrawal("layout-large", "v1"), "w");
-        fakes.view = new TrafficView(Optional.of(published), withdrawn, view.upstreams(), Set.of(), false);
+        fakes.view = new TrafficView(Optional.of(published), withdrawn, view.upstreams(), false);
         pending.forEach(release -> release.complete(null));
         int refused = 0;
         for (CompletableFuture<HttpResponse<String>> response : running) {
--- a/router/src/test/java/org/baobabcart/router/traffic/VersionOverflowTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/VersionOverflowTest.java
@@ -9,7 +9,6 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.baobabcart.model.rollout.RollOutProgress;
 import org.baobabcart.model.rollout.RollOutState;
@@ -57,11 +56,7 @@
         fakes.setView(withRollOut(sheet()), full.engine("layout-large", version), free.engine("layout-large", other));
         RollOutProgress progress = new RollOutProgress("layout-large", "v2", RollOutStatus.RUNNING, 0, "");
         fakes.view = new TrafficView(
-                fakes.view.sheet(),
-                RollOutState.empty().withProgress(progress, "w"),
-                fakes.view.upstreams(),
-                Set.of(),
-                false);
+                fakes.view.sheet(), RollOutState.empty().withProgress(progress, "w"), fakes.view.upstreams(), false);
         List<CompletableFuture<HttpResponse<String>>> running = new ArrayList<>();
         for (int slot = 0; slot < ENGINE_SLOTS; slot++) {
             String body = "{\"model\":\"layout-large@" + version + "\",\"messages\":[{\"role\":\"user\","
--- a/wire/src/main/java/org/baobabcart/wire/CrashReport.java
+++ b/wire/src/main/java/org/baobabcart/wire/CrashReport.java
@@ -7,7 +7,7 @@
 package org.baobabcart.wire;
 
 /**
- * Upstream crashes blamed on one request fingerprint, counted by the node that saw them.
+ * What one node has to say about recent crashes of upstreams; the higher sequence wins.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class CrashReport
@@ -18,27 +18,40 @@
     private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
             new org.apache.thrift.protocol.TStruct("CrashReport");
 
-    private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.STRING, (short) 1);
     private static final org.apache.thrift.protocol.TField NODE_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("nodeId", org.apache.thrift.protocol.TType.STRING, (short) 2);
+            new org.apache.thrift.protocol.TField("nodeId", org.apache.thrift.protocol.TType.STRING, (short) 1);
+    private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC =
+            new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short) 2);
     private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.I32, (short) 3);
+            new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.LIST, (short) 3);
+    private static final org.apache.thrift.protocol.TField BEGUN_FIELD_DESC =
+            new org.apache.thrift.protocol.TField("begun", org.apache.thrift.protocol.TType.MAP, (short) 4);
+    private static final org.apache.thrift.protocol.TField QUARANTINES_FIELD_DESC =
+            new org.apache.thrift.protocol.TField("quarantines", org.apache.thrift.protocol.TType.LIST, (short) 5);
+    private static final org.apache.thrift.protocol.TField LIFTED_FIELD_DESC =
+            new org.apache.thrift.protocol.TField("lifted", org.apache.thrift.protocol.TType.SET, (short) 6);
 
     private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
             new CrashReportStandardSchemeFactory();
     private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
             new CrashReportTupleSchemeFactory();
 
-    private @org.apache.thrift.annotation.Nullable java.lang.String fingerprint; // required
     private @org.apache.thrift.annotation.Nullable java.lang.String nodeId; // required
-    private int crashes; // required
+    private long sequence; // required
+    private @org.apache.thrift.annotation.Nullable java.util.List<CrashObservation> crashes; // required
+    private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String, java.lang.Integer> begun; // required
+    private @org.apache.thrift.annotation.Nullable java.util.List<java.util.Set<java.lang.String>>
+            quarantines; // required
+    private @org.apache.thrift.annotation.Nullable java.util.Set<java.lang.String> lifted; // required
 
     /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
     public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        FINGERPRINT((short) 1, "fingerprint"),
-        NODE_ID((short) 2, "nodeId"),
-        CRASHES((short) 3, "crashes");
+        NODE_ID((short) 1, "nodeId"),
+        SEQUENCE((short) 2, "sequence"),
+        CRASHES((short) 3, "crashes"),
+        BEGUN((short) 4, "begun"),
+        QUARANTINES((short) 5, "quarantines"),
+        LIFTED((short) 6, "lifted");
 
         private static final java.util.Map<java.lang.String, _Fields> byName =
                 new java.util.HashMap<java.lang.String, _Fields>();
@@ -55,12 +68,18 @@
         @org.apache.thrift.annotation.Nullable
         public static _Fields findByThriftId(int fieldId) {
             switch (fieldId) {
-                case 1: // FINGERPRINT
-                    return FINGERPRINT;
-                case 2: // NODE_ID
+                case 1: // NODE_ID
                     return NODE_ID;
+                case 2: // SEQUENCE
+                    return SEQUENCE;
                 case 3: // CRASHES
                     return CRASHES;
+                case 4: // BEGUN
+                    return BEGUN;
+                case 5: // QUARANTINES
+                    return QUARANTINES;
+                case 6: // LIFTED
+                    return LIFTED;
                 default:
                     return null;
             }
@@ -104,7 +123,7 @@
     }
 
     // isset id assignments
-    private static final int __CRASHES_ISSET_ID = 0;
+    private static final int __SEQUENCE_ISSET_ID = 0;
     private byte __isset_bitfield = 0;
     public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
 
@@ -112,35 +131,78 @@
         java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
                 new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
         tmpMap.put(
-                _Fields.FINGERPRINT,
+                _Fields.NODE_ID,
                 new org.apache.thrift.meta_data.FieldMetaData(
-                        "fingerprint",
+                        "nodeId",
                         org.apache.thrift.TFieldRequirementType.REQUIRED,
                         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
         tmpMap.put(
-                _Fields.NODE_ID,
+                _Fields.SEQUENCE,
                 new org.apache.thrift.meta_data.FieldMetaData(
-                        "nodeId",
+                        "sequence",
                         org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
         tmpMap.put(
                 _Fields.CRASHES,
                 new org.apache.thrift.meta_data.FieldMetaData(
                         "crashes",
                         org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+                        new org.apache.thrift.meta_data.ListMetaData(
+                                org.apache.thrift.protocol.TType.LIST,
+                                new org.apache.thrift.meta_data.StructMetaData(
+                                        org.apache.thrift.protocol.TType.STRUCT, CrashObservation.class))));
+        tmpMap.put(
+                _Fields.BEGUN,
+                new org.apache.thrift.meta_data.FieldMetaData(
+                        "begun",
+                        org.apache.thrift.TFieldRequirementType.REQUIRED,
+                        new org.apache.thrift.meta_data.MapMetaData(
+                                org.apache.thrift.protocol.TType.MAP,
+                                new org.apache.thrift.meta_data.FieldValueMetaData(
+                                        org.apache.thrift.protocol.TType.STRING),
+                                new org.apache.thrift.meta_data.FieldValueMetaData(
+                                        org.apache.thrift.protocol.TType.I32))));
+        tmpMap.put(
+                _Fields.QUARANTINES,
+                new org.apache.thrift.meta_data.FieldMetaData(
+                        "quarantines",
+                        org.apache.thrift.TFieldRequirementType.REQUIRED,
+                        new org.apache.thrift.meta_data.ListMetaData(
+                                org.apache.thrift.protocol.TType.LIST,
+                                new org.apache.thrift.meta_data.SetMetaData(
+                                        org.apache.thrift.protocol.TType.SET,
+                                        new org.apache.thrift.meta_data.FieldValueMetaData(
+                                                org.apache.thrift.protocol.TType.STRING)))));
+        tmpMap.put(
+                _Fields.LIFTED,
+                new org.apache.thrift.meta_data.FieldMetaData(
+                        "lifted",
+                        org.apache.thrift.TFieldRequirementType.REQUIRED,
+                        new org.apache.thrift.meta_data.SetMetaData(
+                                org.apache.thrift.protocol.TType.SET,
+                                new org.apache.thrift.meta_data.FieldValueMetaData(
+                                        org.apache.thrift.protocol.TType.STRING))));
         metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
         org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CrashReport.class, metaDataMap);
     }
 
     public CrashReport() {}
 
-    public CrashReport(java.lang.String fingerprint, java.lang.String nodeId, int crashes) {
+    public CrashReport(
+            java.lang.String nodeId,
+            long sequence,
+            java.util.List<CrashObservation> crashes,
+            java.util.Map<java.lang.String, java.lang.Integer> begun,
+            java.util.List<java.util.Set<java.lang.String>> quarantines,
+            java.util.Set<java.lang.String> lifted) {
         this();
-        this.fingerprint = fingerprint;
         this.nodeId = nodeId;
+        this.sequence = sequence;
+        setSequenceIsSet(true);
         this.crashes = crashes;
-        setCrashesIsSet(true);
+        this.begun = begun;
+        this.quarantines = quarantines;
+        this.lifted = lifted;
     }
 
     /**
@@ -148,13 +210,37 @@
      */
     public CrashReport(CrashReport other) {
         __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetFingerprint()) {
-            this.fingerprint = other.fingerprint;
-        }
         if (other.isSetNodeId()) {
             this.nodeId = other.nodeId;
         }
-        this.crashes = other.crashes;
+        this.sequence = other.sequence;
+        if (other.isSetCrashes()) {
+            java.util.List<CrashObservation> __this__crashes =
+                    new java.util.ArrayList<CrashObservation>(other.crashes.size());
+            for (CrashObservation other_element : other.crashes) {
+                __this__crashes.add(new CrashObservation(other_element));
+            }
+            this.crashes = __this__crashes;
+        }
+        if (other.isSetBegun()) {
+            java.util.Map<java.lang.String, java.lang.Integer> __this__begun =
+                    new java.util.HashMap<java.lang.String, java.lang.Integer>(other.begun);
+            this.begun = __this__begun;
+        }
+        if (other.isSetQuarantines()) {
+            java.util.List<java.util.Set<java.lang.String>> __this__quarantines =
+                    new java.util.ArrayList<java.util.Set<java.lang.String>>(other.quarantines.size());
+            for (java.util.Set<java.lang.String> other_element : other.quarantines) {
+                java.util.Set<java.lang.String> __this__quarantines_copy =
+                        new java.util.HashSet<java.lang.String>(other_element);
+                __this__quarantines.add(__this__quarantines_copy);
+            }
+            this.quarantines = __this__quarantines;
+        }
+        if (other.isSetLifted()) {
+            java.util.Set<java.lang.String> __this__lifted = new java.util.HashSet<java.lang.String>(other.lifted);
+            this.lifted = __this__lifted;
+        }
     }
 
     @Override
@@ -164,101 +250,240 @@
 
     @Override
     public void clear() {
-        this.fingerprint = null;
         this.nodeId = null;
-        setCrashesIsSet(false);
-        this.crashes = 0;
+        setSequenceIsSet(false);
+        this.sequence = 0;
+        this.crashes = null;
+        this.begun = null;
+        this.quarantines = null;
+        this.lifted = null;
     }
 
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getFingerprint() {
-        return this.fingerprint;
+    public java.lang.String getNodeId() {
+        return this.nodeId;
     }
 
-    public CrashReport setFingerprint(@org.apache.thrift.annotation.Nullable java.lang.String fingerprint) {
-        this.fingerprint = fingerprint;
+    public CrashReport setNodeId(@org.apache.thrift.annotation.Nullable java.lang.String nodeId) {
+        this.nodeId = nodeId;
         return this;
     }
 
-    public void unsetFingerprint() {
-        this.fingerprint = null;
+    public void unsetNodeId() {
+        this.nodeId = null;
     }
 
-    /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
-    public boolean isSetFingerprint() {
-        return this.fingerprint != null;
+    /** Returns true if field nodeId is set (has been assigned a value) and false otherwise */
+    public boolean isSetNodeId() {
+        return this.nodeId != null;
     }
 
-    public void setFingerprintIsSet(boolean value) {
+    public void setNodeIdIsSet(boolean value) {
         if (!value) {
-            this.fingerprint = null;
+            this.nodeId = null;
         }
     }
 
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getNodeId() {
-        return this.nodeId;
+    public long getSequence() {
+        return this.sequence;
     }
 
-    public CrashReport setNodeId(@org.apache.thrift.annotation.Nullable java.lang.String nodeId) {
-        this.nodeId = nodeId;
+    public CrashReport setSequence(long sequence) {
+        this.sequence = sequence;
+        setSequenceIsSet(true);
         return this;
     }
 
-    public void unsetNodeId() {
-        this.nodeId = null;
+    public void unsetSequence() {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
     }
 
-    /** Returns true if field nodeId is set (has been assigned a value) and false otherwise */
-    public boolean isSetNodeId() {
-        return this.nodeId != null;
+    /** Returns true if field sequence is set (has been assigned a value) and false otherwise */
+    public boolean isSetSequence() {
+        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
     }
 
-    public void setNodeIdIsSet(boolean value) {
-        if (!value) {
-            this.nodeId = null;
+    public void setSequenceIsSet(boolean value) {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SEQUENCE_ISSET_ID, value);
+    }
+
+    public int getCrashesSize() {
+        return (this.crashes == null) ? 0 : this.crashes.size();
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.Iterator<CrashObservation> getCrashesIterator() {
+        return (this.crashes == null) ? null : this.crashes.iterator();
+    }
+
+    public void addToCrashes(CrashObservation elem) {
+        if (this.crashes == null) {
+            this.crashes = new java.util.ArrayList<CrashObservation>();
         }
+        this.crashes.add(elem);
     }
 
-    public int getCrashes() {
+    @org.apache.thrift.annotation.Nullable
+    public java.util.List<CrashObservation> getCrashes() {
         return this.crashes;
     }
 
-    public CrashReport setCrashes(int crashes) {
+    public CrashReport setCrashes(@org.apache.thrift.annotation.Nullable java.util.List<CrashObservation> crashes) {
         this.crashes = crashes;
-        setCrashesIsSet(true);
         return this;
     }
 
     public void unsetCrashes() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CRASHES_ISSET_ID);
+        this.crashes = null;
     }
 
     /** Returns true if field crashes is set (has been assigned a value) and false otherwise */
     public boolean isSetCrashes() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CRASHES_ISSET_ID);
+        return this.crashes != null;
     }
 
     public void setCrashesIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CRASHES_ISSET_ID, value);
+        if (!value) {
+            this.crashes = null;
+        }
+    }
+
+    public int getBegunSize() {
+        return (this.begun == null) ? 0 : this.begun.size();
+    }
+
+    public void putToBegun(java.lang.String key, int val) {
+        if (this.begun == null) {
+            this.begun = new java.util.HashMap<java.lang.String, java.lang.Integer>();
+        }
+        this.begun.put(key, val);
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.Map<java.lang.String, java.lang.Integer> getBegun() {
+        return this.begun;
+    }
+
+    public CrashReport setBegun(
+            @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String, java.lang.Integer> begun) {
+        this.begun = begun;
+        return this;
+    }
+
+    public void unsetBegun() {
+        this.begun = null;
+    }
+
+    /** Returns true if field begun is set (has been assigned a value) and false otherwise */
+    public boolean isSetBegun() {
+        return this.begun != null;
+    }
+
+    public void setBegunIsSet(boolean value) {
+        if (!value) {
+            this.begun = null;
+        }
+    }
+
+    public int getQuarantinesSize() {
+        return (this.quarantines == null) ? 0 : this.quarantines.size();
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.Iterator<java.util.Set<java.lang.String>> getQuarantinesIterator() {
+        return (this.quarantines == null) ? null : this.quarantines.iterator();
+    }
+
+    public void addToQuarantines(java.util.Set<java.lang.String> elem) {
+        if (this.quarantines == null) {
+            this.quarantines = new java.util.ArrayList<java.util.Set<java.lang.String>>();
+        }
+        this.quarantines.add(elem);
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.List<java.util.Set<java.lang.String>> getQuarantines() {
+        return this.quarantines;
+    }
+
+    public CrashReport setQuarantines(
+            @org.apache.thrift.annotation.Nullable java.util.List<java.util.Set<java.lang.String>> quarantines) {
+        this.quarantines = quarantines;
+        return this;
+    }
+
+    public void unsetQuarantines() {
+        this.quarantines = null;
+    }
+
+    /** Returns true if field quarantines is set (has been assigned a value) and false otherwise */
+    public boolean isSetQuarantines() {
+        return this.quarantines != null;
+    }
+
+    public void setQuarantinesIsSet(boolean value) {
+        if (!value) {
+            this.quarantines = null;
+        }
+    }
+
+    public int getLiftedSize() {
+        return (this.lifted == null) ? 0 : this.lifted.size();
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.Iterator<java.lang.String> getLiftedIterator() {
+        return (this.lifted == null) ? null : this.lifted.iterator();
+    }
+
+    public void addToLifted(java.lang.String elem) {
+        if (this.lifted == null) {
+            this.lifted = new java.util.HashSet<java.lang.String>();
+        }
+        this.lifted.add(elem);
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.Set<java.lang.String> getLifted() {
+        return this.lifted;
+    }
+
+    public CrashReport setLifted(@org.apache.thrift.annotation.Nullable java.util.Set<java.lang.String> lifted) {
+        this.lifted = lifted;
+        return this;
+    }
+
+    public void unsetLifted() {
+        this.lifted = null;
+    }
+
+    /** Returns true if field lifted is set (has been assigned a value) and false otherwise */
+    public boolean isSetLifted() {
+        return this.lifted != null;
+    }
+
+    public void setLiftedIsSet(boolean value) {
+        if (!value) {
+            this.lifted = null;
+        }
     }
 
     @Override
     public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
         switch (field) {
-            case FINGERPRINT:
+            case NODE_ID:
                 if (value == null) {
-                    unsetFingerprint();
+                    unsetNodeId();
                 } else {
-                    setFingerprint((java.lang.String) value);
+                    setNodeId((java.lang.String) value);
                 }
                 break;
 
-            case NODE_ID:
+            case SEQUENCE:
                 if (value == null) {
-                    unsetNodeId();
+                    unsetSequence();
                 } else {
-                    setNodeId((java.lang.String) value);
+                    setSequence((java.lang.Long) value);
                 }
                 break;
 
@@ -266,7 +491,31 @@
                 if (value == null) {
                     unsetCrashes();
                 } else {
-                    setCrashes((java.lang.Integer) value);
+                    setCrashes((java.util.List<CrashObservation>) value);
+                }
+                break;
+
+            case BEGUN:
+                if (value == null) {
+                    unsetBegun();
+                } else {
+                    setBegun((java.util.Map<java.lang.String, java.lang.Integer>) value);
+                }
+                break;
+
+            case QUARANTINES:
+                if (value == null) {
+                    unsetQuarantines();
+                } else {
+                    setQuarantines((java.util.List<java.util.Set<java.lang.String>>) value);
+                }
+                break;
+
+            case LIFTED:
+                if (value == null) {
+                    unsetLifted();
+                } else {
+                    setLifted((java.util.Set<java.lang.String>) value);
                 }
                 break;
         }
@@ -276,14 +525,23 @@
     @Override
     public java.lang.Object getFieldValue(_Fields field) {
         switch (field) {
-            case FINGERPRINT:
-                return getFingerprint();
-
             case NODE_ID:
                 return getNodeId();
 
+            case SEQUENCE:
+                return getSequence();
+
             case CRASHES:
                 return getCrashes();
+
+            case BEGUN:
+                return getBegun();
+
+            case QUARANTINES:
+                return getQuarantines();
+
+            case LIFTED:
+                return getLifted();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -296,12 +554,18 @@
         }
 
         switch (field) {
-            case FINGERPRINT:
-                return isSetFingerprint();
             case NODE_ID:
                 return isSetNodeId();
+            case SEQUENCE:
+                return isSetSequence();
             case CRASHES:
                 return isSetCrashes();
+            case BEGUN:
+                return isSetBegun();
+            case QUARANTINES:
+                return isSetQuarantines();
+            case LIFTED:
+                return isSetLifted();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -316,13 +580,6 @@
         if (that == null) return false;
         if (this == that) return true;
 
-        boolean this_present_fingerprint = true && this.isSetFingerprint();
-        boolean that_present_fingerprint = true && that.isSetFingerprint();
-        if (this_present_fingerprint || that_present_fingerprint) {
-            if (!(this_present_fingerprint && that_present_fingerprint)) return false;
-            if (!this.fingerprint.equals(that.fingerprint)) return false;
-        }
-
         boolean this_present_nodeId = true && this.isSetNodeId();
         boolean that_present_nodeId = true && that.isSetNodeId();
         if (this_present_nodeId || that_present_nodeId) {
@@ -330,11 +587,39 @@
             if (!this.nodeId.equals(that.nodeId)) return false;
         }
 
-        boolean this_present_crashes = true;
-        boolean that_present_crashes = true;
+        boolean this_present_sequence = true;
+        boolean that_present_sequence = true;
+        if (this_present_sequence || that_present_sequence) {
+            if (!(this_present_sequence && that_present_sequence)) return false;
+            if (this.sequence != that.sequence) return false;
+        }
+
+        boolean this_present_crashes = true && this.isSetCrashes();
+        boolean that_present_crashes = true && that.isSetCrashes();
         if (this_present_crashes || that_present_crashes) {
             if (!(this_present_crashes && that_present_crashes)) return false;
-            if (this.crashes != that.crashes) return false;
+            if (!this.crashes.equals(that.crashes)) return false;
+        }
+
+        boolean this_present_begun = true && this.isSetBegun();
+        boolean that_present_begun = true && that.isSetBegun();
+        if (this_present_begun || that_present_begun) {
+            if (!(this_present_begun && that_present_begun)) return false;
+            if (!this.begun.equals(that.begun)) return false;
+        }
+
+        boolean this_present_quarantines = true && this.isSetQuarantines();
+        boolean that_present_quarantines = true && that.isSetQuarantines();
+        if (this_present_quarantines || that_present_quarantines) {
+            if (!(this_present_quarantines && that_present_quarantines)) return false;
+            if (!this.quarantines.equals(that.quarantines)) return false;
+        }
+
+        boolean this_present_lifted = true && this.isSetLifted();
+        boolean that_present_lifted = true && that.isSetLifted();
+        if (this_present_lifted || that_present_lifted) {
+            if (!(this_present_lifted && that_present_lifted)) return false;
+            if (!this.lifted.equals(that.lifted)) return false;
         }
 
         return true;
@@ -344,13 +629,22 @@
     public int hashCode() {
         int hashCode = 1;
 
-        hashCode = hashCode * 8191 + ((isSetFingerprint()) ? 131071 : 524287);
-        if (isSetFingerprint()) hashCode = hashCode * 8191 + fingerprint.hashCode();
-
         hashCode = hashCode * 8191 + ((isSetNodeId()) ? 131071 : 524287);
         if (isSetNodeId()) hashCode = hashCode * 8191 + nodeId.hashCode();
 
-        hashCode = hashCode * 8191 + crashes;
+        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sequence);
+
+        hashCode = hashCode * 8191 + ((isSetCrashes()) ? 131071 : 524287);
+        if (isSetCrashes()) hashCode = hashCode * 8191 + crashes.hashCode();
+
+        hashCode = hashCode * 8191 + ((isSetBegun()) ? 131071 : 524287);
+        if (isSetBegun()) hashCode = hashCode * 8191 + begun.hashCode();
+
+        hashCode = hashCode * 8191 + ((isSetQuarantines()) ? 131071 : 524287);
+        if (isSetQuarantines()) hashCode = hashCode * 8191 + quarantines.hashCode();
+
+        hashCode = hashCode * 8191 + ((isSetLifted()) ? 131071 : 524287);
+        if (isSetLifted()) hashCode = hashCode * 8191 + lifted.hashCode();
 
         return hashCode;
     }
@@ -363,22 +657,22 @@
 
         int lastComparison = 0;
 
-        lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
+        lastComparison = java.lang.Boolean.compare(isSetNodeId(), other.isSetNodeId());
         if (lastComparison != 0) {
             return lastComparison;
         }
-        if (isSetFingerprint()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
+        if (isSetNodeId()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.nodeId, other.nodeId);
             if (lastComparison != 0) {
                 return lastComparison;
             }
         }
-        lastComparison = java.lang.Boolean.compare(isSetNodeId(), other.isSetNodeId());
+        lastComparison = java.lang.Boolean.compare(isSetSequence(), other.isSetSequence());
         if (lastComparison != 0) {
             return lastComparison;
         }
-        if (isSetNodeId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.nodeId, other.nodeId);
+        if (isSetSequence()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sequence, other.sequence);
             if (lastComparison != 0) {
                 return lastComparison;
             }
@@ -393,6 +687,36 @@
                 return lastComparison;
             }
         }
+        lastComparison = java.lang.Boolean.compare(isSetBegun(), other.isSetBegun());
+        if (lastComparison != 0) {
+            return lastComparison;
+        }
+        if (isSetBegun()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.begun, other.begun);
+            if (lastComparison != 0) {
+                return lastComparison;
+            }
+        }
+        lastComparison = java.lang.Boolean.compare(isSetQuarantines(), other.isSetQuarantines());
+        if (lastComparison != 0) {
+            return lastComparison;
+        }
+        if (isSetQuarantines()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.quarantines, other.quarantines);
+            if (lastComparison != 0) {
+                return lastComparison;
+            }
+        }
+        lastComparison = java.lang.Boolean.compare(isSetLifted(), other.isSetLifted());
+        if (lastComparison != 0) {
+            return lastComparison;
+        }
+        if (isSetLifted()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lifted, other.lifted);
+            if (lastComparison != 0) {
+                return lastComparison;
+            }
+        }
         return 0;
     }
 
@@ -417,24 +741,48 @@
         java.lang.StringBuilder sb = new java.lang.StringBuilder("CrashReport(");
         boolean first = true;
 
-        sb.append("fingerprint:");
-        if (this.fingerprint == null) {
+        sb.append("nodeId:");
+        if (this.nodeId == null) {
             sb.append("null");
         } else {
-            sb.append(this.fingerprint);
+            sb.append(this.nodeId);
         }
         first = false;
         if (!first) sb.append(", ");
-        sb.append("nodeId:");
-        if (this.nodeId == null) {
+        sb.append("sequence:");
+        sb.append(this.sequence);
+        first = false;
+        if (!first) sb.append(", ");
+        sb.append("crashes:");
+        if (this.crashes == null) {
             sb.append("null");
         } else {
-            sb.append(this.nodeId);
+            sb.append(this.crashes);
         }
         first = false;
         if (!first) sb.append(", ");
-        sb.append("crashes:");
-        sb.append(this.crashes);
+        sb.append("begun:");
+        if (this.begun == null) {
+            sb.append("null");
+        } else {
+            sb.append(this.begun);
+        }
+        first = false;
+        if (!first) sb.append(", ");
+        sb.append("quarantines:");
+        if (this.quarantines == null) {
+            sb.append("null");
+        } else {
+            sb.append(this.quarantines);
+        }
+        first = false;
+        if (!first) sb.append(", ");
+        sb.append("lifted:");
+        if (this.lifted == null) {
+            sb.append("null");
+        } else {
+            sb.append(this.lifted);
+        }
         first = false;
         sb.append(")");
         return sb.toString();
@@ -442,15 +790,27 @@
 
     public void validate() throws org.apache.thrift.TException {
         // check for required fields
-        if (fingerprint == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'fingerprint' was not present! Struct: " + toString());
-        }
         if (nodeId == null) {
             throw new org.apache.thrift.protocol.TProtocolException(
                     "Required field 'nodeId' was not present! Struct: " + toString());
         }
-        // alas, we cannot check 'crashes' because it's a primitive and you chose the non-beans generator.
+        // alas, we cannot check 'sequence' because it's a primitive and you chose the non-beans generator.
+        if (crashes == null) {
+            throw new org.apache.thrift.protocol.TProtocolException(
+                    "Required field 'crashes' was not present! Struct: " + toString());
+        }
+        if (begun == null) {
+            throw new org.apache.thrift.protocol.TProtocolException(
+                    "Required field 'begun' was not present! Struct: " + toString());
+        }
+        if (quarantines == null) {
+            throw new org.apache.thrift.protocol.TProtocolException(
+                    "Required field 'quarantines' was not present! Struct: " + toString());
+        }
+        if (lifted == null) {
+            throw new org.apache.thrift.protocol.TProtocolException(
+                    "Required field 'lifted' was not present! Struct: " + toString());
+        }
         // check for sub-struct validity
     }
 
@@ -495,30 +855,104 @@
                     break;
                 }
                 switch (schemeField.id) {
-                    case 1: // FINGERPRINT
+                    case 1: // NODE_ID
                         if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.fingerprint = iprot.readString();
-                            struct.setFingerprintIsSet(true);
+                            struct.nodeId = iprot.readString();
+                            struct.setNodeIdIsSet(true);
                         } else {
                             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                         }
                         break;
-                    case 2: // NODE_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.nodeId = iprot.readString();
-                            struct.setNodeIdIsSet(true);
+                    case 2: // SEQUENCE
+                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+                            struct.sequence = iprot.readI64();
+                            struct.setSequenceIsSet(true);
                         } else {
                             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                         }
                         break;
                     case 3: // CRASHES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.crashes = iprot.readI32();
+                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+                            {
+                                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                                struct.crashes = new java.util.ArrayList<CrashObservation>(_list16.size);
+                                @org.apache.thrift.annotation.Nullable CrashObservation _elem17;
+                                for (int _i18 = 0; _i18 < _list16.size; ++_i18) {
+                                    _elem17 = new CrashObservation();
+                                    _elem17.read(iprot);
+                                    struct.crashes.add(_elem17);
+                                }
+                                iprot.readListEnd();
+                            }
                             struct.setCrashesIsSet(true);
                         } else {
                             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                         }
                         break;
+                    case 4: // BEGUN
+                        if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+                            {
+                                org.apache.thrift.protocol.TMap _map19 = iprot.readMapBegin();
+                                struct.begun =
+                                        new java.util.HashMap<java.lang.String, java.lang.Integer>(2 * _map19.size);
+                                @org.apache.thrift.annotation.Nullable java.lang.String _key20;
+                                int _val21;
+                                for (int _i22 = 0; _i22 < _map19.size; ++_i22) {
+                                    _key20 = iprot.readString();
+                                    _val21 = iprot.readI32();
+                                    struct.begun.put(_key20, _val21);
+                                }
+                                iprot.readMapEnd();
+                            }
+                            struct.setBegunIsSet(true);
+                        } else {
+                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+                        }
+                        break;
+                    case 5: // QUARANTINES
+                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+                            {
+                                org.apache.thrift.protocol.TList _list23 = iprot.readListBegin();
+                                struct.quarantines =
+                                        new java.util.ArrayList<java.util.Set<java.lang.String>>(_list23.size);
+                                @org.apache.thrift.annotation.Nullable java.util.Set<java.lang.String> _elem24;
+                                for (int _i25 = 0; _i25 < _list23.size; ++_i25) {
+                                    {
+                                        org.apache.thrift.protocol.TSet _set26 = iprot.readSetBegin();
+                                        _elem24 = new java.util.HashSet<java.lang.String>(2 * _set26.size);
+                                        @org.apache.thrift.annotation.Nullable java.lang.String _elem27;
+                                        for (int _i28 = 0; _i28 < _set26.size; ++_i28) {
+                                            _elem27 = iprot.readString();
+                                            _elem24.add(_elem27);
+                                        }
+                                        iprot.readSetEnd();
+                                    }
+                                    struct.quarantines.add(_elem24);
+                                }
+                                iprot.readListEnd();
+                            }
+                            struct.setQuarantinesIsSet(true);
+                        } else {
+                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+                        }
+                        break;
+                    case 6: // LIFTED
+                        if (schemeField.type == org.apache.thrift.protocol.TType.SET) {
+                            {
+                                org.apache.thrift.protocol.TSet _set29 = iprot.readSetBegin();
+                                struct.lifted = new java.util.HashSet<java.lang.String>(2 * _set29.size);
+                                @org.apache.thrift.annotation.Nullable java.lang.String _elem30;
+                                for (int _i31 = 0; _i31 < _set29.size; ++_i31) {
+                                    _elem30 = iprot.readString();
+                                    struct.lifted.add(_elem30);
+                                }
+                                iprot.readSetEnd();
+                            }
+                            struct.setLiftedIsSet(true);
+                        } else {
+                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+                        }
+                        break;
                     default:
                         org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                 }
@@ -527,9 +961,9 @@
             iprot.readStructEnd();
 
             // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetCrashes()) {
+            if (!struct.isSetSequence()) {
                 throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'crashes' was not found in serialized data! Struct: " + toString());
+                        "Required field 'sequence' was not found in serialized data! Struct: " + toString());
             }
             struct.validate();
         }
@@ -540,19 +974,72 @@
             struct.validate();
 
             oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.fingerprint != null) {
-                oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
-                oprot.writeString(struct.fingerprint);
-                oprot.writeFieldEnd();
-            }
             if (struct.nodeId != null) {
                 oprot.writeFieldBegin(NODE_ID_FIELD_DESC);
                 oprot.writeString(struct.nodeId);
                 oprot.writeFieldEnd();
             }
-            oprot.writeFieldBegin(CRASHES_FIELD_DESC);
-            oprot.writeI32(struct.crashes);
+            oprot.writeFieldBegin(SEQUENCE_FIELD_DESC);
+            oprot.writeI64(struct.sequence);
             oprot.writeFieldEnd();
+            if (struct.crashes != null) {
+                oprot.writeFieldBegin(CRASHES_FIELD_DESC);
+                {
+                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
+                            org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
+                    for (CrashObservation _iter32 : struct.crashes) {
+                        _iter32.write(oprot);
+                    }
+                    oprot.writeListEnd();
+                }
+                oprot.writeFieldEnd();
+            }
+            if (struct.begun != null) {
+                oprot.writeFieldBegin(BEGUN_FIELD_DESC);
+                {
+                    oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(
+                            org.apache.thrift.protocol.TType.STRING,
+                            org.apache.thrift.protocol.TType.I32,
+                            struct.begun.size()));
+                    for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter33 : struct.begun.entrySet()) {
+                        oprot.writeString(_iter33.getKey());
+                        oprot.writeI32(_iter33.getValue());
+                    }
+                    oprot.writeMapEnd();
+                }
+                oprot.writeFieldEnd();
+            }
+            if (struct.quarantines != null) {
+                oprot.writeFieldBegin(QUARANTINES_FIELD_DESC);
+                {
+                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
+                            org.apache.thrift.protocol.TType.SET, struct.quarantines.size()));
+                    for (java.util.Set<java.lang.String> _iter34 : struct.quarantines) {
+                        {
+                            oprot.writeSetBegin(new org.apache.thrift.protocol.TSet(
+                                    org.apache.thrift.protocol.TType.STRING, _iter34.size()));
+                            for (java.lang.String _iter35 : _iter34) {
+                                oprot.writeString(_iter35);
+                            }
+                            oprot.writeSetEnd();
+                        }
+                    }
+                    oprot.writeListEnd();
+                }
+                oprot.writeFieldEnd();
+            }
+            if (struct.lifted != null) {
+                oprot.writeFieldBegin(LIFTED_FIELD_DESC);
+                {
+                    oprot.writeSetBegin(new org.apache.thrift.protocol.TSet(
+                            org.apache.thrift.protocol.TType.STRING, struct.lifted.size()));
+                    for (java.lang.String _iter36 : struct.lifted) {
+                        oprot.writeString(_iter36);
+                    }
+                    oprot.writeSetEnd();
+                }
+                oprot.writeFieldEnd();
+            }
             oprot.writeFieldStop();
             oprot.writeStructEnd();
         }
@@ -571,21 +1058,101 @@
         public void write(org.apache.thrift.protocol.TProtocol prot, CrashReport struct)
                 throws org.apache.thrift.TException {
             org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.fingerprint);
             oprot.writeString(struct.nodeId);
-            oprot.writeI32(struct.crashes);
+            oprot.writeI64(struct.sequence);
+            {
+                oprot.writeI32(struct.crashes.size());
+                for (CrashObservation _iter37 : struct.crashes) {
+                    _iter37.write(oprot);
+                }
+            }
+            {
+                oprot.writeI32(struct.begun.size());
+                for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter38 : struct.begun.entrySet()) {
+                    oprot.writeString(_iter38.getKey());
+                    oprot.writeI32(_iter38.getValue());
+                }
+            }
+            {
+                oprot.writeI32(struct.quarantines.size());
+                for (java.util.Set<java.lang.String> _iter39 : struct.quarantines) {
+                    {
+                        oprot.writeI32(_iter39.size());
+                        for (java.lang.String _iter40 : _iter39) {
+                            oprot.writeString(_iter40);
+                        }
+                    }
+                }
+            }
+            {
+                oprot.writeI32(struct.lifted.size());
+                for (java.lang.String _iter41 : struct.lifted) {
+                    oprot.writeString(_iter41);
+                }
+            }
         }
 
         @Override
         public void read(org.apache.thrift.protocol.TProtocol prot, CrashReport struct)
                 throws org.apache.thrift.TException {
             org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.fingerprint = iprot.readString();
-            struct.setFingerprintIsSet(true);
             struct.nodeId = iprot.readString();
             struct.setNodeIdIsSet(true);
-            struct.crashes = iprot.readI32();
+            struct.sequence = iprot.readI64();
+            struct.setSequenceIsSet(true);
+            {
+                org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+                struct.crashes = new java.util.ArrayList<CrashObservation>(_list42.size);
+                @org.apache.thrift.annotation.Nullable CrashObservation _elem43;
+                for (int _i44 = 0; _i44 < _list42.size; ++_i44) {
+                    _elem43 = new CrashObservation();
+                    _elem43.read(iprot);
+                    struct.crashes.add(_elem43);
+                }
+            }
             struct.setCrashesIsSet(true);
+            {
+                org.apache.thrift.protocol.TMap _map45 = iprot.readMapBegin(
+                        org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32);
+                struct.begun = new java.util.HashMap<java.lang.String, java.lang.Integer>(2 * _map45.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key46;
+                int _val47;
+                for (int _i48 = 0; _i48 < _map45.size; ++_i48) {
+                    _key46 = iprot.readString();
+                    _val47 = iprot.readI32();
+                    struct.begun.put(_key46, _val47);
+                }
+            }
+            struct.setBegunIsSet(true);
+            {
+                org.apache.thrift.protocol.TList _list49 = iprot.readListBegin(org.apache.thrift.protocol.TType.SET);
+                struct.quarantines = new java.util.ArrayList<java.util.Set<java.lang.String>>(_list49.size);
+                @org.apache.thrift.annotation.Nullable java.util.Set<java.lang.String> _elem50;
+                for (int _i51 = 0; _i51 < _list49.size; ++_i51) {
+                    {
+                        org.apache.thrift.protocol.TSet _set52 =
+                                iprot.readSetBegin(org.apache.thrift.protocol.TType.STRING);
+                        _elem50 = new java.util.HashSet<java.lang.String>(2 * _set52.size);
+                        @org.apache.thrift.annotation.Nullable java.lang.String _elem53;
+                        for (int _i54 = 0; _i54 < _set52.size; ++_i54) {
+                            _elem53 = iprot.readString();
+                            _elem50.add(_elem53);
+                        }
+                    }
+                    struct.quarantines.add(_elem50);
+                }
+            }
+            struct.setQuarantinesIsSet(true);
+            {
+                org.apache.thrift.protocol.TSet _set55 = iprot.readSetBegin(org.apache.thrift.protocol.TType.STRING);
+                struct.lifted = new java.util.HashSet<java.lang.String>(2 * _set55.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem56;
+                for (int _i57 = 0; _i57 < _set55.size; ++_i57) {
+                    _elem56 = iprot.readString();
+                    struct.lifted.add(_elem56);
+                }
+            }
+            struct.setLiftedIsSet(true);
         }
     }
 
--- a/wire/src/main/thrift/peer.thrift
+++ b/wire/src/main/thrift/peer.thrift
@@ -32,11 +32,28 @@
   4: optional i64 ageMillis
 }
 
-/** Upstream crashes blamed on one request fingerprint, counted by the node that saw them. */
+/** A request that an upstream had received and not begun to answer. */
+struct UnansweredRequest {
+  1: required string request,
+  2: required list<string> parts
+}
+
+/** One crash of an upstream as one node observed it. */
+struct CrashObservation {
+  1: required string crash,
+  /** Whether the upstream accepted no new connection afterwards. */
+  2: required bool lost,
+  3: required list<UnansweredRequest> unanswered
+}
+
+/** What one node has to say about recent crashes of upstreams; the higher sequence wins. */
 struct CrashReport {
-  1: required string fingerprint,
-  2: required string nodeId,
-  3: required i32 crashes
+  1: required string nodeId,
+  2: required i64 sequence,
+  3: required list<CrashObservation> crashes,
+  4: required map<string, i32> begun,
+  5: required list<set<string>> quarantines,
+  6: required set<string> lifted
 }
 
 /** Outcomes of one version counted by one node since the roll-out stage began. */
