Do not attribute broken connections to requests that are alike as a rule

What callers saw: in KnownIncidentsProcessTest, four lost answers to requests with one path and no body quarantined all such requests of the caller: 503 for requests that no engine had failed.

Cause: without a prompt the fingerprint is caller, path and body, which sound requests share; a connection that broke at a living engine weighed half a crash, and earlier answers cleared only parts, not such requests.

Ruled out: no attribution for requests without a prompt, since one that crashes engines would then be sent again without end.

Change: on the platform's path only lost engines count; an earlier answer to an equal request clears it like a part. The own interface, whose fingerprint is a digest of the prompt, keeps both.

Evidence: KnownIncidentsProcessTest and equalRequestsAreServedWhileConnectionsBreak failed or would have; both pass, with the tests of the evidence and UpstreamFailureTest.

--- a/router/src/main/java/org/baobabcart/router/attempt/Attributable.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/Attributable.java
@@ -12,10 +12,10 @@
     }
 
     /**
-     * Returns whether the number of copies of the request that run at once is limited until one of them is answered, whether or not
-     * anything has crashed.
+     * Returns whether sound requests rarely have the same fingerprint. If so, the copies of a request that run at once are limited
+     * until one of them is answered, and connections that break count even if their upstream lives on.
      */
-    default boolean limitsCopies() {
+    default boolean isFingerprintDistinctive() {
         return false;
     }
 
--- a/router/src/main/java/org/baobabcart/router/attempt/CrashGuard.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/CrashGuard.java
@@ -81,7 +81,7 @@
     public Future<Permit> acquirePermit(Attributable request, long deadlineNanos) {
         // The fingerprint is costly, so it is computed only if it is compared with something.
         Optional<RequestFingerprint> fingerprint =
-                ledger.isQuiet() && !request.limitsCopies() ? Optional.empty() : request.fingerprint();
+                ledger.isQuiet() && !request.isFingerprintDistinctive() ? Optional.empty() : request.fingerprint();
         if (fingerprint.isEmpty()) {
             synchronized (this) {
                 return Future.succeededFuture(begin(new Permit(request, Optional.empty(), Optional.empty(), false)));
@@ -123,7 +123,7 @@
     }
 
     private Optional<Permit> beginClear(Attributable request, RequestFingerprint fingerprint) {
-        if (!request.limitsCopies()) {
+        if (!request.isFingerprintDistinctive()) {
             return Optional.of(begin(new Permit(request, Optional.empty(), Optional.empty(), false)));
         }
         if (!copies.mayRun(fingerprint.request())) {
@@ -256,8 +256,9 @@
 
         /** Must be called when the first complete part of the answer has arrived. */
         void responseStarted() {
-            if (ledger.isQuiet()) {
-                ledger.recordAnswered(request.promptParts());
+            List<String> parts = request.promptParts();
+            if (ledger.isQuiet() && !parts.isEmpty()) {
+                ledger.recordAnswered(parts);
             } else {
                 request.fingerprint().ifPresent(ledger::recordAnswered);
             }
@@ -266,7 +267,10 @@
 
         /** Must be called if the upstream broke the connection before the answer began. */
         void crashed(VirtualMachine crashedUpstream, CrashSeverity severity) {
-            request.fingerprint().ifPresent(fingerprint -> ledger.recordCrash(crashedUpstream, severity, fingerprint));
+            if (severity == CrashSeverity.LOST_UPSTREAM || request.isFingerprintDistinctive()) {
+                request.fingerprint()
+                        .ifPresent(fingerprint -> ledger.recordCrash(crashedUpstream, severity, fingerprint));
+            }
         }
 
         /** Must be called when the attempt has ended. */
--- a/router/src/main/java/org/baobabcart/router/crash/CrashLedger.java
+++ b/router/src/main/java/org/baobabcart/router/crash/CrashLedger.java
@@ -40,7 +40,7 @@
     private static final Duration RETENTION = Duration.ofMinutes(1);
 
     private static final Duration MIN_REVIEW_INTERVAL = Duration.ofMillis(20);
-    private static final int MAX_ANSWERED_PARTS = 8 * 1024;
+    private static final int MAX_ANSWERED_KEYS = 8 * 1024;
     private static final int MAX_OBSERVATIONS = 16;
 
     private final String router;
@@ -48,9 +48,9 @@
     private final Timeline timeline;
     private final List<Runnable> reportListeners = new CopyOnWriteArrayList<>();
     private final List<Runnable> evidenceListeners = new CopyOnWriteArrayList<>();
-    /** Parts of prompts to which an answer has begun, least recent first. */
-    private final Map<String, Boolean> answeredParts = new LinkedHashMap<>();
-    /** Accused parts that were cleared by an answer from before their first accusation, which is done only once. */
+    /** Parts of prompts, and requests without parts, to which an answer has begun; least recent first. */
+    private final Map<String, Boolean> answeredKeys = new LinkedHashMap<>();
+    /** Accused keys that were cleared by an answer from before their first accusation, which is done only once. */
     private final Set<String> clearedByEarlierAnswer = new HashSet<>();
 
     private final Map<String, CrashObservation> observations = new LinkedHashMap<>();
@@ -161,20 +161,20 @@
                         nanoClock.getAsLong()));
     }
 
-    /** Records that an answer to a request with these parts has begun, while the ledger is quiet. */
-    public synchronized void recordAnswered(Collection<String> parts) {
-        for (String part : parts) {
-            answeredParts.remove(part);
-            answeredParts.put(part, true);
+    /** Records that an answer to a request with these keys has begun, while the ledger is quiet. */
+    public synchronized void recordAnswered(Collection<String> keys) {
+        for (String key : keys) {
+            answeredKeys.remove(key);
+            answeredKeys.put(key, true);
         }
-        while (answeredParts.size() > MAX_ANSWERED_PARTS) {
-            answeredParts.remove(answeredParts.keySet().iterator().next());
+        while (answeredKeys.size() > MAX_ANSWERED_KEYS) {
+            answeredKeys.remove(answeredKeys.keySet().iterator().next());
         }
     }
 
     /** Records that an answer to a request has begun. */
     public void recordAnswered(RequestFingerprint request) {
-        recordAnswered(request.parts());
+        recordAnswered(request.parts().isEmpty() ? request.keys() : request.parts());
         if (isQuiet()) {
             return;
         }
@@ -254,8 +254,8 @@
         Set<String> cleared = new HashSet<>();
         observation
                 .unanswered()
-                .forEach(request -> request.parts().stream()
-                        .filter(answeredParts::containsKey)
+                .forEach(request -> request.keys().stream()
+                        .filter(answeredKeys::containsKey)
                         .filter(clearedByEarlierAnswer::add)
                         .forEach(cleared::add));
         if (!cleared.isEmpty()) {
--- a/router/src/main/java/org/baobabcart/router/traffic/PlannedAttemptHandler.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/PlannedAttemptHandler.java
@@ -88,7 +88,7 @@
     }
 
     @Override
-    public boolean limitsCopies() {
+    public boolean isFingerprintDistinctive() {
         return true;
     }
 
