Take no refusal without an id for the answer to a request on a kept connection

Reported by operators of similar systems: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told "not run" for a request that had run.

Seen: ResponseFramingProcessTest.refusalThatIsWrittenTwiceIsNotTakenForTheNextRequest failed with 503 for a request that the engine ran, where the refusal names no request; with another id it was rejected before. Requests that may not be repeated use new connections and could not be hit.

--- a/router/src/main/java/org/baobabcart/router/upstream/DefaultResponseRules.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/DefaultResponseRules.java
@@ -21,7 +21,11 @@
         if (missing || mismatched) {
             return Optional.of(FailureKind.CROSSED);
         }
-        boolean declaredNotRun = status == STATUS_UNAVAILABLE && Boolean.parseBoolean(headers.get(NOT_RUN_HEADER));
+        // On a connection that has carried other requests, a refusal without an id may be an earlier one written once
+        // more.
+        boolean unattributed = echoed == null && request.repeatable();
+        boolean declaredNotRun =
+                !unattributed && status == STATUS_UNAVAILABLE && Boolean.parseBoolean(headers.get(NOT_RUN_HEADER));
         boolean refusedByEngine = status == STATUS_CONFLICT && request.echoRequired();
         return declaredNotRun || refusedByEngine ? Optional.of(FailureKind.NOT_RUN) : Optional.empty();
     }
