Bound what the crash ledger remembers, and tell callers and explain what was in common

Cause: found in the read-through: cleared keys and lifted quarantines of a long episode, and parts of a single prompt, had no bound; a refusal named the keys but not since when, and explain passed over FINGERPRINT_QUARANTINED. Change: 4,096 cleared keys, 1,024 lifted quarantines, 64 parts of a prompt; the cause of a refusal has the age; explain shows conclusions around a request.

--- a/cli/src/main/java/org/baobabcart/cli/explain/RequestStory.java
+++ b/cli/src/main/java/org/baobabcart/cli/explain/RequestStory.java
@@ -37,6 +37,7 @@
             "PROCESS_STOPPING",
             "PROCESS_STOPPED",
             "SHEET_PUT_ASIDE",
+            "FINGERPRINT_QUARANTINED",
             TABLE_APPLIED);
     private static final Set<String> OF_UPSTREAMS = Set.of("UPSTREAM_CHANGED", "UPSTREAM_SUSPECTED", "UPSTREAM_BACK");
     private static final Set<String> ENDS =
--- a/router/src/main/java/org/baobabcart/router/attempt/CrashGuard.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/CrashGuard.java
@@ -150,11 +150,8 @@
     /** Returns the refusal of a quarantined request, with the time until such a request is tried again. */
     private BaobabcartException quarantined(RequestFingerprint fingerprint) {
         quarantinedRefused.mark();
-        String keys = ledger.evidence()
-                .quarantineOf(fingerprint)
-                .map(quarantine -> "in common with those that crashed upstreams: " + quarantine.name())
-                .orElse("");
-        BaobabcartException refusal = BaobabcartException.of(ResultCode.REQUEST_QUARANTINED, keys);
+        BaobabcartException refusal =
+                BaobabcartException.of(ResultCode.REQUEST_QUARANTINED, ledger.describe(fingerprint));
         return ledger.timeToTrial(fingerprint).map(refusal::withRetryAfter).orElse(refusal);
     }
 
--- a/router/src/main/java/org/baobabcart/router/crash/CrashLedger.java
+++ b/router/src/main/java/org/baobabcart/router/crash/CrashLedger.java
@@ -41,6 +41,8 @@
 
     private static final Duration MIN_REVIEW_INTERVAL = Duration.ofMillis(20);
     private static final int MAX_ANSWERED_KEYS = 8 * 1024;
+    private static final int MAX_CLEARED_KEYS = 4096;
+    private static final int MAX_LIFTED = 1024;
     private static final int MAX_OBSERVATIONS = 16;
 
     private final String router;
@@ -55,13 +57,13 @@
 
     private final Map<String, CrashObservation> observations = new LinkedHashMap<>();
     private final Map<String, Long> observedNanos = new HashMap<>();
-    private final Map<String, Integer> begun = new HashMap<>();
+    private final Map<String, Integer> begun = new LinkedHashMap<>();
     private final Set<Quarantine> concluded = new LinkedHashSet<>();
     /** Conclusions and cleared keys that no router has reported yet. */
     private final Set<Quarantine> unreportedConclusions = new LinkedHashSet<>();
 
     private final Set<String> unreportedClears = new HashSet<>();
-    private final Set<String> lifted = new HashSet<>();
+    private final Set<String> lifted = new LinkedHashSet<>();
     private final Map<String, CrashReport> received = new HashMap<>();
     private final Map<String, Long> receivedNanos = new HashMap<>();
     private final Map<Quarantine, QuarantineTrials> trials = new HashMap<>();
@@ -136,6 +138,17 @@
                 .map(quarantine -> trialsOf(quarantine).timeToNext(nanoClock.getAsLong()));
     }
 
+    /** Returns what a quarantined request has in common with those that crashed upstreams, and since when; empty if nothing. */
+    public synchronized String describe(RequestFingerprint request) {
+        return evidence.quarantineOf(request)
+                .map(quarantine -> {
+                    long age = nanoClock.getAsLong() - trialsOf(quarantine).begunNanos();
+                    return "in common with requests that crashed upstreams, for "
+                            + Duration.ofNanos(age).toSeconds() + " s: " + quarantine.name();
+                })
+                .orElse("");
+    }
+
     /** Returns whether a quarantined request may be sent now as a trial, and if so counts the trial. */
     public boolean tryBeginTrial(RequestFingerprint request) {
         Optional<Quarantine> quarantine = evidence.quarantineOf(request);
@@ -167,9 +180,7 @@
             answeredKeys.remove(key);
             answeredKeys.put(key, true);
         }
-        while (answeredKeys.size() > MAX_ANSWERED_KEYS) {
-            answeredKeys.remove(answeredKeys.keySet().iterator().next());
-        }
+        removeOldest(answeredKeys.keySet(), MAX_ANSWERED_KEYS);
     }
 
     /** Records that an answer to a request has begun. */
@@ -202,11 +213,19 @@
 
     private void countClear(String key) {
         begun.merge(key, 1, Integer::sum);
+        removeOldest(begun.keySet(), MAX_CLEARED_KEYS);
         unreportedClears.add(key);
     }
 
+    private static void removeOldest(Set<String> keys, int limit) {
+        while (keys.size() > limit) {
+            keys.remove(keys.iterator().next());
+        }
+    }
+
     private void lift(Quarantine quarantine) {
         lifted.add(quarantine.name());
+        removeOldest(lifted, MAX_LIFTED);
         concluded.remove(quarantine);
         unreportedConclusions.remove(quarantine);
         trials.remove(quarantine);
@@ -364,6 +383,9 @@
             }
             return old;
         });
+        concluded.retainAll(evidence.quarantines());
+        trials.keySet().retainAll(evidence.quarantines());
+        unreportedClears.retainAll(begun.keySet());
         if (evidence.accusedKeys().isEmpty() && observations.isEmpty()) {
             begun.clear();
             clearedByEarlierAnswer.clear();
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
@@ -37,6 +37,9 @@
  * <p>The active route table is consulted when an attempt is queued and again right before its first byte is sent.
  */
 final class GatewayRequestExecution implements AttemptHandler<Void> {
+    /** Bounds what a single caller can make routers remember and report. */
+    private static final int MAX_ATTRIBUTED_PARTS = 64;
+
     private static final int MIN_SUCCESS_STATUS = 200;
     private static final int MIN_REDIRECT_STATUS = 300;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
@@ -113,7 +116,7 @@
     public List<String> promptParts() {
         List<PromptPart> prefix = head.prefix();
         return prefix.stream()
-                .limit(Math.max(0, prefix.size() - 1))
+                .limit(Math.min(MAX_ATTRIBUTED_PARTS, Math.max(0, prefix.size() - 1)))
                 .map(PromptPart::id)
                 .toList();
     }
