--- a/policy/src/main/java/org/baobabcart/policy/crash/CrashEvidence.java
+++ b/policy/src/main/java/org/baobabcart/policy/crash/CrashEvidence.java
@@ -40,8 +40,11 @@
     private static final CrashEvidence NONE = new CrashEvidence(Map.of(), Map.of(), Map.of());
 
     private final Map<String, Crash> crashes;
+    /** When each key was last cleared by an answer. */
     private final Map<String, Long> cleared;
+    /** The quarantines as concluded, by which routers refer to them, with those narrowed by later answers, which are applied. */
     private final Map<Quarantine, Quarantine> quarantines;
+
     private final Map<String, Integer> weights;
 
     /** A crash with the accused requests and, for each, the routers that had sent it. */
