Bound the suspects that wait, and do not refuse copies of a slow prompt as suspects

What callers would have seen: on the own interface, copies of one prompt whose first answer took more than three seconds were refused with 1308, "may have crashed an upstream", though nothing had crashed. On both, requests with a suspect part could fill the line of those that wait, and callers who left stayed in it.

Cause: one line holds suspects and copies, and the bound on the wait of suspects was applied to both; the line itself had none.

Ruled out: two lines, since a copy becomes a suspect when something crashes.

Change: copies wait until their deadline; 1,024 wait at most, more are refused at once (1201); a caller who leaves makes room.

Conclusion: a wait needs a bound in number as well as in time.

--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -82,7 +82,7 @@
     private void attempt() {
         dependencies
                 .crashGuard()
-                .acquirePermit(handler, handler.deadlineNanos())
+                .acquirePermit(handler, handler.deadlineNanos(), exchange.abandoned())
                 .onSuccess(this::queue)
                 .onFailure(this::fail);
     }
--- a/router/src/main/java/org/baobabcart/router/attempt/CrashGuard.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/CrashGuard.java
@@ -31,6 +31,7 @@
  * is refused. A quarantined request is refused at once.
  */
 public final class CrashGuard {
+    private static final int MAX_WAITING = 1024;
     private static final Duration MAX_WAIT = Duration.ofSeconds(3);
     /** The part of the time left that a suspect may wait; the rest is for the attempt itself. */
     private static final int WAIT_DIVISOR = 3;
@@ -49,7 +50,8 @@
     private record Waiter(
             Attributable request,
             RequestFingerprint fingerprint,
-            long endNanos,
+            long suspectEndNanos,
+            long deadlineNanos,
             Context context,
             Promise<Permit> promise) {}
 
@@ -77,8 +79,9 @@
      * Acquires a permit to run an attempt; completes on the calling event loop, or fails if the request is refused.
      *
      * @param deadlineNanos the time by which the response must be complete
+     * @param abandoned completes when the permit is no longer needed
      */
-    public Future<Permit> acquirePermit(Attributable request, long deadlineNanos) {
+    public Future<Permit> acquirePermit(Attributable request, long deadlineNanos, Future<?> abandoned) {
         // The fingerprint is costly, so it is computed only if it is compared with something.
         Optional<RequestFingerprint> fingerprint =
                 ledger.isQuiet() && !request.isFingerprintDistinctive() ? Optional.empty() : request.fingerprint();
@@ -90,7 +93,7 @@
         ledger.review();
         synchronized (this) {
             return decide(request, fingerprint.get())
-                    .orElseGet(() -> enqueue(request, fingerprint.get(), deadlineNanos));
+                    .orElseGet(() -> enqueue(request, fingerprint.get(), deadlineNanos, abandoned));
         }
     }
 
@@ -138,15 +141,31 @@
         return begin(new Permit(request, Optional.of(key), Optional.empty(), trial));
     }
 
-    private Future<Permit> enqueue(Attributable request, RequestFingerprint fingerprint, long deadlineNanos) {
+    private Future<Permit> enqueue(
+            Attributable request, RequestFingerprint fingerprint, long deadlineNanos, Future<?> abandoned) {
+        if (waiting.size() >= MAX_WAITING) {
+            return Future.failedFuture(BaobabcartException.of(ResultCode.QUEUE_FULL));
+        }
         long now = System.nanoTime();
         long wait = Math.min(MAX_WAIT.toNanos(), (deadlineNanos - now) / WAIT_DIVISOR);
-        Waiter waiter = new Waiter(request, fingerprint, now + wait, vertx.getOrCreateContext(), Promise.promise());
+        Waiter waiter = new Waiter(
+                request, fingerprint, now + wait, deadlineNanos, vertx.getOrCreateContext(), Promise.promise());
         waiting.add(waiter);
         scheduleCheck();
+        abandoned.onComplete(ignored -> abandon(waiter));
         return waiter.promise.future();
     }
 
+    private void abandon(Waiter waiter) {
+        boolean removed;
+        synchronized (this) {
+            removed = waiting.removeIf(other -> other.promise == waiter.promise);
+        }
+        if (removed) {
+            waiter.promise.fail(BaobabcartException.of(ResultCode.DEADLINE_UNREACHABLE, "request abandoned"));
+        }
+    }
+
     /** Returns the refusal of a quarantined request, with the time until such a request is tried again. */
     private BaobabcartException quarantined(RequestFingerprint fingerprint) {
         quarantinedRefused.mark();
@@ -211,12 +230,17 @@
         actions.forEach(Runnable::run);
     }
 
+    /** Refuses a suspect at the end of its wait. A copy that only waits for another to be answered may wait until its deadline. */
     private Optional<Future<Permit>> refuseIfExpired(Waiter waiter) {
-        if (System.nanoTime() - waiter.endNanos < 0) {
-            return Optional.empty();
+        long now = System.nanoTime();
+        boolean isSuspect = ledger.verdict(waiter.fingerprint) != CrashVerdict.CLEAR;
+        if (isSuspect && now - waiter.suspectEndNanos >= 0) {
+            suspectsRefused.mark();
+            return Optional.of(Future.failedFuture(BaobabcartException.of(ResultCode.REQUEST_SUSPECT)));
         }
-        suspectsRefused.mark();
-        return Optional.of(Future.failedFuture(BaobabcartException.of(ResultCode.REQUEST_SUSPECT)));
+        return now - waiter.deadlineNanos >= 0
+                ? Optional.of(Future.failedFuture(BaobabcartException.of(ResultCode.DEADLINE_UNREACHABLE)))
+                : Optional.empty();
     }
 
     /** Permission to run one attempt. */
