Give quarantines terms, and keep those of a router's earlier life

What callers would have seen: a part that was sound again after its quarantine and turned bad once more was never refused again; quarantines were gone once all routers had restarted, and the part went on crashing engines.

Cause: ended quarantines were remembered by name for good, so a new conclusion on the same keys was dropped; a restarted router adopted the quarantines of its stored report, but its first report, which replaces that one, left them out. Its own report, read back, also cleared crashes that had been recorded since it was written.

Ruled out: forgetting ends after a time, since a report of a router that is gone would bring the quarantine back.

Change: a quarantine that begins again has a greater term, and an end names the term; a router takes over what its stored report names, and applies no clears of its own.

Evidence: three tests of CrashLedgerTest failed on (SUSPECT, CLEAR and CLEAR for QUARANTINED, QUARANTINED and SUSPECT) and pass.

Conclusion: what is kept for good needs a life cycle that survives restarts and late messages.

--- a/policy/src/main/java/org/baobabcart/policy/crash/CrashReport.java
+++ b/policy/src/main/java/org/baobabcart/policy/crash/CrashReport.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * What one router has to say about recent crashes; each report of a router replaces its earlier ones. Immutable.
@@ -11,26 +10,26 @@
  * @param sequence increases with each report of one process
  * @param crashes the crashes that it observed, oldest first
  * @param begun for each accused key that it can clear, how often it has cleared it: another number than before is news
- * @param quarantines the quarantines that it concluded
- * @param lifted the names of quarantines that are no longer in force
+ * @param quarantines the quarantines that it concluded, each with its term: how often it has begun
+ * @param ended the last term that has ended, by name of the quarantine
  */
 public record CrashReport(
         String router,
         long sequence,
         List<CrashObservation> crashes,
         Map<String, Integer> begun,
-        List<Quarantine> quarantines,
-        Set<String> lifted) {
+        Map<Quarantine, Integer> quarantines,
+        Map<String, Integer> ended) {
     /** Copies the collections. */
     public CrashReport {
         crashes = List.copyOf(crashes);
         begun = Map.copyOf(begun);
-        quarantines = List.copyOf(quarantines);
-        lifted = Set.copyOf(lifted);
+        quarantines = Map.copyOf(quarantines);
+        ended = Map.copyOf(ended);
     }
 
     /** Returns a report without any statement. */
     public static CrashReport empty(String router) {
-        return new CrashReport(router, 0, List.of(), Map.of(), List.of(), Set.of());
+        return new CrashReport(router, 0, List.of(), Map.of(), Map.of(), Map.of());
     }
 }
--- a/router/src/main/java/org/baobabcart/router/crash/CrashLedger.java
+++ b/router/src/main/java/org/baobabcart/router/crash/CrashLedger.java
@@ -20,7 +20,6 @@
 import org.baobabcart.policy.crash.CrashSeverity;
 import org.baobabcart.policy.crash.CrashVerdict;
 import org.baobabcart.policy.crash.Quarantine;
-import org.baobabcart.policy.crash.QuarantineTrials;
 import org.baobabcart.policy.crash.RequestFingerprint;
 import org.baobabcart.policy.crash.SuspectAdmission;
 import org.baobabcart.router.timeline.EventField;
@@ -42,8 +41,6 @@
     private static final Duration MIN_REVIEW_INTERVAL = Duration.ofMillis(20);
     private static final int MAX_ANSWERED_KEYS = 8 * 1024;
     private static final int MAX_CLEARED_KEYS = 4096;
-    private static final int MAX_LIFTED = 1024;
-    private static final int MAX_OBSERVATIONS = 16;
 
     private final String router;
     private final LongSupplier nanoClock;
@@ -53,25 +50,20 @@
     /** Parts of prompts, and requests without parts, to which an answer has begun; least recent first. */
     private final Map<String, Boolean> answeredKeys = new LinkedHashMap<>();
     /** Accused keys that were cleared by an answer from before their first accusation, which is done only once. */
-    private final Set<String> clearedByEarlierAnswer = new HashSet<>();
+    private final Set<String> clearedByEarlierAnswer = new LinkedHashSet<>();
 
-    private final Map<String, CrashObservation> observations = new LinkedHashMap<>();
-    private final Map<String, Long> observedNanos = new HashMap<>();
+    private final OwnObservations observations;
     private final Map<String, Integer> begun = new LinkedHashMap<>();
-    private final Set<Quarantine> concluded = new LinkedHashSet<>();
-    /** Conclusions and cleared keys that no router has reported yet. */
-    private final Set<Quarantine> unreportedConclusions = new LinkedHashSet<>();
-
+    /** Cleared keys that no router has reported yet. */
     private final Set<String> unreportedClears = new HashSet<>();
-    private final Set<String> lifted = new LinkedHashSet<>();
+
+    private final QuarantineRegister quarantines;
     private final Map<String, CrashReport> received = new HashMap<>();
     private final Map<String, Long> receivedNanos = new HashMap<>();
-    private final Map<Quarantine, QuarantineTrials> trials = new HashMap<>();
     private volatile CrashEvidence evidence = CrashEvidence.none();
     private boolean unreportedCrash;
     private CrashReport lastReport;
     private long sequence;
-    private long crashNumber;
     private long reviewedNanos;
 
     /** What this router knows and has not reported. */
@@ -87,6 +79,8 @@
         this.router = router;
         this.nanoClock = nanoClock;
         this.timeline = timeline;
+        this.observations = OwnObservations.create(router);
+        this.quarantines = QuarantineRegister.create(router);
         this.lastReport = CrashReport.empty(router);
         this.sequence = firstSequence;
     }
@@ -135,45 +129,44 @@
     /** Returns the time until the next trial of a quarantined request; empty if it is not quarantined. */
     public synchronized Optional<Duration> timeToTrial(RequestFingerprint request) {
         return evidence.quarantineOf(request)
-                .map(quarantine -> trialsOf(quarantine).timeToNext(nanoClock.getAsLong()));
+                .flatMap(quarantines::trials)
+                .map(trials -> trials.timeToNext(nanoClock.getAsLong()));
     }
 
-    /** Returns what a quarantined request has in common with those that crashed upstreams, and since when; empty if nothing. */
+    /** Returns what a quarantined request has in common with those that crashed upstreams, and the age of that knowledge; empty if nothing. */
     public synchronized String describe(RequestFingerprint request) {
         return evidence.quarantineOf(request)
                 .map(quarantine -> {
-                    long age = nanoClock.getAsLong() - trialsOf(quarantine).begunNanos();
-                    return "in common with requests that crashed upstreams, for "
-                            + Duration.ofNanos(age).toSeconds() + " s: " + quarantine.name();
+                    long age = quarantines
+                            .trials(quarantine)
+                            .map(trials -> nanoClock.getAsLong() - trials.begunNanos())
+                            .orElse(0L);
+                    return "in common with requests that crashed upstreams, last reported or tried "
+                            + Duration.ofNanos(age).toSeconds() + " s ago: " + quarantine.name();
                 })
                 .orElse("");
     }
 
     /** Returns whether a quarantined request may be sent now as a trial, and if so counts the trial. */
     public boolean tryBeginTrial(RequestFingerprint request) {
-        Optional<Quarantine> quarantine = evidence.quarantineOf(request);
+        List<Quarantine> tried;
         synchronized (this) {
             long now = nanoClock.getAsLong();
-            boolean due = quarantine.isPresent() && trialsOf(quarantine.get()).isDue(now);
-            if (!due) {
+            tried = evidence.quarantinesOf(request);
+            boolean due = tried.stream()
+                    .allMatch(quarantine -> quarantines
+                            .trials(quarantine)
+                            .filter(trials -> trials.isDue(now))
+                            .isPresent());
+            if (tried.isEmpty() || !due) {
                 return false;
             }
-            trials.put(quarantine.get(), trialsOf(quarantine.get()).withTrial(now));
+            tried.forEach(quarantine -> quarantines.recordTrial(quarantine, now));
         }
-        recordQuarantine(quarantine.get(), "tried again");
+        tried.forEach(quarantine -> recordQuarantine(quarantine, "tried again"));
         return true;
     }
 
-    private QuarantineTrials trialsOf(Quarantine quarantine) {
-        return trials.computeIfAbsent(
-                quarantine,
-                key -> QuarantineTrials.begin(
-                        key,
-                        router,
-                        concluded.contains(key) || unreportedConclusions.contains(key),
-                        nanoClock.getAsLong()));
-    }
-
     /** Records that an answer to a request with these keys has begun, while the ledger is quiet. */
     public synchronized void recordAnswered(Collection<String> keys) {
         for (String key : keys) {
@@ -194,7 +187,8 @@
         synchronized (this) {
             List<String> keys = request.keys();
             ended.addAll(evidence.quarantinesOf(request));
-            ended.forEach(this::lift);
+            ended.forEach(quarantines::end);
+            evidence = evidence.withQuarantines(quarantines.inForce());
             Set<String> accused = new HashSet<>(keys);
             accused.retainAll(evidence.accusedKeys());
             accused.forEach(this::countClear);
@@ -204,7 +198,7 @@
                 evidence = evidence.withBegun(keys, nanoClock.getAsLong());
             }
         }
-        ended.forEach(quarantine -> recordQuarantine(quarantine, "lifted, since an answer has begun"));
+        ended.forEach(quarantine -> recordQuarantine(quarantine, "ended, since an answer has begun"));
         if (news) {
             reportListeners.forEach(Runnable::run);
             evidenceListeners.forEach(Runnable::run);
@@ -223,34 +217,12 @@
         }
     }
 
-    private void lift(Quarantine quarantine) {
-        lifted.add(quarantine.name());
-        removeOldest(lifted, MAX_LIFTED);
-        concluded.remove(quarantine);
-        unreportedConclusions.remove(quarantine);
-        trials.remove(quarantine);
-        Set<Quarantine> rest = new LinkedHashSet<>(evidence.quarantines());
-        rest.remove(quarantine);
-        evidence = evidence.withQuarantines(rest);
-    }
-
     /** Records that an upstream broke the connection of a request before it began to answer. */
     public void recordCrash(VirtualMachine upstream, CrashSeverity severity, RequestFingerprint request) {
         boolean shared;
         synchronized (this) {
             long now = nanoClock.getAsLong();
-            CrashObservation observation =
-                    new CrashObservation(crashId(upstream, severity), severity, List.of()).with(severity, request);
-            CrashObservation merged = observations.containsKey(observation.crash())
-                    ? observations.get(observation.crash()).with(severity, request)
-                    : observation;
-            observations.put(merged.crash(), merged);
-            observedNanos.putIfAbsent(merged.crash(), now);
-            if (observations.size() > MAX_OBSERVATIONS) {
-                String oldest = observations.keySet().iterator().next();
-                observations.remove(oldest);
-                observedNanos.remove(oldest);
-            }
+            CrashObservation observation = observations.add(upstream, severity, request, now);
             accuse(router, observation, now);
             // A single broken connection is common and costs no report.
             shared = severity == CrashSeverity.LOST_UPSTREAM || evidence.verdict(request) != CrashVerdict.CLEAR;
@@ -262,12 +234,6 @@
         evidenceListeners.forEach(Runnable::run);
     }
 
-    /** A crash of a known start of an upstream has the same id on all routers. */
-    private String crashId(VirtualMachine upstream, CrashSeverity severity) {
-        boolean common = severity == CrashSeverity.LOST_UPSTREAM && upstream.incarnation() != 0;
-        return upstream.name() + "#" + (common ? upstream.incarnation() : router + "#" + crashNumber++);
-    }
-
     private void accuse(String reporter, CrashObservation observation, long now) {
         evidence = evidence.withObservation(reporter, observation, now);
         Set<String> cleared = new HashSet<>();
@@ -277,6 +243,7 @@
                         .filter(answeredKeys::containsKey)
                         .filter(clearedByEarlierAnswer::add)
                         .forEach(cleared::add));
+        removeOldest(clearedByEarlierAnswer, MAX_CLEARED_KEYS);
         if (!cleared.isEmpty()) {
             cleared.forEach(this::countClear);
             evidence = evidence.withBegun(cleared, now);
@@ -284,8 +251,7 @@
         observation.unanswered().stream()
                 .flatMap(request -> evidence.quarantinesOf(request).stream())
                 .distinct()
-                .forEach(quarantine ->
-                        trials.put(quarantine, trialsOf(quarantine).withTrial(now)));
+                .forEach(quarantine -> quarantines.recordTrial(quarantine, now));
     }
 
     /**
@@ -299,21 +265,12 @@
             CrashReport before = received.getOrDefault(report.router(), CrashReport.empty(report.router()));
             received.put(report.router(), report);
             receivedNanos.put(report.router(), nanoClock.getAsLong());
-            if (!old) {
+            if (!old && !report.router().equals(router)) {
                 applyChanges(before, report);
             }
-            lifted.addAll(report.lifted());
-            evidence.quarantines().stream()
-                    .filter(quarantine -> report.lifted().contains(quarantine.name()))
-                    .toList()
-                    .forEach(this::lift);
-            Set<Quarantine> all = new LinkedHashSet<>(evidence.quarantines());
-            report.quarantines().stream()
-                    .filter(quarantine -> !lifted.contains(quarantine.name()))
-                    .filter(all::add)
-                    .forEach(added::add);
-            evidence = evidence.withQuarantines(all);
-            unreportedConclusions.removeAll(report.quarantines());
+            added.addAll(quarantines.receive(report, nanoClock.getAsLong()));
+            evidence = evidence.withQuarantines(quarantines.inForce());
+            quarantines.retain(evidence.quarantines());
         }
         added.forEach(quarantine -> recordQuarantine(quarantine, "reported by " + report.router()));
         if (news() != News.NONE) {
@@ -359,13 +316,10 @@
             }
             reviewedNanos = now;
             forgetBefore(now - RETENTION.toNanos());
-            added = evidence.conclusions(now).stream()
-                    .filter(quarantine -> !lifted.contains(quarantine.name()))
-                    .toList();
-            unreportedConclusions.addAll(added);
-            Set<Quarantine> all = new LinkedHashSet<>(evidence.quarantines());
-            all.addAll(added);
-            evidence = evidence.withQuarantines(all);
+            added = evidence.conclusions(now);
+            quarantines.conclude(added, now);
+            evidence = evidence.withQuarantines(quarantines.inForce());
+            quarantines.retain(evidence.quarantines());
         }
         if (!added.isEmpty()) {
             added.forEach(quarantine -> recordQuarantine(quarantine, "concluded here"));
@@ -376,15 +330,7 @@
 
     private void forgetBefore(long nanos) {
         evidence = evidence.withoutBefore(nanos);
-        observedNanos.entrySet().removeIf(entry -> {
-            boolean old = entry.getValue() - nanos < 0;
-            if (old) {
-                observations.remove(entry.getKey());
-            }
-            return old;
-        });
-        concluded.retainAll(evidence.quarantines());
-        trials.keySet().retainAll(evidence.quarantines());
+        observations.removeBefore(nanos);
         unreportedClears.retainAll(begun.keySet());
         if (evidence.accusedKeys().isEmpty() && observations.isEmpty()) {
             begun.clear();
@@ -397,17 +343,15 @@
         if (unreportedCrash) {
             return News.OWN;
         }
-        return unreportedClears.isEmpty() && unreportedConclusions.isEmpty() ? News.NONE : News.COMMON;
+        return unreportedClears.isEmpty() && !quarantines.hasNews() ? News.NONE : News.COMMON;
     }
 
     /** Returns what this router has to report, which is no news afterwards. */
     public synchronized CrashReport report() {
-        concluded.addAll(unreportedConclusions);
-        unreportedConclusions.clear();
         unreportedClears.clear();
         unreportedCrash = false;
         lastReport = new CrashReport(
-                router, ++sequence, List.copyOf(observations.values()), begun, List.copyOf(concluded), lifted);
+                router, ++sequence, observations.all(), begun, quarantines.toReport(), quarantines.ended());
         return lastReport;
     }
 
--- a/router/src/main/java/org/baobabcart/router/crash/CrashReportJson.java
+++ b/router/src/main/java/org/baobabcart/router/crash/CrashReportJson.java
@@ -31,7 +31,9 @@
     private static final String PARTS = "parts";
     private static final String BEGUN = "begun";
     private static final String QUARANTINES = "quarantines";
-    private static final String LIFTED = "lifted";
+    private static final String KEYS = "keys";
+    private static final String TERM = "term";
+    private static final String ENDED = "ended";
 
     private CrashReportJson() {}
 
@@ -51,8 +53,12 @@
         ObjectNode begun = root.putObject(BEGUN);
         report.begun().forEach(begun::put);
         ArrayNode quarantines = root.putArray(QUARANTINES);
-        report.quarantines().forEach(quarantine -> addAll(quarantines.addArray(), quarantine.keys()));
-        addAll(root.putArray(LIFTED), report.lifted());
+        report.quarantines().forEach((quarantine, term) -> {
+            ObjectNode entry = quarantines.addObject().put(TERM, term);
+            addAll(entry.putArray(KEYS), quarantine.keys());
+        });
+        ObjectNode ended = root.putObject(ENDED);
+        report.ended().forEach(ended::put);
         return root;
     }
 
@@ -71,24 +77,27 @@
                     crash.path(LOST).asBoolean() ? CrashSeverity.LOST_UPSTREAM : CrashSeverity.BROKEN_CONNECTION;
             crashes.add(new CrashObservation(crash.path(CRASH).asText(), severity, unanswered));
         }
-        Map<String, Integer> begun = new HashMap<>();
-        root.path(BEGUN)
-                .properties()
-                .forEach(entry -> begun.put(entry.getKey(), entry.getValue().asInt()));
-        List<Quarantine> quarantines = new ArrayList<>();
-        for (JsonNode keys : root.path(QUARANTINES)) {
-            Set<String> names = new HashSet<>(texts(keys));
-            if (!names.isEmpty()) {
-                quarantines.add(new Quarantine(names));
+        Map<Quarantine, Integer> quarantines = new HashMap<>();
+        for (JsonNode entry : root.path(QUARANTINES)) {
+            Set<String> keys = new HashSet<>(texts(entry.path(KEYS)));
+            if (!keys.isEmpty()) {
+                quarantines.put(new Quarantine(keys), entry.path(TERM).asInt());
             }
         }
         return new CrashReport(
                 router,
                 root.path(SEQUENCE).asLong(),
                 crashes,
-                begun,
+                numbers(root.path(BEGUN)),
                 quarantines,
-                new HashSet<>(texts(root.path(LIFTED))));
+                numbers(root.path(ENDED)));
+    }
+
+    private static Map<String, Integer> numbers(JsonNode object) {
+        Map<String, Integer> numbers = new HashMap<>();
+        object.properties()
+                .forEach(entry -> numbers.put(entry.getKey(), entry.getValue().asInt()));
+        return numbers;
     }
 
     private static List<String> texts(JsonNode array) {
--- a/router/src/main/java/org/baobabcart/router/crash/PeerCrashReports.java
+++ b/router/src/main/java/org/baobabcart/router/crash/PeerCrashReports.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.stream.Collectors;
 import org.baobabcart.policy.crash.CrashObservation;
 import org.baobabcart.policy.crash.CrashReport;
@@ -12,6 +11,7 @@
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.member.ExchangeParticipant;
 import org.baobabcart.wire.Exchange;
+import org.baobabcart.wire.QuarantineTerm;
 import org.baobabcart.wire.UnansweredRequest;
 
 /** Shares crash reports between routers in their periodic exchanges. Confined to the control thread. */
@@ -49,8 +49,10 @@
                 report.sequence(),
                 report.crashes().stream().map(PeerCrashReports::toWire).toList(),
                 report.begun(),
-                report.quarantines().stream().map(Quarantine::keys).toList(),
-                report.lifted());
+                report.quarantines().entrySet().stream()
+                        .map(entry -> new QuarantineTerm(entry.getKey().keys(), entry.getValue()))
+                        .toList(),
+                report.ended());
     }
 
     private static org.baobabcart.wire.CrashObservation toWire(CrashObservation observation) {
@@ -64,17 +66,17 @@
     private static CrashReport fromWire(org.baobabcart.wire.CrashReport report) {
         List<CrashObservation> crashes =
                 report.getCrashes().stream().map(PeerCrashReports::fromWire).toList();
-        List<Quarantine> quarantines = report.getQuarantines().stream()
-                .filter(keys -> !keys.isEmpty())
-                .map(Quarantine::new)
-                .toList();
+        Map<Quarantine, Integer> quarantines = report.getQuarantines().stream()
+                .filter(quarantine -> !quarantine.getKeys().isEmpty())
+                .collect(Collectors.toMap(
+                        quarantine -> new Quarantine(quarantine.getKeys()), QuarantineTerm::getTerm, Math::max));
         return new CrashReport(
                 report.getNodeId(),
                 report.getSequence(),
                 crashes,
                 Map.copyOf(report.getBegun()),
                 quarantines,
-                Set.copyOf(report.getLifted()));
+                Map.copyOf(report.getEnded()));
     }
 
     private static CrashObservation fromWire(org.baobabcart.wire.CrashObservation observation) {
--- a/router/src/test/java/org/baobabcart/router/crash/CrashLedgerTest.java
+++ b/router/src/test/java/org/baobabcart/router/crash/CrashLedgerTest.java
@@ -5,13 +5,19 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.policy.crash.CrashEvidence;
 import org.baobabcart.policy.crash.CrashReport;
 import org.baobabcart.policy.crash.CrashSeverity;
 import org.baobabcart.policy.crash.CrashVerdict;
@@ -102,6 +108,46 @@
         assertThat(second.verdict(OTHER_BAD), is(CrashVerdict.CLEAR));
     }
 
+    @Test
+    void partThatCrashesUpstreamsAgainAfterItsQuarantineEndedIsQuarantinedAgainEverywhere() {
+        quarantine(first);
+        second.receive(first.report(), false);
+        first.recordAnswered(OTHER_BAD);
+        second.receive(first.report(), false);
+        nanos.addAndGet(Duration.ofMinutes(2).toNanos());
+        first.review();
+        for (int engine = 5; engine < 9; engine++) {
+            crash(first, "e" + engine, new RequestFingerprint("again-" + engine, BAD.parts()));
+        }
+        settle(first);
+        assertThat(first.verdict(OTHER_BAD), is(CrashVerdict.QUARANTINED));
+        second.receive(first.report(), false);
+        assertThat(second.verdict(OTHER_BAD), is(CrashVerdict.QUARANTINED));
+        first.receive(second.report(), false);
+        assertThat(first.verdict(OTHER_BAD), is(CrashVerdict.QUARANTINED));
+    }
+
+    @Test
+    void restartedRouterKeepsReportingItsQuarantines() {
+        quarantine(first);
+        CrashLedger restarted = ledger("r1");
+        restarted.receive(first.report(), true);
+        crash(restarted, "e9", SOUND);
+        CrashLedger later = ledger("r3");
+        later.receive(restarted.report(), true);
+        assertThat(later.verdict(OTHER_BAD), is(CrashVerdict.QUARANTINED));
+    }
+
+    @Test
+    void routersOwnReportDoesNotClearALaterCrash() {
+        first.recordAnswered(SOUND);
+        crash(first, "e1", SOUND);
+        CrashReport report = first.report();
+        crash(first, "e2", SOUND);
+        first.receive(report, false);
+        assertThat(first.verdict(new RequestFingerprint("sound-2", SOUND.parts())), is(CrashVerdict.SUSPECT));
+    }
+
     @Test
     void trialThatCrashesAnUpstreamPutsOffTheTrialsOfAllRouters() {
         quarantine(first);
@@ -136,6 +182,33 @@
         assertThat(first.evidence().accusedKeys(), is(empty()));
     }
 
+    /** Routers that learn of each other's crashes in any order bound the crashes of one request, and agree in the end. */
+    @Property(tries = 300, seed = "7602")
+    void crashesOfOneRequestAreBoundedOverTheFleet(
+            @ForAll @IntRange(min = 1, max = 6) int routers, @ForAll List<@IntRange(max = 35) Integer> steps) {
+        List<CrashLedger> ledgers = IntStream.range(0, routers)
+                .mapToObj(index -> ledger("fleet-" + index))
+                .toList();
+        RequestFingerprint request = RequestFingerprint.of("crashing");
+        int crashes = 0;
+        for (int step : steps) {
+            CrashLedger ledger = ledgers.get(step % routers);
+            if (step >= 18) {
+                ledgers.get(step / 6 % routers).receiveFromPeer(ledger.report());
+            } else if (ledger.verdict(request) != CrashVerdict.QUARANTINED) {
+                crash(ledger, "engine-" + crashes++, request);
+                settle(ledger);
+            }
+        }
+        int perRouter = CrashEvidence.QUARANTINE_WEIGHT / CrashSeverity.LOST_UPSTREAM.weight();
+        assertThat(crashes, lessThanOrEqualTo(perRouter * routers));
+        for (CrashLedger ledger : ledgers) {
+            ledgers.forEach(other -> ledger.receiveFromPeer(other.report()));
+            settle(ledger);
+            assertThat(ledger.verdict(request) == CrashVerdict.QUARANTINED, is(crashes >= perRouter));
+        }
+    }
+
     private void quarantine(CrashLedger ledger) {
         crash(ledger, "e1", BAD);
         crash(ledger, "e2", OTHER_BAD);
--- a/wire/src/main/java/org/baobabcart/wire/CrashReport.java
+++ b/wire/src/main/java/org/baobabcart/wire/CrashReport.java
@@ -28,8 +28,8 @@
             new org.apache.thrift.protocol.TField("begun", org.apache.thrift.protocol.TType.MAP, (short) 4);
     private static final org.apache.thrift.protocol.TField QUARANTINES_FIELD_DESC =
             new org.apache.thrift.protocol.TField("quarantines", org.apache.thrift.protocol.TType.LIST, (short) 5);
-    private static final org.apache.thrift.protocol.TField LIFTED_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("lifted", org.apache.thrift.protocol.TType.SET, (short) 6);
+    private static final org.apache.thrift.protocol.TField ENDED_FIELD_DESC =
+            new org.apache.thrift.protocol.TField("ended", org.apache.thrift.protocol.TType.MAP, (short) 6);
 
     private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
             new CrashReportStandardSchemeFactory();
@@ -40,9 +40,8 @@
     private long sequence; // required
     private @org.apache.thrift.annotation.Nullable java.util.List<CrashObservation> crashes; // required
     private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String, java.lang.Integer> begun; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<java.util.Set<java.lang.String>>
-            quarantines; // required
-    private @org.apache.thrift.annotation.Nullable java.util.Set<java.lang.String> lifted; // required
+    private @org.apache.thrift.annotation.Nullable java.util.List<QuarantineTerm> quarantines; // required
+    private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String, java.lang.Integer> ended; // required
 
     /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
     public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -51,7 +50,10 @@
         CRASHES((short) 3, "crashes"),
         BEGUN((short) 4, "begun"),
         QUARANTINES((short) 5, "quarantines"),
-        LIFTED((short) 6, "lifted");
+        /**
+         * The last term that has ended, by name.
+         */
+        ENDED((short) 6, "ended");
 
         private static final java.util.Map<java.lang.String, _Fields> byName =
                 new java.util.HashMap<java.lang.String, _Fields>();
@@ -78,8 +80,8 @@
                     return BEGUN;
                 case 5: // QUARANTINES
                     return QUARANTINES;
-                case 6: // LIFTED
-                    return LIFTED;
+                case 6: // ENDED
+                    return ENDED;
                 default:
                     return null;
             }
@@ -169,19 +171,19 @@
                         org.apache.thrift.TFieldRequirementType.REQUIRED,
                         new org.apache.thrift.meta_data.ListMetaData(
                                 org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.SetMetaData(
-                                        org.apache.thrift.protocol.TType.SET,
-                                        new org.apache.thrift.meta_data.FieldValueMetaData(
-                                                org.apache.thrift.protocol.TType.STRING)))));
+                                new org.apache.thrift.meta_data.StructMetaData(
+                                        org.apache.thrift.protocol.TType.STRUCT, QuarantineTerm.class))));
         tmpMap.put(
-                _Fields.LIFTED,
+                _Fields.ENDED,
                 new org.apache.thrift.meta_data.FieldMetaData(
-                        "lifted",
+                        "ended",
                         org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.SetMetaData(
-                                org.apache.thrift.protocol.TType.SET,
+                        new org.apache.thrift.meta_data.MapMetaData(
+                                org.apache.thrift.protocol.TType.MAP,
+                                new org.apache.thrift.meta_data.FieldValueMetaData(
+                                        org.apache.thrift.protocol.TType.STRING),
                                 new org.apache.thrift.meta_data.FieldValueMetaData(
-                                        org.apache.thrift.protocol.TType.STRING))));
+                                        org.apache.thrift.protocol.TType.I32))));
         metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
         org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CrashReport.class, metaDataMap);
     }
@@ -193,8 +195,8 @@
             long sequence,
             java.util.List<CrashObservation> crashes,
             java.util.Map<java.lang.String, java.lang.Integer> begun,
-            java.util.List<java.util.Set<java.lang.String>> quarantines,
-            java.util.Set<java.lang.String> lifted) {
+            java.util.List<QuarantineTerm> quarantines,
+            java.util.Map<java.lang.String, java.lang.Integer> ended) {
         this();
         this.nodeId = nodeId;
         this.sequence = sequence;
@@ -202,7 +204,7 @@
         this.crashes = crashes;
         this.begun = begun;
         this.quarantines = quarantines;
-        this.lifted = lifted;
+        this.ended = ended;
     }
 
     /**
@@ -228,18 +230,17 @@
             this.begun = __this__begun;
         }
         if (other.isSetQuarantines()) {
-            java.util.List<java.util.Set<java.lang.String>> __this__quarantines =
-                    new java.util.ArrayList<java.util.Set<java.lang.String>>(other.quarantines.size());
-            for (java.util.Set<java.lang.String> other_element : other.quarantines) {
-                java.util.Set<java.lang.String> __this__quarantines_copy =
-                        new java.util.HashSet<java.lang.String>(other_element);
-                __this__quarantines.add(__this__quarantines_copy);
+            java.util.List<QuarantineTerm> __this__quarantines =
+                    new java.util.ArrayList<QuarantineTerm>(other.quarantines.size());
+            for (QuarantineTerm other_element : other.quarantines) {
+                __this__quarantines.add(new QuarantineTerm(other_element));
             }
             this.quarantines = __this__quarantines;
         }
-        if (other.isSetLifted()) {
-            java.util.Set<java.lang.String> __this__lifted = new java.util.HashSet<java.lang.String>(other.lifted);
-            this.lifted = __this__lifted;
+        if (other.isSetEnded()) {
+            java.util.Map<java.lang.String, java.lang.Integer> __this__ended =
+                    new java.util.HashMap<java.lang.String, java.lang.Integer>(other.ended);
+            this.ended = __this__ended;
         }
     }
 
@@ -256,7 +257,7 @@
         this.crashes = null;
         this.begun = null;
         this.quarantines = null;
-        this.lifted = null;
+        this.ended = null;
     }
 
     @org.apache.thrift.annotation.Nullable
@@ -390,24 +391,24 @@
     }
 
     @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<java.util.Set<java.lang.String>> getQuarantinesIterator() {
+    public java.util.Iterator<QuarantineTerm> getQuarantinesIterator() {
         return (this.quarantines == null) ? null : this.quarantines.iterator();
     }
 
-    public void addToQuarantines(java.util.Set<java.lang.String> elem) {
+    public void addToQuarantines(QuarantineTerm elem) {
         if (this.quarantines == null) {
-            this.quarantines = new java.util.ArrayList<java.util.Set<java.lang.String>>();
+            this.quarantines = new java.util.ArrayList<QuarantineTerm>();
         }
         this.quarantines.add(elem);
     }
 
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<java.util.Set<java.lang.String>> getQuarantines() {
+    public java.util.List<QuarantineTerm> getQuarantines() {
         return this.quarantines;
     }
 
     public CrashReport setQuarantines(
-            @org.apache.thrift.annotation.Nullable java.util.List<java.util.Set<java.lang.String>> quarantines) {
+            @org.apache.thrift.annotation.Nullable java.util.List<QuarantineTerm> quarantines) {
         this.quarantines = quarantines;
         return this;
     }
@@ -427,44 +428,46 @@
         }
     }
 
-    public int getLiftedSize() {
-        return (this.lifted == null) ? 0 : this.lifted.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<java.lang.String> getLiftedIterator() {
-        return (this.lifted == null) ? null : this.lifted.iterator();
+    public int getEndedSize() {
+        return (this.ended == null) ? 0 : this.ended.size();
     }
 
-    public void addToLifted(java.lang.String elem) {
-        if (this.lifted == null) {
-            this.lifted = new java.util.HashSet<java.lang.String>();
+    public void putToEnded(java.lang.String key, int val) {
+        if (this.ended == null) {
+            this.ended = new java.util.HashMap<java.lang.String, java.lang.Integer>();
         }
-        this.lifted.add(elem);
+        this.ended.put(key, val);
     }
 
+    /**
+     * The last term that has ended, by name.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.Set<java.lang.String> getLifted() {
-        return this.lifted;
+    public java.util.Map<java.lang.String, java.lang.Integer> getEnded() {
+        return this.ended;
     }
 
-    public CrashReport setLifted(@org.apache.thrift.annotation.Nullable java.util.Set<java.lang.String> lifted) {
-        this.lifted = lifted;
+    /**
+     * The last term that has ended, by name.
+     */
+    public CrashReport setEnded(
+            @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String, java.lang.Integer> ended) {
+        this.ended = ended;
         return this;
     }
 
-    public void unsetLifted() {
-        this.lifted = null;
+    public void unsetEnded() {
+        this.ended = null;
     }
 
-    /** Returns true if field lifted is set (has been assigned a value) and false otherwise */
-    public boolean isSetLifted() {
-        return this.lifted != null;
+    /** Returns true if field ended is set (has been assigned a value) and false otherwise */
+    public boolean isSetEnded() {
+        return this.ended != null;
     }
 
-    public void setLiftedIsSet(boolean value) {
+    public void setEndedIsSet(boolean value) {
         if (!value) {
-            this.lifted = null;
+            this.ended = null;
         }
     }
 
@@ -507,15 +510,15 @@
                 if (value == null) {
                     unsetQuarantines();
                 } else {
-                    setQuarantines((java.util.List<java.util.Set<java.lang.String>>) value);
+                    setQuarantines((java.util.List<QuarantineTerm>) value);
                 }
                 break;
 
-            case LIFTED:
+            case ENDED:
                 if (value == null) {
-                    unsetLifted();
+                    unsetEnded();
                 } else {
-                    setLifted((java.util.Set<java.lang.String>) value);
+                    setEnded((java.util.Map<java.lang.String, java.lang.Integer>) value);
                 }
                 break;
         }
@@ -540,8 +543,8 @@
             case QUARANTINES:
                 return getQuarantines();
 
-            case LIFTED:
-                return getLifted();
+            case ENDED:
+                return getEnded();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -564,8 +567,8 @@
                 return isSetBegun();
             case QUARANTINES:
                 return isSetQuarantines();
-            case LIFTED:
-                return isSetLifted();
+            case ENDED:
+                return isSetEnded();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -615,11 +618,11 @@
             if (!this.quarantines.equals(that.quarantines)) return false;
         }
 
-        boolean this_present_lifted = true && this.isSetLifted();
-        boolean that_present_lifted = true && that.isSetLifted();
-        if (this_present_lifted || that_present_lifted) {
-            if (!(this_present_lifted && that_present_lifted)) return false;
-            if (!this.lifted.equals(that.lifted)) return false;
+        boolean this_present_ended = true && this.isSetEnded();
+        boolean that_present_ended = true && that.isSetEnded();
+        if (this_present_ended || that_present_ended) {
+            if (!(this_present_ended && that_present_ended)) return false;
+            if (!this.ended.equals(that.ended)) return false;
         }
 
         return true;
@@ -643,8 +646,8 @@
         hashCode = hashCode * 8191 + ((isSetQuarantines()) ? 131071 : 524287);
         if (isSetQuarantines()) hashCode = hashCode * 8191 + quarantines.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetLifted()) ? 131071 : 524287);
-        if (isSetLifted()) hashCode = hashCode * 8191 + lifted.hashCode();
+        hashCode = hashCode * 8191 + ((isSetEnded()) ? 131071 : 524287);
+        if (isSetEnded()) hashCode = hashCode * 8191 + ended.hashCode();
 
         return hashCode;
     }
@@ -707,12 +710,12 @@
                 return lastComparison;
             }
         }
-        lastComparison = java.lang.Boolean.compare(isSetLifted(), other.isSetLifted());
+        lastComparison = java.lang.Boolean.compare(isSetEnded(), other.isSetEnded());
         if (lastComparison != 0) {
             return lastComparison;
         }
-        if (isSetLifted()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lifted, other.lifted);
+        if (isSetEnded()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ended, other.ended);
             if (lastComparison != 0) {
                 return lastComparison;
             }
@@ -777,11 +780,11 @@
         }
         first = false;
         if (!first) sb.append(", ");
-        sb.append("lifted:");
-        if (this.lifted == null) {
+        sb.append("ended:");
+        if (this.ended == null) {
             sb.append("null");
         } else {
-            sb.append(this.lifted);
+            sb.append(this.ended);
         }
         first = false;
         sb.append(")");
@@ -807,9 +810,9 @@
             throw new org.apache.thrift.protocol.TProtocolException(
                     "Required field 'quarantines' was not present! Struct: " + toString());
         }
-        if (lifted == null) {
+        if (ended == null) {
             throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'lifted' was not present! Struct: " + toString());
+                    "Required field 'ended' was not present! Struct: " + toString());
         }
         // check for sub-struct validity
     }
@@ -874,13 +877,13 @@
                     case 3: // CRASHES
                         if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                             {
-                                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                                struct.crashes = new java.util.ArrayList<CrashObservation>(_list16.size);
-                                @org.apache.thrift.annotation.Nullable CrashObservation _elem17;
-                                for (int _i18 = 0; _i18 < _list16.size; ++_i18) {
-                                    _elem17 = new CrashObservation();
-                                    _elem17.read(iprot);
-                                    struct.crashes.add(_elem17);
+                                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                                struct.crashes = new java.util.ArrayList<CrashObservation>(_list24.size);
+                                @org.apache.thrift.annotation.Nullable CrashObservation _elem25;
+                                for (int _i26 = 0; _i26 < _list24.size; ++_i26) {
+                                    _elem25 = new CrashObservation();
+                                    _elem25.read(iprot);
+                                    struct.crashes.add(_elem25);
                                 }
                                 iprot.readListEnd();
                             }
@@ -892,15 +895,15 @@
                     case 4: // BEGUN
                         if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                             {
-                                org.apache.thrift.protocol.TMap _map19 = iprot.readMapBegin();
+                                org.apache.thrift.protocol.TMap _map27 = iprot.readMapBegin();
                                 struct.begun =
-                                        new java.util.HashMap<java.lang.String, java.lang.Integer>(2 * _map19.size);
-                                @org.apache.thrift.annotation.Nullable java.lang.String _key20;
-                                int _val21;
-                                for (int _i22 = 0; _i22 < _map19.size; ++_i22) {
-                                    _key20 = iprot.readString();
-                                    _val21 = iprot.readI32();
-                                    struct.begun.put(_key20, _val21);
+                                        new java.util.HashMap<java.lang.String, java.lang.Integer>(2 * _map27.size);
+                                @org.apache.thrift.annotation.Nullable java.lang.String _key28;
+                                int _val29;
+                                for (int _i30 = 0; _i30 < _map27.size; ++_i30) {
+                                    _key28 = iprot.readString();
+                                    _val29 = iprot.readI32();
+                                    struct.begun.put(_key28, _val29);
                                 }
                                 iprot.readMapEnd();
                             }
@@ -912,22 +915,13 @@
                     case 5: // QUARANTINES
                         if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                             {
-                                org.apache.thrift.protocol.TList _list23 = iprot.readListBegin();
-                                struct.quarantines =
-                                        new java.util.ArrayList<java.util.Set<java.lang.String>>(_list23.size);
-                                @org.apache.thrift.annotation.Nullable java.util.Set<java.lang.String> _elem24;
-                                for (int _i25 = 0; _i25 < _list23.size; ++_i25) {
-                                    {
-                                        org.apache.thrift.protocol.TSet _set26 = iprot.readSetBegin();
-                                        _elem24 = new java.util.HashSet<java.lang.String>(2 * _set26.size);
-                                        @org.apache.thrift.annotation.Nullable java.lang.String _elem27;
-                                        for (int _i28 = 0; _i28 < _set26.size; ++_i28) {
-                                            _elem27 = iprot.readString();
-                                            _elem24.add(_elem27);
-                                        }
-                                        iprot.readSetEnd();
-                                    }
-                                    struct.quarantines.add(_elem24);
+                                org.apache.thrift.protocol.TList _list31 = iprot.readListBegin();
+                                struct.quarantines = new java.util.ArrayList<QuarantineTerm>(_list31.size);
+                                @org.apache.thrift.annotation.Nullable QuarantineTerm _elem32;
+                                for (int _i33 = 0; _i33 < _list31.size; ++_i33) {
+                                    _elem32 = new QuarantineTerm();
+                                    _elem32.read(iprot);
+                                    struct.quarantines.add(_elem32);
                                 }
                                 iprot.readListEnd();
                             }
@@ -936,19 +930,22 @@
                             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                         }
                         break;
-                    case 6: // LIFTED
-                        if (schemeField.type == org.apache.thrift.protocol.TType.SET) {
+                    case 6: // ENDED
+                        if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                             {
-                                org.apache.thrift.protocol.TSet _set29 = iprot.readSetBegin();
-                                struct.lifted = new java.util.HashSet<java.lang.String>(2 * _set29.size);
-                                @org.apache.thrift.annotation.Nullable java.lang.String _elem30;
-                                for (int _i31 = 0; _i31 < _set29.size; ++_i31) {
-                                    _elem30 = iprot.readString();
-                                    struct.lifted.add(_elem30);
+                                org.apache.thrift.protocol.TMap _map34 = iprot.readMapBegin();
+                                struct.ended =
+                                        new java.util.HashMap<java.lang.String, java.lang.Integer>(2 * _map34.size);
+                                @org.apache.thrift.annotation.Nullable java.lang.String _key35;
+                                int _val36;
+                                for (int _i37 = 0; _i37 < _map34.size; ++_i37) {
+                                    _key35 = iprot.readString();
+                                    _val36 = iprot.readI32();
+                                    struct.ended.put(_key35, _val36);
                                 }
-                                iprot.readSetEnd();
+                                iprot.readMapEnd();
                             }
-                            struct.setLiftedIsSet(true);
+                            struct.setEndedIsSet(true);
                         } else {
                             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                         }
@@ -987,8 +984,8 @@
                 {
                     oprot.writeListBegin(new org.apache.thrift.protocol.TList(
                             org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
-                    for (CrashObservation _iter32 : struct.crashes) {
-                        _iter32.write(oprot);
+                    for (CrashObservation _iter38 : struct.crashes) {
+                        _iter38.write(oprot);
                     }
                     oprot.writeListEnd();
                 }
@@ -1001,9 +998,9 @@
                             org.apache.thrift.protocol.TType.STRING,
                             org.apache.thrift.protocol.TType.I32,
                             struct.begun.size()));
-                    for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter33 : struct.begun.entrySet()) {
-                        oprot.writeString(_iter33.getKey());
-                        oprot.writeI32(_iter33.getValue());
+                    for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter39 : struct.begun.entrySet()) {
+                        oprot.writeString(_iter39.getKey());
+                        oprot.writeI32(_iter39.getValue());
                     }
                     oprot.writeMapEnd();
                 }
@@ -1013,30 +1010,26 @@
                 oprot.writeFieldBegin(QUARANTINES_FIELD_DESC);
                 {
                     oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.SET, struct.quarantines.size()));
-                    for (java.util.Set<java.lang.String> _iter34 : struct.quarantines) {
-                        {
-                            oprot.writeSetBegin(new org.apache.thrift.protocol.TSet(
-                                    org.apache.thrift.protocol.TType.STRING, _iter34.size()));
-                            for (java.lang.String _iter35 : _iter34) {
-                                oprot.writeString(_iter35);
-                            }
-                            oprot.writeSetEnd();
-                        }
+                            org.apache.thrift.protocol.TType.STRUCT, struct.quarantines.size()));
+                    for (QuarantineTerm _iter40 : struct.quarantines) {
+                        _iter40.write(oprot);
                     }
                     oprot.writeListEnd();
                 }
                 oprot.writeFieldEnd();
             }
-            if (struct.lifted != null) {
-                oprot.writeFieldBegin(LIFTED_FIELD_DESC);
+            if (struct.ended != null) {
+                oprot.writeFieldBegin(ENDED_FIELD_DESC);
                 {
-                    oprot.writeSetBegin(new org.apache.thrift.protocol.TSet(
-                            org.apache.thrift.protocol.TType.STRING, struct.lifted.size()));
-                    for (java.lang.String _iter36 : struct.lifted) {
-                        oprot.writeString(_iter36);
+                    oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(
+                            org.apache.thrift.protocol.TType.STRING,
+                            org.apache.thrift.protocol.TType.I32,
+                            struct.ended.size()));
+                    for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter41 : struct.ended.entrySet()) {
+                        oprot.writeString(_iter41.getKey());
+                        oprot.writeI32(_iter41.getValue());
                     }
-                    oprot.writeSetEnd();
+                    oprot.writeMapEnd();
                 }
                 oprot.writeFieldEnd();
             }
@@ -1062,32 +1055,28 @@
             oprot.writeI64(struct.sequence);
             {
                 oprot.writeI32(struct.crashes.size());
-                for (CrashObservation _iter37 : struct.crashes) {
-                    _iter37.write(oprot);
+                for (CrashObservation _iter42 : struct.crashes) {
+                    _iter42.write(oprot);
                 }
             }
             {
                 oprot.writeI32(struct.begun.size());
-                for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter38 : struct.begun.entrySet()) {
-                    oprot.writeString(_iter38.getKey());
-                    oprot.writeI32(_iter38.getValue());
+                for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter43 : struct.begun.entrySet()) {
+                    oprot.writeString(_iter43.getKey());
+                    oprot.writeI32(_iter43.getValue());
                 }
             }
             {
                 oprot.writeI32(struct.quarantines.size());
-                for (java.util.Set<java.lang.String> _iter39 : struct.quarantines) {
-                    {
-                        oprot.writeI32(_iter39.size());
-                        for (java.lang.String _iter40 : _iter39) {
-                            oprot.writeString(_iter40);
-                        }
-                    }
+                for (QuarantineTerm _iter44 : struct.quarantines) {
+                    _iter44.write(oprot);
                 }
             }
             {
-                oprot.writeI32(struct.lifted.size());
-                for (java.lang.String _iter41 : struct.lifted) {
-                    oprot.writeString(_iter41);
+                oprot.writeI32(struct.ended.size());
+                for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter45 : struct.ended.entrySet()) {
+                    oprot.writeString(_iter45.getKey());
+                    oprot.writeI32(_iter45.getValue());
                 }
             }
         }
@@ -1101,58 +1090,53 @@
             struct.sequence = iprot.readI64();
             struct.setSequenceIsSet(true);
             {
-                org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.crashes = new java.util.ArrayList<CrashObservation>(_list42.size);
-                @org.apache.thrift.annotation.Nullable CrashObservation _elem43;
-                for (int _i44 = 0; _i44 < _list42.size; ++_i44) {
-                    _elem43 = new CrashObservation();
-                    _elem43.read(iprot);
-                    struct.crashes.add(_elem43);
+                org.apache.thrift.protocol.TList _list46 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+                struct.crashes = new java.util.ArrayList<CrashObservation>(_list46.size);
+                @org.apache.thrift.annotation.Nullable CrashObservation _elem47;
+                for (int _i48 = 0; _i48 < _list46.size; ++_i48) {
+                    _elem47 = new CrashObservation();
+                    _elem47.read(iprot);
+                    struct.crashes.add(_elem47);
                 }
             }
             struct.setCrashesIsSet(true);
             {
-                org.apache.thrift.protocol.TMap _map45 = iprot.readMapBegin(
+                org.apache.thrift.protocol.TMap _map49 = iprot.readMapBegin(
                         org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32);
-                struct.begun = new java.util.HashMap<java.lang.String, java.lang.Integer>(2 * _map45.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key46;
-                int _val47;
-                for (int _i48 = 0; _i48 < _map45.size; ++_i48) {
-                    _key46 = iprot.readString();
-                    _val47 = iprot.readI32();
-                    struct.begun.put(_key46, _val47);
+                struct.begun = new java.util.HashMap<java.lang.String, java.lang.Integer>(2 * _map49.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key50;
+                int _val51;
+                for (int _i52 = 0; _i52 < _map49.size; ++_i52) {
+                    _key50 = iprot.readString();
+                    _val51 = iprot.readI32();
+                    struct.begun.put(_key50, _val51);
                 }
             }
             struct.setBegunIsSet(true);
             {
-                org.apache.thrift.protocol.TList _list49 = iprot.readListBegin(org.apache.thrift.protocol.TType.SET);
-                struct.quarantines = new java.util.ArrayList<java.util.Set<java.lang.String>>(_list49.size);
-                @org.apache.thrift.annotation.Nullable java.util.Set<java.lang.String> _elem50;
-                for (int _i51 = 0; _i51 < _list49.size; ++_i51) {
-                    {
-                        org.apache.thrift.protocol.TSet _set52 =
-                                iprot.readSetBegin(org.apache.thrift.protocol.TType.STRING);
-                        _elem50 = new java.util.HashSet<java.lang.String>(2 * _set52.size);
-                        @org.apache.thrift.annotation.Nullable java.lang.String _elem53;
-                        for (int _i54 = 0; _i54 < _set52.size; ++_i54) {
-                            _elem53 = iprot.readString();
-                            _elem50.add(_elem53);
-                        }
-                    }
-                    struct.quarantines.add(_elem50);
+                org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+                struct.quarantines = new java.util.ArrayList<QuarantineTerm>(_list53.size);
+                @org.apache.thrift.annotation.Nullable QuarantineTerm _elem54;
+                for (int _i55 = 0; _i55 < _list53.size; ++_i55) {
+                    _elem54 = new QuarantineTerm();
+                    _elem54.read(iprot);
+                    struct.quarantines.add(_elem54);
                 }
             }
             struct.setQuarantinesIsSet(true);
             {
-                org.apache.thrift.protocol.TSet _set55 = iprot.readSetBegin(org.apache.thrift.protocol.TType.STRING);
-                struct.lifted = new java.util.HashSet<java.lang.String>(2 * _set55.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem56;
-                for (int _i57 = 0; _i57 < _set55.size; ++_i57) {
-                    _elem56 = iprot.readString();
-                    struct.lifted.add(_elem56);
+                org.apache.thrift.protocol.TMap _map56 = iprot.readMapBegin(
+                        org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32);
+                struct.ended = new java.util.HashMap<java.lang.String, java.lang.Integer>(2 * _map56.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key57;
+                int _val58;
+                for (int _i59 = 0; _i59 < _map56.size; ++_i59) {
+                    _key57 = iprot.readString();
+                    _val58 = iprot.readI32();
+                    struct.ended.put(_key57, _val58);
                 }
             }
-            struct.setLiftedIsSet(true);
+            struct.setEndedIsSet(true);
         }
     }
 
--- a/wire/src/main/thrift/peer.thrift
+++ b/wire/src/main/thrift/peer.thrift
@@ -46,14 +46,21 @@
   3: required list<UnansweredRequest> unanswered
 }
 
+/** Keys of requests that together crash upstreams, and how often they have been quarantined. */
+struct QuarantineTerm {
+  1: required set<string> keys,
+  2: required i32 term
+}
+
 /** What one node has to say about recent crashes of upstreams; the higher sequence wins. */
 struct CrashReport {
   1: required string nodeId,
   2: required i64 sequence,
   3: required list<CrashObservation> crashes,
   4: required map<string, i32> begun,
-  5: required list<set<string>> quarantines,
-  6: required set<string> lifted
+  5: required list<QuarantineTerm> quarantines,
+  /** The last term that has ended, by name. */
+  6: required map<string, i32> ended
 }
 
 /** Outcomes of one version counted by one node since the roll-out stage began. */
