--- a/policy/src/test/java/org/baobabcart/policy/crash/CrashReplay.java
+++ b/policy/src/test/java/org/baobabcart/policy/crash/CrashReplay.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 
 /**
  * Replays traffic of which some requests have a part that crashes engines, through routers that share their evidence with a delay, and
@@ -69,7 +70,7 @@
     }
 
     /** A change of the evidence that the other routers apply later. */
-    private record Report(long at, int router, java.util.function.UnaryOperator<CrashEvidence> change) {}
+    private record Report(long at, int router, UnaryOperator<CrashEvidence> change) {}
 
     private static final class Attempt {
         private final int router;
@@ -272,7 +273,7 @@
         }
     }
 
-    private void report(int router, java.util.function.UnaryOperator<CrashEvidence> change) {
+    private void report(int router, UnaryOperator<CrashEvidence> change) {
         if (policy == Policy.ATTRIBUTION) {
             reports.add(new Report(now, router, change));
         }
