Follow the store beside objects that cannot be read

What callers saw: reported by other operators, and shown here with the store stand-in: one object of another writer, nested 5,000 deep or with a number of 1,500 digits, and a router no longer follows engines or configuration; if it is there first, the router is never ready.

Cause: lists and poll answers were parsed as a whole. Jackson rejects such a document, which looked like an outage of the store, so the same list was read again for ever. Besides, objects were decoded in listeners that caught one type of exception; any other fault ended the informer or poll without a word. Ports above 65535 and numbers out of range were taken.

Ruled out: a larger limit of the parser, which only moves the bound; reading object by object, one call each.

A response that cannot be taken apart is RESPONSE_UNREADABLE (1506), no outage. Fields out of range are rejected with their name. The own interface's lists, watches and list of VMs likewise; a list of bills with a segment that cannot be read still fails, now with its name.

Conclusion: what others write is taken apart before it is trusted; what follows state has a supervisor.

--- a/model/src/main/java/org/baobabcart/model/result/ResultCode.java
+++ b/model/src/main/java/org/baobabcart/model/result/ResultCode.java
@@ -83,6 +83,8 @@
     WATCH_EXPIRED(1504, 410, Ran.NO, "The watch position is too old"),
     /** The response to a write was lost, and the write may have taken effect. */
     WRITE_OUTCOME_UNKNOWN(1505, 504, Ran.UNKNOWN, "The write may have taken effect"),
+    /** The platform responded, and its response cannot be decoded. */
+    RESPONSE_UNREADABLE(1506, 502, Ran.UNKNOWN, "The platform's response cannot be decoded"),
     /** The sheet is invalid. */
     SHEET_INVALID(1601, 422, Ran.NO, "The sheet has faults"),
     /** A setting has a value that cannot be used. */
--- a/router/src/main/java/org/baobabcart/router/bill/BillReader.java
+++ b/router/src/main/java/org/baobabcart/router/bill/BillReader.java
@@ -2,6 +2,7 @@
 
 import io.smallrye.mutiny.Uni;
 import org.baobabcart.model.platform.ObjectKinds;
+import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.policy.bill.BillLedger;
 import org.baobabcart.router.platform.ObjectStore;
 
@@ -21,7 +22,9 @@
     /** Reads all committed bills, one for each request. */
     public Uni<BillLedger> ledger() {
         return store.list(ObjectKinds.BILLS)
-                .map(objects ->
-                        BillLedger.of(objects.stream().map(BillCodec::toSegment).toList()));
+                .map(objects -> BillLedger.of(objects.stream()
+                        .map(StoredObject::requireReadable)
+                        .map(BillCodec::toSegment)
+                        .toList()));
     }
 }
--- a/router/src/main/java/org/baobabcart/router/control/ControlLoop.java
+++ b/router/src/main/java/org/baobabcart/router/control/ControlLoop.java
@@ -80,7 +80,7 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException exception) {
+            } catch (RuntimeException | StackOverflowError exception) {
                 LOGGER.atSevere().withCause(exception).log("event=control_task_failed");
             }
         };
--- a/router/src/main/java/org/baobabcart/router/crash/CrashReportJson.java
+++ b/router/src/main/java/org/baobabcart/router/crash/CrashReportJson.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.crash.CrashObservation;
 import org.baobabcart.policy.crash.CrashReport;
 import org.baobabcart.policy.crash.CrashSeverity;
@@ -19,9 +21,12 @@
 
 /**
  * The format in which crash reports are stored. Content that is not in this format, as any process may write to the store, is read as
- * far as it is, and says nothing otherwise.
+ * far as it is, and says nothing otherwise. A number that is out of range makes the whole report invalid ({@code BAD_REQUEST}).
  */
 final class CrashReportJson {
+    /** The greatest term or count, so that adding to it cannot overflow. */
+    private static final int MAX_NUMBER = Integer.MAX_VALUE / 2;
+
     private static final String SEQUENCE = "sequence";
     private static final String CRASHES = "crashes";
     private static final String CRASH = "crash";
@@ -81,7 +86,7 @@
         for (JsonNode entry : root.path(QUARANTINES)) {
             Set<String> keys = new HashSet<>(texts(entry.path(KEYS)));
             if (!keys.isEmpty()) {
-                quarantines.put(new Quarantine(keys), entry.path(TERM).asInt());
+                quarantines.put(new Quarantine(keys), number(entry, TERM));
             }
         }
         return new CrashReport(
@@ -95,11 +100,19 @@
 
     private static Map<String, Integer> numbers(JsonNode object) {
         Map<String, Integer> numbers = new HashMap<>();
-        object.properties()
-                .forEach(entry -> numbers.put(entry.getKey(), entry.getValue().asInt()));
+        object.properties().forEach(entry -> numbers.put(entry.getKey(), number(object, entry.getKey())));
         return numbers;
     }
 
+    private static int number(JsonNode parent, String field) {
+        JsonNode value = parent.path(field);
+        if (value.isNumber() && !(value.canConvertToInt() && value.asInt() >= 0 && value.asInt() <= MAX_NUMBER)) {
+            throw BaobabcartException.of(ResultCode.BAD_REQUEST, "a number is out of range")
+                    .withLocation(field);
+        }
+        return value.asInt();
+    }
+
     private static List<String> texts(JsonNode array) {
         List<String> texts = new ArrayList<>();
         array.forEach(text -> texts.add(text.asText()));
--- a/router/src/main/java/org/baobabcart/router/crash/StoredCrashReports.java
+++ b/router/src/main/java/org/baobabcart/router/crash/StoredCrashReports.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.policy.crash.CrashReport;
 import org.baobabcart.router.control.Controller;
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.platform.InformerSettings;
@@ -33,7 +34,7 @@
     private final CrashLedger ledger;
     private final ObjectInformer.Dependencies dependencies;
     private final OwnedObjectWriter writer;
-    private final ObjectInformer informer;
+    private final ObjectInformer<StoredReport> informer;
     private final Map<String, String> versions = new HashMap<>();
     private boolean read;
     private Optional<TimerService.Subscription> scheduled = Optional.empty();
@@ -44,7 +45,16 @@
         this.ledger = ledger;
         this.dependencies = dependencies;
         this.writer = OwnedObjectWriter.create(dependencies.store(), dependencies.loop(), KIND, router);
-        this.informer = ObjectInformer.create(KIND, dependencies, InformerSettings.defaults(), this::onObjects);
+        this.informer = ObjectInformer.create(
+                KIND, dependencies, InformerSettings.defaults(), StoredCrashReports::decode, this::onReports);
+    }
+
+    /** A report and the version of the object that holds it. */
+    private record StoredReport(CrashReport report, String version) {}
+
+    private static Optional<StoredReport> decode(StoredObject object) {
+        CrashReport report = CrashReportJson.read(object.name(), object.spec());
+        return Optional.of(new StoredReport(report, object.resourceVersion()));
     }
 
     /** Creates a controller that neither reads nor writes yet. */
@@ -60,16 +70,16 @@
         dependencies.timers().every("crash-review", CrashLedger.REVIEW_PERIOD, ledger::review);
     }
 
-    private void onObjects(Map<String, StoredObject> objects) {
+    private void onReports(Map<String, StoredReport> reports) {
         boolean old = !read;
         read = true;
-        objects.values().forEach(object -> {
-            String before = versions.put(object.name(), object.resourceVersion());
-            if (!object.resourceVersion().equals(before)) {
-                ledger.receive(CrashReportJson.read(object.name(), object.spec()), old);
+        reports.forEach((name, stored) -> {
+            String before = versions.put(name, stored.version());
+            if (!stored.version().equals(before)) {
+                ledger.receive(stored.report(), old);
             }
         });
-        versions.keySet().retainAll(objects.keySet());
+        versions.keySet().retainAll(reports.keySet());
     }
 
     private void schedule() {
--- a/router/src/main/java/org/baobabcart/router/document/DocumentPublisher.java
+++ b/router/src/main/java/org/baobabcart/router/document/DocumentPublisher.java
@@ -162,7 +162,9 @@
     }
 
     private static boolean isUnavailable(Throwable failure) {
-        return failure instanceof BaobabcartException exception && exception.code() == ResultCode.PLATFORM_UNAVAILABLE;
+        return failure instanceof BaobabcartException exception
+                && (exception.code() == ResultCode.PLATFORM_UNAVAILABLE
+                        || exception.code() == ResultCode.RESPONSE_UNREADABLE);
     }
 
     private Uni<Optional<StoredObject>> read() {
--- a/router/src/main/java/org/baobabcart/router/document/WatchKeeper.java
+++ b/router/src/main/java/org/baobabcart/router/document/WatchKeeper.java
@@ -141,9 +141,17 @@
 
     private void onEvent(ObjectEvent event) {
         boolean written = event.type() == ObjectEvent.Type.ADDED || event.type() == ObjectEvent.Type.MODIFIED;
-        if (written && event.object().name().equals(objectName)) {
-            onStored.accept(event.object());
+        StoredObject object = event.object();
+        if (!written || !object.name().equals(objectName)) {
+            return;
+        }
+        if (object.fault().isPresent()) {
+            LOGGER.atWarning().log(
+                    "event=document_ignored kind=%s name=%s version=%s cause=%s",
+                    kind, objectName, object.resourceVersion(), object.fault().get());
+            return;
         }
+        onStored.accept(object);
     }
 
     private void onWatchEnded() {
--- a/router/src/main/java/org/baobabcart/router/gateway/EvidenceExchange.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/EvidenceExchange.java
@@ -31,8 +31,15 @@
     private final VersionOutcomeRecorder outcomeRecorder;
     private final Map<String, OwnedObjectWriter> writers = new HashMap<>();
     private final Map<String, Long> dueNanos = new HashMap<>();
-    private Map<String, StoredObject> reports = Map.of();
-    private Optional<ObjectInformer> informer = Optional.empty();
+    private Map<String, StoredEvidence> reports = Map.of();
+    private Optional<ObjectInformer<StoredEvidence>> informer = Optional.empty();
+
+    /** A report and the object that holds it. */
+    private record StoredEvidence(StoredObject object, EvidenceReport report) {
+        static Optional<StoredEvidence> decode(StoredObject object) {
+            return Optional.of(new StoredEvidence(object, EvidenceReport.fromJson(object.spec())));
+        }
+    }
 
     private EvidenceExchange(
             String router, ObjectInformer.Dependencies dependencies, VersionOutcomeRecorder outcomeRecorder) {
@@ -83,8 +90,12 @@
         if (informer.isPresent()) {
             return;
         }
-        ObjectInformer reading = ObjectInformer.create(
-                EvidenceReport.KIND, dependencies, InformerSettings.defaults(), objects -> reports = objects);
+        ObjectInformer<StoredEvidence> reading = ObjectInformer.create(
+                EvidenceReport.KIND,
+                dependencies,
+                InformerSettings.defaults(),
+                StoredEvidence::decode,
+                found -> reports = found);
         informer = Optional.of(reading);
         reading.start();
     }
@@ -105,8 +116,8 @@
     ServiceEvidence pooled(VersionOrder order) {
         String ownName = EvidenceReport.name(order.service(), router);
         return reportsOn(order.service())
-                .filter(object -> !object.name().equals(ownName))
-                .map(object -> EvidenceReport.fromJson(object.spec()))
+                .filter(stored -> !stored.object().name().equals(ownName))
+                .map(StoredEvidence::report)
                 .filter(report -> report.isFor(order))
                 .map(EvidenceReport::evidence)
                 .reduce(
@@ -115,15 +126,16 @@
                         ServiceEvidence::plus);
     }
 
-    private Stream<StoredObject> reportsOn(String service) {
+    private Stream<StoredEvidence> reportsOn(String service) {
         String prefix = EvidenceReport.name(service, "");
-        return reports.values().stream().filter(object -> object.name().startsWith(prefix));
+        return reports.values().stream().filter(stored -> stored.object().name().startsWith(prefix));
     }
 
     /** Deletes reports on earlier orders of a service, left behind by routers that no longer run. */
     void removeOutdated(VersionOrder order) {
         reportsOn(order.service())
-                .filter(object -> !EvidenceReport.fromJson(object.spec()).isFor(order))
+                .filter(stored -> !stored.report().isFor(order))
+                .map(StoredEvidence::object)
                 .forEach(object -> dependencies
                         .store()
                         .delete(object)
--- a/router/src/main/java/org/baobabcart/router/gateway/EvidenceReport.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/EvidenceReport.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import org.baobabcart.model.gateway.VersionOrder;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.version.LatencyHistogram;
 import org.baobabcart.policy.version.ServiceEvidence;
 import org.baobabcart.policy.version.VersionCounts;
@@ -23,6 +25,9 @@
     /** The kind of the stored objects; there is one object per service and router. */
     static final String KIND = "version-evidence";
 
+    /** Far more requests than a router serves in its life; the sums over all routers cannot overflow. */
+    private static final long MAX_COUNT = 1L << 40;
+
     private static final String ORDER = "order";
     private static final String OUTCOMES = "outcomes";
     private static final String VERSION = "version";
@@ -74,8 +79,9 @@
     }
 
     /**
-     * Reads the content of a stored object. Content that is not in this format, as any process may write to the store, is read as
-     * zero counts.
+     * Reads the content of a stored object. Missing fields, as any process may write to the store, are read as zero counts.
+     *
+     * @throws BaobabcartException with {@code BAD_REQUEST} and the field's name if a count is out of range
      */
     static EvidenceReport fromJson(JsonNode root) {
         Map<VersionRequestClass, VersionCounts> counts = new HashMap<>();
@@ -85,8 +91,8 @@
             counts.put(
                     requestClass,
                     new VersionCounts(
-                            Math.max(0, outcome.path(ANSWERS).asLong()),
-                            Math.max(0, outcome.path(FAILURES).asLong()),
+                            count(outcome, ANSWERS),
+                            count(outcome, FAILURES),
                             latenciesFromJson(outcome.path(BEGUN)),
                             latenciesFromJson(outcome.path(UNBEGUN))));
         }
@@ -97,10 +103,19 @@
         Map<Integer, Long> counts = new HashMap<>();
         buckets.properties()
                 .forEach(field -> parseBucket(field.getKey())
-                        .ifPresent(bucket -> counts.put(bucket, field.getValue().asLong())));
+                        .ifPresent(bucket -> counts.put(bucket, count(buckets, field.getKey()))));
         return LatencyHistogram.of(counts);
     }
 
+    private static long count(JsonNode parent, String field) {
+        JsonNode value = parent.path(field);
+        if (value.isNumber() && !(value.canConvertToLong() && value.asLong() <= MAX_COUNT)) {
+            throw BaobabcartException.of(ResultCode.BAD_REQUEST, "a count is out of range")
+                    .withLocation(field);
+        }
+        return Math.max(0, value.asLong());
+    }
+
     private static Optional<Integer> parseBucket(String text) {
         try {
             return Optional.of(Integer.valueOf(text));
--- a/router/src/main/java/org/baobabcart/router/gateway/FollowingController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/FollowingController.java
@@ -7,7 +7,7 @@
 /** Base class of controllers that act only on changes reported by an {@link ObjectInformer}. Confined to the control thread. */
 abstract class FollowingController implements Controller {
     /** Returns the informer; every call must return the same instance. */
-    abstract ObjectInformer informer();
+    abstract ObjectInformer<?> informer();
 
     @Override
     public final void start() {
--- a/router/src/main/java/org/baobabcart/router/gateway/RouteController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/RouteController.java
@@ -23,7 +23,7 @@
     private final GatewayObjectCodec objectCodec;
     private final Blackboard blackboard;
     private final Timeline timeline;
-    private final ObjectInformer informer;
+    private final ObjectInformer<RouteTable> informer;
 
     private RouteController(
             GatewayObjectCodec objectCodec,
@@ -34,7 +34,11 @@
         this.blackboard = blackboard;
         this.timeline = timeline;
         this.informer = ObjectInformer.create(
-                objectCodec.configurationKind(), dependencies, InformerSettings.defaults(), this::onChanged);
+                objectCodec.configurationKind(),
+                dependencies,
+                InformerSettings.defaults(),
+                this::decode,
+                this::onChanged);
     }
 
     static RouteController create(
@@ -46,22 +50,23 @@
     }
 
     @Override
-    ObjectInformer informer() {
+    ObjectInformer<RouteTable> informer() {
         return informer;
     }
 
-    private void onChanged(Map<String, StoredObject> objects) {
-        objects.values().forEach(this::process);
-    }
-
-    private void process(StoredObject object) {
+    private Optional<RouteTable> decode(StoredObject object) {
         try {
-            objectCodec.routeTable(object).ifPresent(this::apply);
+            return objectCodec.routeTable(object);
         } catch (BaobabcartException fault) {
             recordRejected(EventFields.of(EventField.NAME, object.name()).with(EventField.CAUSE, fault.getMessage()));
+            throw fault;
         }
     }
 
+    private void onChanged(Map<String, RouteTable> tables) {
+        tables.values().forEach(this::apply);
+    }
+
     private void recordRejected(EventFields fields) {
         timeline.record(EventType.SHEET_PUT_ASIDE, fields);
     }
--- a/router/src/main/java/org/baobabcart/router/gateway/UpstreamController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/UpstreamController.java
@@ -1,17 +1,14 @@
 package org.baobabcart.router.gateway;
 
-import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.platform.VirtualMachine;
-import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.platform.InformerSettings;
@@ -23,14 +20,12 @@
 
 /** Maintains the list of upstreams, which register themselves in the platform's store. Confined to the control thread. */
 final class UpstreamController extends FollowingController {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     /** Upstreams whose entries expired during an outage of the platform register again within this time after its end. */
     private static final Duration REMOVAL_GRACE = Duration.ofMillis(2_200);
 
-    private final GatewayObjectCodec objectCodec;
     private final Blackboard blackboard;
     private final Timeline timeline;
-    private final ObjectInformer informer;
+    private final ObjectInformer<VirtualMachine> informer;
     private final Consumer<String> restartListener;
     private final Map<String, VirtualMachine> knownMachines = new HashMap<>();
 
@@ -40,7 +35,6 @@
             Blackboard blackboard,
             Timeline timeline,
             Consumer<String> restartListener) {
-        this.objectCodec = objectCodec;
         this.restartListener = restartListener;
         this.blackboard = blackboard;
         this.timeline = timeline;
@@ -48,6 +42,7 @@
                 objectCodec.upstreamKind(),
                 dependencies,
                 InformerSettings.defaults().withRemovalGrace(REMOVAL_GRACE),
+                objectCodec::upstream,
                 this::onChanged);
     }
 
@@ -66,7 +61,7 @@
     }
 
     @Override
-    ObjectInformer informer() {
+    ObjectInformer<VirtualMachine> informer() {
         return informer;
     }
 
@@ -75,11 +70,10 @@
         return informer.isSynced();
     }
 
-    private void onChanged(Map<String, StoredObject> objects) {
-        List<VirtualMachine> machines = new ArrayList<>();
-        objects.values().forEach(object -> decode(object, machines));
+    private void onChanged(Map<String, VirtualMachine> upstreams) {
+        Collection<VirtualMachine> machines = upstreams.values();
         Set<String> removedNames = new HashSet<>(knownMachines.keySet());
-        machines.forEach(machine -> removedNames.remove(machine.name()));
+        removedNames.removeAll(upstreams.keySet());
         removedNames.forEach(this::removeKnown);
         List<String> restartedNames = machines.stream()
                 .filter(this::isRestarted)
@@ -104,16 +98,6 @@
         timeline.record(EventType.UPSTREAM_CHANGED, fields);
     }
 
-    private void decode(StoredObject object, List<VirtualMachine> machines) {
-        try {
-            objectCodec.upstream(object).ifPresent(machines::add);
-        } catch (BaobabcartException fault) {
-            LOGGER.atInfo().log(
-                    "event=upstream_entry_ignored name=%s version=%s cause=%s",
-                    object.name(), object.resourceVersion(), fault.getMessage());
-        }
-    }
-
     private void removeKnown(String name) {
         knownMachines.remove(name);
         record(EventFields.of(EventField.UPSTREAM, name).with(EventField.CHANGE, "gone"));
--- a/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/VersionOrderController.java
@@ -52,7 +52,7 @@
     private final EvidenceExchange evidenceExchange;
     private final MoveReviewer reviewer;
     private final OrderWrites writes;
-    private final ObjectInformer informer;
+    private final ObjectInformer<StoredOrder> informer;
     private final Map<String, StoredObject> storedObjects = new HashMap<>();
     private final Map<String, TrackedVersionOrder> trackedOrders = new HashMap<>();
     private final Map<String, Long> takeoverNanos = new HashMap<>();
@@ -77,7 +77,14 @@
         this.reviewer = MoveReviewer.create(router, evidenceExchange, schedule);
         this.writes = OrderWrites.create(objectCodec, dependencies, this::onWritten);
         this.informer = ObjectInformer.create(
-                objectCodec.orderKind(), dependencies, InformerSettings.defaults(), this::onChanged);
+                objectCodec.orderKind(), dependencies, InformerSettings.defaults(), this::decode, this::onChanged);
+    }
+
+    /** An order and the object that holds it. */
+    private record StoredOrder(StoredObject object, VersionOrder order) {}
+
+    private Optional<StoredOrder> decode(StoredObject object) {
+        return Optional.of(new StoredOrder(object, objectCodec.order(object)));
     }
 
     /**
@@ -112,7 +119,7 @@
         return Uni.createFrom().voidItem();
     }
 
-    private void onChanged(Map<String, StoredObject> objects) {
+    private void onChanged(Map<String, StoredOrder> objects) {
         storedObjects.keySet().retainAll(objects.keySet());
         trackedOrders.keySet().retainAll(objects.keySet());
         takeoverNanos.keySet().retainAll(objects.keySet());
@@ -129,26 +136,26 @@
     private void onWritten(StoredObject before, StoredObject after) {
         StoredObject known = storedObjects.get(after.name());
         if (known != null && known.resourceVersion().equals(before.resourceVersion())) {
-            apply(after);
+            try {
+                decode(after).ifPresent(this::apply);
+            } catch (BaobabcartException fault) {
+                LOGGER.atWarning().log(
+                        "event=version_order_ignored name=%s version=%s cause=%s",
+                        after.name(), after.resourceVersion(), fault.getMessage());
+            }
             publish();
         }
     }
 
-    private void apply(StoredObject object) {
-        try {
-            VersionOrder order = objectCodec.order(object);
-            StoredObject before = storedObjects.put(object.name(), object);
-            if (before == null || !before.resourceVersion().equals(object.resourceVersion())) {
-                long timeout = MoveReviewer.TAKEOVER_TIMEOUT.toNanos()
-                        + dependencies.random().nextLong(TAKEOVER_SPREAD.toNanos());
-                takeoverNanos.put(object.name(), dependencies.timers().nanoTime() + timeout);
-            }
-            apply(object.name(), order);
-        } catch (BaobabcartException fault) {
-            LOGGER.atWarning().log(
-                    "event=version_order_ignored name=%s version=%s cause=%s",
-                    object.name(), object.resourceVersion(), fault.getMessage());
+    private void apply(StoredOrder stored) {
+        StoredObject object = stored.object();
+        StoredObject before = storedObjects.put(object.name(), object);
+        if (before == null || !before.resourceVersion().equals(object.resourceVersion())) {
+            long timeout = MoveReviewer.TAKEOVER_TIMEOUT.toNanos()
+                    + dependencies.random().nextLong(TAKEOVER_SPREAD.toNanos());
+            takeoverNanos.put(object.name(), dependencies.timers().nanoTime() + timeout);
         }
+        apply(object.name(), stored.order());
     }
 
     private void apply(String name, VersionOrder order) {
--- a/router/src/main/java/org/baobabcart/router/platform/CallEffect.java
+++ b/router/src/main/java/org/baobabcart/router/platform/CallEffect.java
@@ -20,10 +20,13 @@
         this.ambiguousCode = ambiguousCode;
     }
 
-    /** Returns the exception of a call that got no response. */
+    /** Returns the exception of a call that got no response, or one that cannot be decoded. */
     public Throwable fromCause(Throwable cause) {
-        if (cause instanceof BaobabcartException) {
-            return cause;
+        if (cause instanceof BaobabcartException known) {
+            boolean unknownOutcome = this == WRITE && known.code() == ResultCode.RESPONSE_UNREADABLE;
+            return unknownOutcome
+                    ? BaobabcartException.of(ambiguousCode, known.getMessage()).withCause(known)
+                    : known;
         }
         ResultCode code = neverSent(cause) ? ResultCode.PLATFORM_UNAVAILABLE : ambiguousCode;
         return BaobabcartException.of(code, String.valueOf(cause.getMessage())).withCause(cause);
--- a/router/src/main/java/org/baobabcart/router/platform/HttpObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/HttpObjectStore.java
@@ -3,8 +3,6 @@
 import static org.baobabcart.router.platform.CallEffect.NONE;
 import static org.baobabcart.router.platform.CallEffect.WRITE;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
@@ -15,7 +13,6 @@
 import java.net.URI;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
 import org.baobabcart.model.platform.ObjectEvent;
@@ -66,7 +63,7 @@
     @Override
     public Uni<List<StoredObject>> list(String kind) {
         return call(HttpMethod.GET, path(kind), NONE)
-                .map(response -> items(kind, response))
+                .map(response -> ObjectJson.items(kind, response))
                 .onFailure()
                 .transform(NONE::fromCause);
     }
@@ -124,14 +121,6 @@
         return body;
     }
 
-    private static List<StoredObject> items(String kind, byte[] response) {
-        List<StoredObject> items = new ArrayList<>();
-        for (JsonNode item : ObjectJson.tree(response).path("items")) {
-            items.add(ObjectJson.object(kind, (ObjectNode) item));
-        }
-        return items;
-    }
-
     private String path(String kind) {
         return base + "/" + encoded(kind);
     }
--- a/router/src/main/java/org/baobabcart/router/platform/HttpVirtualMachineList.java
+++ b/router/src/main/java/org/baobabcart/router/platform/HttpVirtualMachineList.java
@@ -1,17 +1,18 @@
 package org.baobabcart.router.platform;
 
-import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
-import java.io.IOException;
 import java.net.URI;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
@@ -24,8 +25,9 @@
     private static final ObjectMapper MAPPER = JsonMapper.builder()
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
             .build();
-    private static final TypeReference<List<VirtualMachine>> LIST = new TypeReference<>() {};
-
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final String ENTRIES = "virtualMachines";
+    private static final int MAX_PORT = 65_535;
     private static final int STATUS_OK = 200;
     /** Enough for tens of thousands of VMs. */
     private static final int MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
@@ -72,17 +74,50 @@
         if (previous.body().equals(response.body())) {
             return previous.machines();
         }
-        CachedResponse latest = new CachedResponse(response.body(), parse(response.body()));
+        CachedResponse latest = new CachedResponse(response.body(), parse(response.body(), previous.machines()));
         cached = latest;
         return latest.machines();
     }
 
-    private static List<VirtualMachine> parse(Buffer body) {
+    /** Returns the entries of a list. One that cannot be decoded is replaced by the last valid one of its name, if there is any. */
+    private static List<VirtualMachine> parse(Buffer body, List<VirtualMachine> previous) {
+        JsonSlice entries = JsonSlice.of(body.getBytes()).members().get(ENTRIES);
+        if (entries == null) {
+            throw BaobabcartException.of(ResultCode.RESPONSE_UNREADABLE, "a list is missing")
+                    .withLocation(ENTRIES);
+        }
+        List<VirtualMachine> machines = new ArrayList<>();
+        for (JsonSlice entry : entries.elements()) {
+            try {
+                machines.add(requireComplete(MAPPER.convertValue(entry.parse(), VirtualMachine.class)));
+            } catch (BaobabcartException | IllegalArgumentException fault) {
+                String name = name(entry);
+                LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                        "event=machine_entry_ignored name=%s cause=%s", name, fault.getMessage());
+                previous.stream().filter(machine -> machine.name().equals(name)).forEach(machines::add);
+            }
+        }
+        return List.copyOf(machines);
+    }
+
+    private static VirtualMachine requireComplete(VirtualMachine machine) {
+        if (machine == null || machine.name() == null || machine.role() == null || machine.state() == null) {
+            throw new IllegalArgumentException("name, role or state is missing");
+        }
+        String address = String.valueOf(machine.address());
+        URI uri = URI.create(address.contains("://") ? address : "tcp://" + address);
+        if (uri.getHost() == null || uri.getPort() > MAX_PORT) {
+            throw new IllegalArgumentException("not an address: " + address);
+        }
+        return machine;
+    }
+
+    private static String name(JsonSlice entry) {
         try {
-            return MAPPER.convertValue(MAPPER.readTree(body.getBytes()).path("virtualMachines"), LIST);
-        } catch (IOException | IllegalArgumentException exception) {
-            throw BaobabcartException.of(ResultCode.PLATFORM_UNAVAILABLE, "malformed list of VMs")
-                    .withCause(exception);
+            JsonSlice name = entry.members().get("name");
+            return name == null ? "" : name.parse().asText();
+        } catch (BaobabcartException unreadable) {
+            return "";
         }
     }
 }
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
@@ -1,11 +1,13 @@
 package org.baobabcart.router.platform;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.subscription.Cancellable;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -30,17 +32,24 @@
  * history, and a new watch from the old version could then wait for its whole duration before the platform reports
  * that.
  *
+ * <p>An object that cannot be decoded affects no other one and does not remove its own last valid value. A fault of the listener is handled like a
+ * failed call: everything is read and passed on again after a delay. A round that makes no progress, whatever the reason, is abandoned and
+ * replaced by a new one.
+ *
  * <p>While the platform is unreachable, the last known objects are kept. Objects that expired meanwhile are kept for a
  * grace period after the platform is reachable again, since their owners write them again.
+ *
+ * @param <T> the immutable type of the values that the listener receives
  */
-public final class ObjectInformer {
+public final class ObjectInformer<T> {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final String kind;
     private final Dependencies dependencies;
     private final InformerSettings settings;
-    private final Consumer<Map<String, StoredObject>> listener;
-    private final Map<String, StoredObject> objects = new HashMap<>();
+    private final Consumer<Map<String, T>> listener;
+    private final DecodedObjects<T> objects;
     private final Map<String, Long> pendingRemovals = new HashMap<>();
     private Optional<Cancellable> currentWatch = Optional.empty();
     private String version = "";
@@ -49,6 +58,8 @@
     private int failures;
     private volatile boolean synced;
     private volatile long lastResponseNanos;
+    private long lastProgressNanos;
+    private Optional<TimerService.Subscription> supervision = Optional.empty();
     private boolean stopped;
 
     /**
@@ -73,11 +84,13 @@
             String kind,
             Dependencies dependencies,
             InformerSettings settings,
-            Consumer<Map<String, StoredObject>> listener) {
+            ObjectDecoder<T> decoder,
+            Consumer<Map<String, T>> listener) {
         this.kind = kind;
         this.dependencies = dependencies;
         this.settings = settings;
         this.listener = listener;
+        this.objects = new DecodedObjects<>(kind, decoder, dependencies.timeline());
         this.lastResponseNanos = dependencies.timers().nanoTime();
         this.reconnectedNanos =
                 dependencies.timers().nanoTime() - settings.removalGrace().toNanos();
@@ -86,30 +99,50 @@
     /**
      * Creates an informer that is not started yet.
      *
-     * @param listener receives all objects by name after the first snapshot and after each change
+     * @param decoder converts each object
+     * @param listener receives all values by name after the first snapshot and after each change
      */
-    public static ObjectInformer create(
+    public static <T> ObjectInformer<T> create(
             String kind,
             Dependencies dependencies,
             InformerSettings settings,
-            Consumer<Map<String, StoredObject>> listener) {
-        ObjectInformer informer = new ObjectInformer(kind, dependencies, settings, listener);
-        LabelledMetrics.create(dependencies.metrics())
-                .gauge("platform.age-seconds", LabelledMetrics.labels("kind", kind), informer::ageSeconds);
+            ObjectDecoder<T> decoder,
+            Consumer<Map<String, T>> listener) {
+        ObjectInformer<T> informer = new ObjectInformer<>(kind, dependencies, settings, decoder, listener);
+        LabelledMetrics metrics = LabelledMetrics.create(dependencies.metrics());
+        Map<String, String> labels = LabelledMetrics.labels("kind", kind);
+        metrics.gauge("platform.age-seconds", labels, informer::ageSeconds);
+        metrics.gauge("platform.ignored-objects", labels, informer.objects::ignored);
         return informer;
     }
 
     /** Starts with a snapshot. */
     public void start() {
         readSnapshot();
+        supervision = Optional.of(dependencies
+                .timers()
+                .every("supervise-" + kind, settings.progressTimeout().dividedBy(2), this::checkProgress));
     }
 
     /** Ends the watch. */
     public void stop() {
         stopped = true;
+        supervision.ifPresent(TimerService.Subscription::cancel);
         endRound();
     }
 
+    /** Every call to the platform ends within a time limit, so a round without any event has lost its continuation. */
+    private void checkProgress() {
+        long silentNanos = dependencies.timers().nanoTime() - lastProgressNanos;
+        if (!stopped && silentNanos >= settings.progressTimeout().toNanos()) {
+            record(
+                    EventType.DEPENDENCY_LOST,
+                    "no progress for " + Duration.ofNanos(silentNanos).toMillis() + " ms");
+            endRound();
+            readSnapshot();
+        }
+    }
+
     /** Returns whether a snapshot was read and passed to the listener. May be called on any thread. */
     public boolean isSynced() {
         return synced;
@@ -117,6 +150,7 @@
 
     private void readSnapshot() {
         long current = ++round;
+        lastProgressNanos = dependencies.timers().nanoTime();
         dependencies
                 .store()
                 .snapshot(kind)
@@ -129,20 +163,18 @@
 
     private void applySnapshot(ObjectSnapshot snapshot) {
         onResponse();
-        Map<String, StoredObject> before = Map.copyOf(objects);
-        objects.clear();
-        snapshot.objects().forEach(object -> objects.put(object.name(), object));
-        pendingRemovals.keySet().removeAll(objects.keySet());
-        before.forEach((name, object) -> {
-            if (!objects.containsKey(name)) {
-                objects.put(name, object);
-                remove(name);
-            }
+        Set<String> missing = objects.names();
+        snapshot.objects().forEach(object -> {
+            missing.remove(object.name());
+            objects.put(object);
         });
+        pendingRemovals.keySet().retainAll(missing);
+        missing.forEach(this::remove);
         version = snapshot.resourceVersion();
         publish();
         // Set after publishing, so that a caller that sees isSynced() also sees the published objects.
         synced = true;
+        recovered();
         watch();
     }
 
@@ -169,12 +201,13 @@
                 publish();
             }
             case ADDED, MODIFIED -> {
-                objects.put(object.name(), object);
+                objects.put(object);
                 pendingRemovals.remove(object.name());
                 publish();
             }
             default -> throw new IllegalStateException("unknown event " + event.type());
         }
+        recovered();
     }
 
     /** Removes an object, after the grace period if its owner may still write it again. */
@@ -195,7 +228,7 @@
     private void removeAfterGrace(String name, long graceEnd) {
         if (pendingRemovals.remove(name, graceEnd)) {
             objects.remove(name);
-            publish();
+            ifCurrentRound(round, this::publish);
         }
     }
 
@@ -211,8 +244,14 @@
 
     private void onResponse() {
         lastResponseNanos = dependencies.timers().nanoTime();
+        lastProgressNanos = lastResponseNanos;
+        if (failures > 0) {
+            reconnectedNanos = lastResponseNanos;
+        }
+    }
+
+    private void recovered() {
         if (failures > 0) {
-            reconnectedNanos = dependencies.timers().nanoTime();
             record(EventType.DEPENDENCY_FOUND, "after " + failures + " failures");
         }
         failures = 0;
@@ -220,6 +259,7 @@
 
     private void onFailure(Throwable failure) {
         endRound();
+        lastProgressNanos = dependencies.timers().nanoTime();
         if (failure instanceof BaobabcartException exception && exception.code() == ResultCode.WATCH_EXPIRED) {
             record(EventType.WATCH_EXPIRED, "no history after version " + version);
             readSnapshot();
@@ -240,13 +280,19 @@
     }
 
     private void ifCurrentRound(long expected, Runnable step) {
-        if (round == expected && !stopped) {
+        if (round != expected || stopped) {
+            return;
+        }
+        try {
             step.run();
+        } catch (RuntimeException | StackOverflowError fault) {
+            LOGGER.atSevere().withCause(fault).log("event=informer_step_failed kind=%s", kind);
+            onFailure(fault);
         }
     }
 
     private void publish() {
-        listener.accept(Map.copyOf(objects));
+        listener.accept(objects.values());
     }
 
     private Duration backoff() {
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectJson.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectJson.java
@@ -6,7 +6,8 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
@@ -15,6 +16,8 @@
 /** Reads and writes objects and events of the platform's API as JSON. Thread-safe. */
 final class ObjectJson {
     private static final ObjectMapper MAPPER = JsonMapper.builder().build();
+    private static final String RESOURCE_VERSION = "resourceVersion";
+    private static final StoredObjectReader READER = StoredObjectReader.create(RESOURCE_VERSION, ObjectJson::object);
     private static final int MAX_MESSAGE_CHARS = 200;
 
     private ObjectJson() {}
@@ -22,7 +25,7 @@
     static byte[] bytes(StoredObject object) {
         ObjectNode metadata = MAPPER.createObjectNode().put("name", object.name());
         if (!object.resourceVersion().isEmpty()) {
-            metadata.put("resourceVersion", object.resourceVersion());
+            metadata.put(RESOURCE_VERSION, object.resourceVersion());
         }
         ObjectNode root = MAPPER.createObjectNode().put("kind", object.kind());
         root.set("metadata", metadata);
@@ -34,30 +37,50 @@
         }
     }
 
+    /** Returns the only object in a response; throws a {@link BaobabcartException} if it cannot be decoded. */
     static StoredObject object(String kind, byte[] body) {
-        return object(kind, tree(body));
+        return READER.readOnly(kind, JsonSlice.of(body));
     }
 
-    static StoredObject object(String kind, JsonNode root) {
+    /** Returns the objects of a list, with their faults where they cannot be decoded. */
+    static List<StoredObject> items(String kind, byte[] body) {
+        JsonSlice items = JsonSlice.of(body).members().get("items");
+        if (items == null) {
+            throw BaobabcartException.of(ResultCode.RESPONSE_UNREADABLE, "a list is missing")
+                    .withLocation("items");
+        }
+        return items.elements().stream().map(item -> READER.read(kind, item)).toList();
+    }
+
+    private static StoredObject object(String kind, JsonNode root) {
         JsonNode metadata = root.path("metadata");
         return new StoredObject(
                 kind,
                 metadata.path("name").asText(),
-                metadata.path("resourceVersion").asText(),
+                metadata.path(RESOURCE_VERSION).asText(),
                 root.path("spec"));
     }
 
+    /**
+     * Returns an event of a watch, whose object has a fault if it cannot be decoded.
+     *
+     * @throws BaobabcartException with {@code RESPONSE_UNREADABLE} if the event has an unknown type or is malformed
+     */
     static ObjectEvent event(String kind, byte[] line) {
-        JsonNode root = tree(line);
-        ObjectEvent.Type type = ObjectEvent.Type.valueOf(root.path("type").asText());
-        return new ObjectEvent(type, object(kind, root.path("object")));
+        Map<String, JsonSlice> members = JsonSlice.of(line).members();
+        JsonSlice type = members.get("type");
+        JsonSlice object = members.get("object");
+        if (type == null || object == null) {
+            throw BaobabcartException.of(ResultCode.RESPONSE_UNREADABLE, "an event without type or object");
+        }
+        return new ObjectEvent(type(type.parse().asText()), READER.read(kind, object));
     }
 
-    static JsonNode tree(byte[] body) {
+    private static ObjectEvent.Type type(String text) {
         try {
-            return MAPPER.readTree(body);
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
+            return ObjectEvent.Type.valueOf(text);
+        } catch (IllegalArgumentException unknown) {
+            throw BaobabcartException.of(ResultCode.RESPONSE_UNREADABLE, "an event of an unknown type");
         }
     }
 
--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -49,6 +49,12 @@
             EventField.NAME,
             EventField.CAUSE),
     DEPENDENCY_FOUND("a kind of objects in the store is followed again", EventField.NAME, EventField.CAUSE),
+    OBJECT_IGNORED(
+            "a version of an object in the store cannot be decoded; the last valid one stays in force",
+            EventField.NAME,
+            EventField.OBJECT,
+            EventField.RESOURCE_VERSION,
+            EventField.CAUSE),
     WATCH_EXPIRED(
             "the store no longer keeps the changes since the last answer; all is read anew",
             EventField.NAME,
