--- a/router/src/main/java/org/baobabcart/router/upstream/DefaultResponseRules.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/DefaultResponseRules.java
@@ -33,7 +33,7 @@
     @Override
     public UpstreamNotice noticeOf(int status, MultiMap headers) {
         return status == STATUS_UNAVAILABLE
-                ? new UpstreamNotice(false, RetryAfter.parse(headers.get(RETRY_AFTER)))
+                ? new UpstreamNotice(false, RetryAfter.parse(headers.get(RETRY_AFTER)), RateLimitNotice.unknown())
                 : UpstreamNotice.none();
     }
 
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
@@ -23,6 +23,7 @@
     private final Timeline timeline;
     private final Map<String, Long> leaving = new ConcurrentHashMap<>();
     private final Map<String, Unavailability> unavailable = new ConcurrentHashMap<>();
+    private final Map<String, RateLimitNotice> rateLimits = new ConcurrentHashMap<>();
 
     /** A time without requests, announced by one incarnation of an upstream. */
     private record Unavailability(long incarnation, long untilNanos) {}
@@ -48,6 +49,17 @@
             unavailable.put(upstream.name(), new Unavailability(upstream.incarnation(), nowNanos + time.toNanos()));
             recordChange(upstream, "wants no work for " + time.toMillis() + " ms");
         });
+        RateLimitNotice limit = notice.rateLimit();
+        if (limit.kind() != RateLimitNotice.Kind.UNKNOWN) {
+            RateLimitNotice before = rateLimits.put(upstream.name(), limit);
+            boolean isNews = before == null ? limit.kind() == RateLimitNotice.Kind.LIMITED : !before.equals(limit);
+            if (isNews) {
+                String change = limit.kind() == RateLimitNotice.Kind.LIMITED
+                        ? "limits its rate to " + limit.perSecond() + " requests a second"
+                        : "no longer limits its rate";
+                recordChange(upstream, change);
+            }
+        }
     }
 
     private void recordChange(VirtualMachine upstream, String change) {
