Let one router at a time send to an engine that limits its rate, and keep to the limit

What callers saw: engines in need that named a limit for all routers together got as many requests as before, 24 in 4 s where 12 were allowed, and answered worse for it.

Cause: the header was not read. Reading it would not have been enough: a limit for all that each router obeys for itself is exceeded by as many times as there are routers.

Ruled out: dividing the limit by the number of routers, which nobody knows here, and which leaves each of 37 routers one request in 28 s at 1.3 a second while one spare request of each breaks the limit; a call to the store for each request.

Change: the first router that is told claims the engine by an object in the store and spaces its requests by the limit; all others send it nothing, no health check either. Routers learn claims from the store before they are ready.

Conclusion: a limit over several clients needs an owner.

--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -132,7 +132,7 @@
         }
         dependencies
                 .upstreams()
-                .send(upstream, request, () -> checkBeforeSend(upstream, permit), handler.abandoned())
+                .send(upstream, request, () -> checkBeforeSend(slot, permit), handler.abandoned())
                 .compose(response -> {
                     long nanos = System.nanoTime() - startNanos;
                     slot.responseStarted(
@@ -155,7 +155,8 @@
     }
 
     /** Performs the final checks before the first byte is sent; throws if the attempt may not be sent. */
-    private void checkBeforeSend(VirtualMachine upstream, CrashGuard.Permit permit) {
+    private void checkBeforeSend(Slot slot, CrashGuard.Permit permit) {
+        VirtualMachine upstream = slot.upstream();
         if (handler.abandoned().isComplete()) {
             throw handler.abandoned().result();
         }
@@ -163,7 +164,7 @@
             throw BaobabcartException.of(ResultCode.DEADLINE_UNREACHABLE);
         }
         TrafficView view = dependencies.views().current();
-        if (!dependencies.dispatcher().isEligible(view, upstream)) {
+        if (!dependencies.dispatcher().isEligible(view, slot)) {
             throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "the upstream no longer accepts work");
         }
         dependencies.crashGuard().check(permit);
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -31,6 +31,7 @@
 import org.baobabcart.router.crash.StoredCrashReports;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
+import org.baobabcart.router.limit.RateLimitController;
 import org.baobabcart.router.platform.MonitoredObjectStore;
 import org.baobabcart.router.platform.ObjectInformer;
 import org.baobabcart.router.platform.ObjectStore;
@@ -72,6 +73,7 @@
     private final GatewayRuntime runtime;
     private final GatewayServer server;
     private final UpstreamController upstreams;
+    private final RateLimitController rateLimits;
     private final List<Controller> controllers;
     private boolean wasReady;
     private final AtomicBoolean stopStarted = new AtomicBoolean();
@@ -95,10 +97,16 @@
                 blackboard,
                 timeline,
                 runtime.attempts().upstreams()::restarted);
+        this.rateLimits = RateLimitController.create(
+                dependencies.settings().name(),
+                informerDependencies,
+                blackboard,
+                runtime.attempts().upstreams().notices().rateLimits());
         this.controllers = List.of(
                 views,
                 RouteController.create(dependencies.objects(), informerDependencies, blackboard, timeline),
                 upstreams,
+                rateLimits,
                 VersionOrderController.create(
                         dependencies.settings().name(),
                         dependencies.objects(),
@@ -286,12 +294,13 @@
                 .end(PrometheusText.of(metrics));
     }
 
-    /** Returns whether a route table and the list of upstreams are loaded and the router is neither stopping nor cut off. */
+    /** Returns whether a route table, the list of upstreams and the claims on limited ones are loaded and the router is neither stopping nor cut off. */
     private boolean isReady() {
         TrafficView view = views.current();
         return !drain.isDraining()
                 && view.routes().isPresent()
                 && upstreams.isSynced()
+                && rateLimits.isSynced()
                 && !runtime.reachability().isCutOff(view);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -94,10 +94,13 @@
 
     /**
      * Returns whether the view still lists the upstream unchanged since a slot at it was granted, and the upstream has
-     * not declined new requests since.
+     * not declined new requests since. A limit that it has advertised since is counted against.
      */
-    public synchronized boolean isEligible(TrafficView view, VirtualMachine upstream) {
-        return selector.isListed(view, upstream) && health.acceptsRequests(upstream);
+    public synchronized boolean isEligible(TrafficView view, Slot slot) {
+        VirtualMachine upstream = slot.upstream();
+        return selector.isListed(view, upstream)
+                && health.acceptsRequests(upstream)
+                && (slot.isRateLimited() || health.tryTakePermit(upstream));
     }
 
     /**
@@ -329,12 +332,19 @@
         private final VirtualMachine upstream;
         private final Pool pool;
         private final int size;
+        private final boolean rateLimited;
         private final AtomicBoolean open = new AtomicBoolean(true);
 
         private CountedSlot(VirtualMachine upstream, Pool pool, int size) {
             this.upstream = upstream;
             this.pool = pool;
             this.size = size;
+            this.rateLimited = health.isRateLimited(upstream);
+        }
+
+        @Override
+        public boolean isRateLimited() {
+            return rateLimited;
         }
 
         @Override
--- a/router/src/main/java/org/baobabcart/router/upstream/Slot.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Slot.java
@@ -9,6 +9,9 @@
     /** Returns the upstream to send to. */
     VirtualMachine upstream();
 
+    /** Returns whether the slot was granted within a rate limit of the upstream. */
+    boolean isRateLimited();
+
     /**
      * Records the head of the response.
      *
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -129,7 +129,8 @@
         return HTTPS.equals(address.getScheme()) ? HTTPS_PORT : HTTP_PORT;
     }
 
-    private Future<Boolean> isReachable(VirtualMachine upstream) {
+    /** Returns whether the upstream accepts a new connection, on which nothing is sent. */
+    public Future<Boolean> isReachable(VirtualMachine upstream) {
         URI address = URI.create(upstream.address());
         return connectProbeClient
                 .connect(portOf(address), address.getHost())
@@ -222,9 +223,15 @@
 
     private void accept(
             VirtualMachine upstream, UpstreamRequest request, HttpClientResponse response, Attempt attempt) {
-        notices.update(
-                upstream, settings.rules().noticeOf(response.statusCode(), response.headers()), System.nanoTime());
+        UpstreamNotice notice = settings.rules().noticeOf(response.statusCode(), response.headers());
         Optional<FailureKind> failure = settings.rules().failureOf(request, response.statusCode(), response.headers());
+        notices.update(upstream, notice, System.nanoTime());
+        boolean isOwnResponse =
+                failure.filter(kind -> kind != FailureKind.NOT_RUN).isEmpty();
+        // A response to an earlier request may be older than the limit that it does not name.
+        if (isOwnResponse || notice.rateLimit().kind() == RateLimitNotice.Kind.LIMITED) {
+            notices.rateLimits().update(upstream, notice.rateLimit(), attempt.sentNanos, System.nanoTime());
+        }
         if (failure.isEmpty()) {
             attempt.result.tryComplete(attempt.response);
         } else {
@@ -254,6 +261,7 @@
     private static final class Attempt {
         private final String upstream;
         private final HttpClientRequest opened;
+        private final long sentNanos = System.nanoTime();
         private final Promise<UpstreamResponse> result = Promise.promise();
         private ProgressTimer timer;
         private UpstreamResponse response;
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
@@ -66,6 +66,16 @@
         return client.notices().acceptsRequests(upstream, System.nanoTime());
     }
 
+    /** Returns whether the upstream limits the rate of the requests of all routers. */
+    public boolean isRateLimited(VirtualMachine upstream) {
+        return client.notices().rateLimits().isLimited(upstream);
+    }
+
+    /** Counts a request that is about to be sent; returns whether the rate limit of the upstream allows it. */
+    public boolean tryTakePermit(VirtualMachine upstream) {
+        return client.notices().rateLimits().tryTake(upstream, System.nanoTime());
+    }
+
     /** Returns the upstreams that accept requests, as far as their notices to this router say. */
     public List<VirtualMachine> acceptingRequests(List<VirtualMachine> upstreams) {
         return client.notices().acceptingRequests(upstreams, System.nanoTime());
@@ -100,7 +110,7 @@
      */
     public Future<Boolean> checkReachability(VirtualMachine upstream) {
         markUnreachable(upstream);
-        return client.isHealthy(upstream, healthPath(upstream), PROBE_TIMEOUT).onSuccess(healthy -> {
+        return check(upstream).onSuccess(healthy -> {
             Long timer = probeTimers.get(upstream.name());
             if (healthy && timer != null) {
                 stopProbing(upstream, timer);
@@ -125,13 +135,20 @@
         if (!acceptsRequests(upstream)) {
             return;
         }
-        client.isHealthy(upstream, healthPath(upstream), PROBE_TIMEOUT).onSuccess(healthy -> {
+        check(upstream).onSuccess(healthy -> {
             if (healthy) {
                 stopProbing(upstream, timer);
             }
         });
     }
 
+    /** Checks an upstream, by a connection alone if its rate limit allows no request of this router now. */
+    private Future<Boolean> check(VirtualMachine upstream) {
+        return tryTakePermit(upstream)
+                ? client.isHealthy(upstream, healthPath(upstream), PROBE_TIMEOUT)
+                : client.isReachable(upstream);
+    }
+
     /** Returns the health check path that the operator configured for the service; empty if there is none. */
     private String healthPath(VirtualMachine upstream) {
         return views.current()
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
@@ -23,13 +23,14 @@
     private final Timeline timeline;
     private final Map<String, Long> leaving = new ConcurrentHashMap<>();
     private final Map<String, Unavailability> unavailable = new ConcurrentHashMap<>();
-    private final Map<String, RateLimitNotice> rateLimits = new ConcurrentHashMap<>();
+    private final UpstreamRateLimits rateLimits;
 
     /** A time without requests, announced by one incarnation of an upstream. */
     private record Unavailability(long incarnation, long untilNanos) {}
 
     private UpstreamNotices(Timeline timeline) {
         this.timeline = timeline;
+        this.rateLimits = UpstreamRateLimits.create(timeline);
     }
 
     /** Creates a tracker without any notices. */
@@ -49,17 +50,6 @@
             unavailable.put(upstream.name(), new Unavailability(upstream.incarnation(), nowNanos + time.toNanos()));
             recordChange(upstream, "wants no work for " + time.toMillis() + " ms");
         });
-        RateLimitNotice limit = notice.rateLimit();
-        if (limit.kind() != RateLimitNotice.Kind.UNKNOWN) {
-            RateLimitNotice before = rateLimits.put(upstream.name(), limit);
-            boolean isNews = before == null ? limit.kind() == RateLimitNotice.Kind.LIMITED : !before.equals(limit);
-            if (isNews) {
-                String change = limit.kind() == RateLimitNotice.Kind.LIMITED
-                        ? "limits its rate to " + limit.perSecond() + " requests a second"
-                        : "no longer limits its rate";
-                recordChange(upstream, change);
-            }
-        }
     }
 
     private void recordChange(VirtualMachine upstream, String change) {
@@ -68,18 +58,24 @@
                 EventFields.of(EventField.UPSTREAM, upstream.name()).with(EventField.CHANGE, change));
     }
 
-    /** Returns whether the upstream accepts requests. */
+    /** Returns the rate limits that upstreams have advertised. */
+    public UpstreamRateLimits rateLimits() {
+        return rateLimits;
+    }
+
+    /** Returns whether the upstream accepts requests, apart from its rate limit. */
     public boolean acceptsRequests(VirtualMachine upstream, long nowNanos) {
-        return !isLeaving(upstream) && availableFrom(upstream, nowNanos).isEmpty();
+        return !isLeaving(upstream) && unavailableUntil(upstream, nowNanos).isEmpty();
     }
 
-    /** Returns the upstreams that accept requests; the same list if there are no notices. */
+    /** Returns the upstreams to which this router may send a request now; the same list if there are no notices. */
     public List<VirtualMachine> acceptingRequests(List<VirtualMachine> upstreams, long nowNanos) {
-        if (leaving.isEmpty() && unavailable.isEmpty()) {
+        if (leaving.isEmpty() && unavailable.isEmpty() && rateLimits.isEmpty()) {
             return upstreams;
         }
         return upstreams.stream()
-                .filter(upstream -> acceptsRequests(upstream, nowNanos))
+                .filter(upstream -> !isLeaving(upstream)
+                        && availableFrom(upstream, nowNanos).isEmpty())
                 .toList();
     }
 
@@ -89,8 +85,17 @@
         return incarnation != null && incarnation == upstream.incarnation();
     }
 
-    /** Returns when the upstream accepts requests again; empty if it accepts them now. */
+    /** Returns when this router may send to the upstream again, also within its rate limit; empty if it may now. */
     public OptionalLong availableFrom(VirtualMachine upstream, long nowNanos) {
+        OptionalLong available = unavailableUntil(upstream, nowNanos);
+        OptionalLong permitted = rateLimits.availableFrom(upstream, nowNanos);
+        if (available.isEmpty() || permitted.isEmpty()) {
+            return available.isPresent() ? available : permitted;
+        }
+        return available.getAsLong() - permitted.getAsLong() > 0 ? available : permitted;
+    }
+
+    private OptionalLong unavailableUntil(VirtualMachine upstream, long nowNanos) {
         Unavailability unavailability = unavailable.get(upstream.name());
         if (unavailability == null || unavailability.incarnation() != upstream.incarnation()) {
             return OptionalLong.empty();
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamSelector.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamSelector.java
@@ -82,13 +82,16 @@
 
     private Optional<VirtualMachine> chooseAmong(
             TrafficView view, SlotRequest request, List<UpstreamCandidate> candidates) {
-        return policy.choose(candidates, request.affinity(), random).map(chosen -> {
-            loads.get(chosen.name()).requestStarted();
-            return members(view, request.pool()).stream()
-                    .filter(member -> member.name().equals(chosen.name()))
-                    .findFirst()
-                    .orElseThrow();
-        });
+        return policy.choose(candidates, request.affinity(), random)
+                .map(chosen -> members(view, request.pool()).stream()
+                        .filter(member -> member.name().equals(chosen.name()))
+                        .findFirst()
+                        .orElseThrow())
+                .filter(health::tryTakePermit)
+                .map(member -> {
+                    loads.get(member.name()).requestStarted();
+                    return member;
+                });
     }
 
     private List<UpstreamCandidate> candidates(
