--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamRateLimits.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamRateLimits.java
@@ -72,8 +72,12 @@
         listener = newListener;
     }
 
-    /** Records what a response says about the limit of its upstream. */
-    void update(VirtualMachine upstream, RateLimitNotice notice, long sentNanos, long nowNanos) {
+    /**
+     * Records what a response says about the limit of its upstream.
+     *
+     * @param sentNanos when the request was sent
+     */
+    public void update(VirtualMachine upstream, RateLimitNotice notice, long sentNanos, long nowNanos) {
         boolean isNews =
                 switch (notice.kind()) {
                     case LIMITED -> advertise(upstream, notice.perSecond(), nowNanos);
