Begin nothing that outlasts a planned stop, and answer what still runs at its end

Cause: new requests were refused by the time at which their head arrived. Bodies, the queue and the wait for a slot come after that, and nothing looked again; the own interface refused only what waited. At the end of the grace period open connections were closed whatever ran on them.

Ruled out: refusing everything from the signal on, since the balancer sends for two seconds more.

Change: from the moment at which new requests are refused, an attempt of a request of which nothing was sent may begin only if its deadline lies before the end of the stop, checked when it is queued and again before its first byte, on both interfaces; waiting requests are refused at once.

Conclusion: a stop has to be asked where work begins, not where it arrives.

--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptDependencies.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptDependencies.java
@@ -1,5 +1,6 @@
 package org.baobabcart.router.attempt;
 
+import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.UpstreamClient;
 import org.baobabcart.router.upstream.UpstreamHealth;
@@ -13,10 +14,12 @@
  * @param upstreams the client that sends attempts
  * @param health tracks unreachable upstreams
  * @param crashGuard limits the crashes that one request can cause
+ * @param drain tells which requests may still begin to run during a planned stop
  */
 public record AttemptDependencies(
         TrafficViewSource views,
         Dispatcher dispatcher,
         UpstreamClient upstreams,
         UpstreamHealth health,
-        CrashGuard crashGuard) {}
+        CrashGuard crashGuard,
+        DrainState drain) {}
--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -90,6 +90,7 @@
     private void queue(CrashGuard.Permit permit) {
         queuedNanos = System.nanoTime();
         try {
+            requireTimeToRun();
             SlotRequest slotRequest = handler.slotRequest(attempts)
                     .withAvoided(dependencies.crashGuard().avoidedUpstreams(permit));
             Future<Slot> acquired = dependencies.dispatcher().acquire(slotRequest, exchange.abandoned());
@@ -163,6 +164,7 @@
         if (exchange.isEnded() || handler.deadlineNanos() - System.nanoTime() <= 0) {
             throw BaobabcartException.of(ResultCode.DEADLINE_UNREACHABLE);
         }
+        requireTimeToRun();
         TrafficView view = dependencies.views().current();
         if (!dependencies.dispatcher().isEligible(view, slot)) {
             throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "the upstream no longer accepts work");
@@ -179,6 +181,13 @@
                         .with(EventField.GENERATION, view.generation()));
     }
 
+    /** Throws if nothing was sent yet and the process may have stopped before the request's deadline. */
+    private void requireTimeToRun() {
+        if (attempts.history().sent() == 0 && !dependencies.drain().mayBegin(handler.deadlineNanos())) {
+            throw BaobabcartException.of(ResultCode.STOPPING);
+        }
+    }
+
     private void updateAttempts(RequestAttempts newAttempts) {
         attempts = newAttempts;
         exchange.setMayHaveRun(mayHaveRunBefore || newAttempts.history().mayHaveRun());
--- a/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
@@ -159,6 +159,16 @@
         });
     }
 
+    /** Ends a request that still runs, because the process ends now. */
+    public void endForStop() {
+        if (ended) {
+            return;
+        }
+        ResultCode code = mayHaveRun ? ResultCode.UPSTREAM_FAILED : ResultCode.STOPPING;
+        failUnread(BaobabcartException.of(code, "the router ends before the answer was complete"));
+        abandoned.tryComplete(AttemptException.of(FailureKind.DEADLINE, "", "the process ends"));
+    }
+
     /** Records an event of this request. */
     public void record(EventType type, EventFields fields) {
         dependencies.timeline().record(type, requestId, fields);
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -155,7 +155,7 @@
                         metrics,
                         GatewayErrorFormat.of(dependencies.codec()),
                         settings.callerStall()),
-                new AttemptDependencies(views, dispatcher, client, health, crashGuard),
+                new AttemptDependencies(views, dispatcher, client, health, crashGuard, drain),
                 Reachability.of(health),
                 ServiceRetryBudgets.create(settings.retries(), metrics),
                 outcomeRecorder,
@@ -226,9 +226,12 @@
     }
 
     private Future<Void> drainAndClose(GatewayStopTimes times) {
-        server.rejectNewRequests();
         long deadline = System.nanoTime() + times.drain().toNanos();
+        drain.endBy(deadline);
+        server.rejectNewRequests();
+        runtime.attempts().dispatcher().refuseWaitingBeyond(deadline);
         return awaitIdle(deadline)
+                .onComplete(ignored -> server.endRunning())
                 .compose(ignored -> server.shutdown(times.close()))
                 .otherwiseEmpty()
                 .onComplete(ignored -> {
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -1,5 +1,6 @@
 package org.baobabcart.router.gateway;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -8,6 +9,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.gateway.CallerLimits;
 import org.baobabcart.model.gateway.RouteTable;
@@ -46,8 +48,11 @@
     private final GatewayRuntime runtime;
     private final DrainState drain;
     private final ConnectionGuard guard;
+    /** The requests that run, with the event loops of their connections. */
+    private final Map<CallerExchange, Context> running = new ConcurrentHashMap<>();
+
     private HttpServer server;
-    private boolean rejecting;
+    private volatile boolean rejecting;
 
     private GatewayServer(GatewayRuntime runtime, DrainState drain) {
         this.runtime = runtime;
@@ -84,6 +89,11 @@
         rejecting = true;
     }
 
+    /** Answers the requests that still run, because the process ends now. */
+    void endRunning() {
+        running.forEach((exchange, context) -> context.runOnContext(ignored -> exchange.endForStop()));
+    }
+
     /** Stops accepting connections and waits until the open ones are closed. */
     Future<Void> shutdown(Duration timeout) {
         return server.shutdown(timeout.toMillis(), TimeUnit.MILLISECONDS);
@@ -111,6 +121,8 @@
         }
         CallerExchange exchange = CallerExchange.create(
                 runtime.exchanges(), request, () -> chunked || drain.isDraining(), () -> requestEnded(request));
+        running.put(exchange, runtime.vertx().getOrCreateContext());
+        exchange.addEndAction(() -> running.remove(exchange));
         try {
             begin(exchange, request);
         } catch (RuntimeException failure) {
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -65,7 +65,8 @@
                 dispatcher,
                 upstreams,
                 health,
-                CrashGuard.create(vertx, dependencies.crashes(), dependencies.metrics()));
+                CrashGuard.create(vertx, dependencies.crashes(), dependencies.metrics()),
+                guards.drain());
         ExchangeDependencies exchanges = new ExchangeDependencies(
                 vertx,
                 dependencies.timeline(),
@@ -103,8 +104,10 @@
      * @param timeout the time after which connections are closed even if requests are still running
      */
     public Uni<Void> drain(Duration timeout) {
+        long end = System.nanoTime() + timeout.toNanos();
         runtime.drain().begin();
-        runtime.dispatcher().refuseWaitingBeyond(System.nanoTime() + timeout.toNanos());
+        runtime.drain().endBy(end);
+        runtime.dispatcher().refuseWaitingBeyond(end);
         return Futures.toUni(() -> {
             List<Future<Void>> closing = new ArrayList<>();
             verticles.forEach(verticle -> closing.add(verticle.shutdown(timeout)));
