Forget the rate limits of earlier incarnations of an engine; count limited engines

Cause: a limit that was known only from an answer stayed after its engine had started anew, and a claim for the old start was created and removed again. Ruled out: a harm to requests, since a limit never counts for another start. Change: limits go with the list, and a limit of another start is not claimed; a gauge of limited engines.

--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -143,6 +143,7 @@
         metrics.gauge("gateway.running", () -> drain::running);
         metrics.gauge("process.heap-bytes", () -> GatewayProcess::usedHeapBytes);
         metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
+        metrics.gauge("gateway.rate-limited-upstreams", () -> client.notices().rateLimits()::count);
         metrics.gauge("gateway.buffered-bytes", () -> bufferBudget::usedBytes);
         CrashGuard crashGuard = CrashGuard.create(vertx, crashes, metrics);
         return new GatewayRuntime(
--- a/router/src/main/java/org/baobabcart/router/limit/RateLimitController.java
+++ b/router/src/main/java/org/baobabcart/router/limit/RateLimitController.java
@@ -168,7 +168,7 @@
                 seen.map(known -> now - known.sinceNanos()).orElse(0L),
                 seen.map(SeenClaim::spreadNanos).orElse(0L),
                 advertised
-                        .filter(limit -> !limit.ended())
+                        .filter(limit -> isInForce(limit, listedIncarnation))
                         .map(limit -> OptionalDouble.of(limit.perSecond()))
                         .orElse(OptionalDouble.empty()),
                 listedIncarnation));
@@ -179,6 +179,12 @@
         }
     }
 
+    private static boolean isInForce(UpstreamRateLimits.Advertised limit, Optional<Long> listedIncarnation) {
+        boolean isCurrent =
+                listedIncarnation.map(listed -> listed == limit.incarnation()).orElse(true);
+        return isCurrent && !limit.ended();
+    }
+
     private void write(
             String name, ClaimAction action, Optional<SeenClaim> seen, UpstreamRateLimits.Advertised limit, long now) {
         RateLimitClaim claim =
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
@@ -108,7 +108,7 @@
     }
 
     /**
-     * Removes the leaving state of earlier incarnations of the listed upstreams, and times without requests that have
+     * Removes the leaving state and rate limits of earlier incarnations of the listed upstreams, and times without requests that have
      * passed. The leaving state of an unlisted upstream is kept, because it may be listed again.
      */
     public void removeStale(Collection<VirtualMachine> listed, long nowNanos) {
@@ -120,5 +120,6 @@
             return incarnation != null && !incarnation.equals(entry.getValue());
         });
         unavailable.values().removeIf(unavailability -> unavailability.untilNanos() - nowNanos <= 0);
+        rateLimits.removeStale(incarnations);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamRateLimits.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamRateLimits.java
@@ -135,6 +135,19 @@
         return limits.isEmpty();
     }
 
+    /** Forgets the limits of earlier incarnations of the listed upstreams. */
+    synchronized void removeStale(Map<String, Long> listedIncarnations) {
+        limits.entrySet().removeIf(entry -> {
+            Long listed = listedIncarnations.get(entry.getKey());
+            return listed != null && listed != entry.getValue().incarnation;
+        });
+    }
+
+    /** Returns the number of upstreams that limit their rate. */
+    public int count() {
+        return limits.size();
+    }
+
     /** Returns whether the current incarnation of the upstream has a limit. */
     public boolean isLimited(VirtualMachine upstream) {
         Limit limit = limits.get(upstream.name());
