Use the pausable timers of the order tests in the replay of rate limits

Cause: the same stand-in stood twice. Ruled out: none. Change: PausableTimers moved to the package of shared test code; no product code. Conclusion: one copy.

--- a/router/src/test/java/org/baobabcart/router/limit/RateLimitFleetTest.java
+++ b/router/src/test/java/org/baobabcart/router/limit/RateLimitFleetTest.java
@@ -17,10 +17,10 @@
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Sections;
-import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.platform.ObjectInformer;
 import org.baobabcart.router.testing.InMemoryObjectStore;
 import org.baobabcart.router.testing.ManualTimerService;
+import org.baobabcart.router.testing.PausableTimers;
 import org.baobabcart.router.timeline.Timeline;
 import org.baobabcart.router.upstream.RateLimitNotice;
 import org.baobabcart.router.upstream.UpstreamNotice;
@@ -102,9 +102,9 @@
             run(Duration.ofSeconds(5 + random.nextInt(12)));
             Router affected = routers.get(random.nextInt(routers.size()));
             if (round % 3 == 0) {
-                affected.isFrozen = true;
+                affected.setFrozen(true);
                 run(Duration.ofSeconds(5 + random.nextInt(12)));
-                affected.isFrozen = false;
+                affected.setFrozen(false);
             } else {
                 affected.controller.stop().await().indefinitely();
                 routers.remove(affected);
@@ -222,40 +222,12 @@
                 .withCapacity(64, incarnation);
     }
 
-    /** The timers of a router, which do not fire while it is frozen. */
-    private final class FreezableTimers implements TimerService {
-        private final Router router;
-
-        private FreezableTimers(Router router) {
-            this.router = router;
-        }
-
-        @Override
-        public long nanoTime() {
-            return timers.nanoTime();
-        }
-
-        @Override
-        public long wallClockMillis() {
-            return timers.wallClockMillis();
-        }
-
-        @Override
-        public Subscription every(String name, Duration period, Runnable subscriber) {
-            return timers.every(name, period, () -> router.execute(subscriber));
-        }
-
-        @Override
-        public Subscription after(String name, Duration delay, Runnable subscriber) {
-            return timers.after(name, delay, () -> router.execute(subscriber));
-        }
-    }
-
     /** A router without its network: its limits and the controller that claims them. */
     private final class Router {
         private final String name;
         private final UpstreamNotices notices = UpstreamNotices.create(TIMELINE);
         private final Blackboard blackboard = Blackboard.create();
+        private final PausableTimers ownTimers = new PausableTimers(timers);
         private final Deque<Runnable> heldBack = new ArrayDeque<>();
         private final RateLimitController controller;
         private Optional<Long> toldNanos = Optional.empty();
@@ -278,6 +250,11 @@
             controller.start();
         }
 
+        private void setFrozen(boolean nowFrozen) {
+            isFrozen = nowFrozen;
+            ownTimers.setPaused(nowFrozen);
+        }
+
         /** A frozen router does nothing until it goes on. */
         private void execute(Runnable task) {
             if (isFrozen) {
--- a/router/src/test/java/org/baobabcart/router/order/OrderFleet.java
+++ b/router/src/test/java/org/baobabcart/router/order/OrderFleet.java
@@ -16,6 +16,7 @@
 import org.baobabcart.router.testing.DisconnectableObjectStore;
 import org.baobabcart.router.testing.InMemoryObjectStore;
 import org.baobabcart.router.testing.ManualTimerService;
+import org.baobabcart.router.testing.PausableTimers;
 import org.baobabcart.router.testing.TestSheets;
 
 /**
--- a/router/src/test/java/org/baobabcart/router/order/PausableTimers.java
+++ b/router/src/test/java/org/baobabcart/router/testing/PausableTimers.java
@@ -1,18 +1,18 @@
-package org.baobabcart.router.order;
+package org.baobabcart.router.testing;
 
 import java.time.Duration;
 import org.baobabcart.router.control.TimerService;
 
 /** The timers of one node. While paused, subscribers are not called. */
-final class PausableTimers implements TimerService {
+public final class PausableTimers implements TimerService {
     private final TimerService timers;
     private boolean paused;
 
-    PausableTimers(TimerService timers) {
+    public PausableTimers(TimerService timers) {
         this.timers = timers;
     }
 
-    void setPaused(boolean nowPaused) {
+    public void setPaused(boolean nowPaused) {
         paused = nowPaused;
     }
 
