Release claims on limited engines at the beginning of a planned stop

What callers would have seen: after each planned stop of a router that holds the claim on a limited engine, that engine got nothing for 10 to 16 s.

Cause: a claim that is not renewed may be taken over only after its validity. Ruled out: removing the claim, which would tell all routers that the limit has ended. Change: a stopping router writes its claims as released and sends nothing more to limited engines; another takes over within the random spread. Evidence: RateLimitFleetTest.plannedStopHandsTheClaimOver (4 and 37 routers stopped one after the other); not run without the change.

--- a/policy/src/main/java/org/baobabcart/policy/limit/ClaimPolicy.java
+++ b/policy/src/main/java/org/baobabcart/policy/limit/ClaimPolicy.java
@@ -67,7 +67,7 @@
         if (isOwn(claim)) {
             return decideOnOwn(claim, knowledge);
         }
-        long delayNanos = TAKEOVER_DELAY.toNanos() + knowledge.spreadNanos();
+        long delayNanos = (claim.isReleased() ? 0 : TAKEOVER_DELAY.toNanos()) + knowledge.spreadNanos();
         // An earlier process of this router has ended, so it sends nothing more.
         boolean isAbandoned = claim.router().equals(router) || knowledge.unchangedNanos() >= delayNanos;
         return isAbandoned ? ClaimAction.TAKE_OVER : ClaimAction.NONE;
--- a/policy/src/test/java/org/baobabcart/policy/limit/ClaimPolicyTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/limit/ClaimPolicyTest.java
@@ -51,6 +51,11 @@
         assertThat(ClaimPolicy.VALIDITY, lessThan(ClaimPolicy.TAKEOVER_DELAY));
     }
 
+    @Test
+    void releasedClaimIsTakenOverAtOnce() {
+        assertThat(decide(Optional.of(OTHER.released()), 0, LIMIT, INCARNATION), is(ClaimAction.TAKE_OVER));
+    }
+
     @Test
     void claimOfAnEarlierProcessOfThisRouterIsTakenOverAtOnce() {
         RateLimitClaim earlier = new RateLimitClaim(7, 1.3, "a", "o", 0);
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -211,6 +211,7 @@
             LOGGER.atInfo().log(
                     "event=stop_begun name=%s", dependencies.settings().name());
             drain.begin();
+            loop.execute(rateLimits::release);
             GatewayStopTimes times = dependencies.stopTimes();
             dependencies
                     .vertx()
--- a/router/src/main/java/org/baobabcart/router/limit/RateLimitController.java
+++ b/router/src/main/java/org/baobabcart/router/limit/RateLimitController.java
@@ -48,6 +48,7 @@
     private final Set<String> pendingWrites = new HashSet<>();
     private final Map<String, Long> retryNanos = new HashMap<>();
     private Optional<TimerService.Subscription> reviews = Optional.empty();
+    private boolean released;
 
     /** A claim and the object that holds it. */
     private record StoredClaim(StoredObject object, RateLimitClaim claim) {
@@ -100,6 +101,26 @@
         return Uni.createFrom().voidItem();
     }
 
+    /**
+     * Releases the claims of this router, so that others can take them over before it ends, and makes no more. From now on it sends nothing to
+     * limited upstreams.
+     */
+    public void release() {
+        released = true;
+        long now = dependencies.timers().nanoTime();
+        claims.forEach((name, seen) -> {
+            RateLimitClaim claim = seen.stored().claim();
+            if (policy.isOwn(claim)) {
+                limits.revoke(name, now);
+                dependencies
+                        .store()
+                        .update(seen.stored().object().withSpec(RateLimitClaimJson.write(claim.released())))
+                        .subscribe()
+                        .with(ignored -> {}, failure -> logNotWritten(name, "release", failure));
+            }
+        });
+    }
+
     /** Returns whether the claims of all routers have been read. May be called on any thread. */
     public boolean isSynced() {
         return informer.isSynced();
@@ -158,7 +179,7 @@
             String name, Optional<UpstreamRateLimits.Advertised> advertised, Optional<Long> listedIncarnation) {
         long now = dependencies.timers().nanoTime();
         Long retry = retryNanos.get(name);
-        if (pendingWrites.contains(name) || (retry != null && now - retry < 0)) {
+        if (released || pendingWrites.contains(name) || (retry != null && now - retry < 0)) {
             return;
         }
         Optional<SeenClaim> seen = Optional.ofNullable(claims.get(name));
@@ -206,6 +227,10 @@
         pendingWrites.remove(name);
         retryNanos.remove(name);
         claims.put(name, seen(claim, sentNanos));
+        if (released) {
+            release();
+            return;
+        }
         limits.grant(name, claim.claim().incarnation(), sentNanos + ClaimPolicy.VALIDITY.toNanos());
         if (action != ClaimAction.RENEW) {
             record(name, "this router alone sends to it, " + claim.claim().perSecond() + " requests a second");
@@ -234,6 +259,10 @@
     private void onWriteFailed(String name, ClaimAction action, Throwable failure) {
         pendingWrites.remove(name);
         retryNanos.put(name, dependencies.timers().nanoTime() + RETRY_DELAY.toNanos());
+        logNotWritten(name, action.name(), failure);
+    }
+
+    private static void logNotWritten(String name, String action, Throwable failure) {
         LOGGER.atInfo().log(
                 "event=rate_limit_claim_not_written upstream=%s action=%s cause=%s",
                 name, action, failure.getMessage());
--- a/router/src/test/java/org/baobabcart/router/limit/RateLimitFleetTest.java
+++ b/router/src/test/java/org/baobabcart/router/limit/RateLimitFleetTest.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.policy.limit.ClaimPolicy;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.platform.ObjectInformer;
@@ -117,6 +118,29 @@
         assertThat(arrived, greaterThan(before));
     }
 
+    /** The engine gets requests again before a claim that is not renewed could be taken over. */
+    @ParameterizedTest
+    @ValueSource(ints = {4, 37})
+    void plannedStopHandsTheClaimOver(int count) {
+        start(count);
+        limit = Optional.of(LIMIT);
+        run(Duration.ofSeconds(20));
+        for (Router router : List.copyOf(routers)) {
+            if (routers.size() == 1) {
+                break;
+            }
+            router.controller.release();
+            run(Duration.ofSeconds(1));
+            router.controller.stop().await().indefinitely();
+            routers.remove(router);
+        }
+        run(ClaimPolicy.TAKEOVER_SPREAD);
+        int before = arrived;
+        run(Duration.ofSeconds(4));
+        assertThat(arrived, greaterThan(before));
+        assertThat(mostInWindow(), lessThanOrEqualTo(ALLOWED));
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {4, 37})
     void limitIsKeptWhileTheStoreIsAway(int count) {
