--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -133,7 +133,7 @@
         }
         dependencies
                 .upstreams()
-                .send(upstream, request, () -> checkBeforeSend(slot, permit), handler.abandoned())
+                .send(upstream, request, () -> checkBeforeSend(slot, permit, request), handler.abandoned())
                 .compose(response -> {
                     long nanos = System.nanoTime() - startNanos;
                     slot.responseStarted(
@@ -156,7 +156,7 @@
     }
 
     /** Performs the final checks before the first byte is sent; throws if the attempt may not be sent. */
-    private void checkBeforeSend(Slot slot, CrashGuard.Permit permit) {
+    private void checkBeforeSend(Slot slot, CrashGuard.Permit permit, UpstreamRequest request) {
         VirtualMachine upstream = slot.upstream();
         if (handler.abandoned().isComplete()) {
             throw handler.abandoned().result();
@@ -178,6 +178,7 @@
                         .with(EventField.ATTEMPT, attempts.history().sent())
                         .with(EventField.WAITED_MS, -millisUntil(queuedNanos))
                         .with(EventField.DEADLINE_MS, millisUntil(handler.deadlineNanos()))
+                        .with(EventField.BODY_BYTES, request.body().length())
                         .with(EventField.GENERATION, view.generation()));
     }
 
--- a/router/src/main/java/org/baobabcart/router/timeline/EventField.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventField.java
@@ -8,6 +8,7 @@
     ATTEMPT("number of the attempt at an upstream, from 1"),
     ATTEMPT_ID("id under which an attempt is claimed"),
     BILLS("bills that were stored"),
+    BODY_BYTES("bytes of the request's body"),
     CAUSE("what led to the event, as a sentence"),
     CHANGE("what became of it"),
     CODE("number of the result code"),
--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -90,6 +90,7 @@
             EventField.ATTEMPT,
             EventField.WAITED_MS,
             EventField.DEADLINE_MS,
+            EventField.BODY_BYTES,
             EventField.GENERATION),
     ATTEMPT_FAILED(
             "an attempt ended without its whole answer",
