Close connections whose interim responses do not end

Cause: the server may send any number of interim responses (100, 103) before its final one. No limit on size applies to them, so the event loop decoded them until the call timed out; six polls that follow each other keep it busy for more than the deadline of a caller's request. Change: at most 16 interim responses for a request, then the connection is closed, on all four clients (store and health checks, upstreams, watches, orders).

--- a/router/src/main/java/org/baobabcart/router/order/HttpEngineOrderClient.java
+++ b/router/src/main/java/org/baobabcart/router/order/HttpEngineOrderClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -15,10 +16,12 @@
 import java.util.function.BooleanSupplier;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.router.control.Futures;
+import org.baobabcart.router.transport.InterimResponses;
 import org.baobabcart.router.transport.Transport;
 
 /** Sends orders by {@code POST /orders} with a JSON body. Thread-safe. */
 public final class HttpEngineOrderClient implements EngineOrderClient {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final ObjectMapper MAPPER = JsonMapper.builder().build();
     private static final String ORDERS_PATH = "/orders";
     private static final int CONFLICT = 409;
@@ -58,6 +61,10 @@
             request.reset();
             return Future.succeededFuture(OrderSendResult.NOT_SENT);
         }
+        InterimResponses.limit(
+                request,
+                failure -> LOGGER.atWarning().log(
+                        "event=order_result_unknown engine=%s cause=%s", request.absoluteURI(), failure.getMessage()));
         return request.send(body).map(response -> toResult(response.statusCode()));
     }
 
--- a/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
+++ b/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.router.transport.InterimResponses;
 
 /**
  * Watches over HTTP: one streamed response with one JSON object per line. Thread-safe.
@@ -57,6 +58,7 @@
         client.request(options)
                 .compose(request -> {
                     open.set(request);
+                    InterimResponses.limit(request, failure -> fail(emitter, failure));
                     return request.send();
                 })
                 .onSuccess(response -> receive(kind, response, emitter))
--- a/router/src/main/java/org/baobabcart/router/transport/BoundedHttpClient.java
+++ b/router/src/main/java/org/baobabcart/router/transport/BoundedHttpClient.java
@@ -20,8 +20,8 @@
 
 /**
  * An HTTP client that buffers whole responses within limits on size and time. The limits hold for any server: the
- * connection is closed when the body exceeds the maximum size, and slowly trickling bytes do not extend the timeout of
- * a call. Thread-safe; results complete on an event loop.
+ * connection is closed when the body exceeds the maximum size or interim responses do not end, and slowly trickling
+ * bytes do not extend the timeout of a call. Thread-safe; results complete on an event loop.
  *
  * <p>A device between the two ends may lose track of all open connections at once, and such connections look sound until they are used. After
  * a call without a complete response, no idle connection is used again.
@@ -78,6 +78,7 @@
         });
         open(client, options)
                 .compose(request -> {
+                    InterimResponses.limit(request, result::tryFail);
                     // Closes the connection of a call that failed before its response was complete.
                     result.future().onFailure(ignored -> Connections.abort(request.connection()));
                     Future<HttpClientResponse> sent = json.map(request::send).orElseGet(request::send);
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -27,6 +27,7 @@
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.router.transport.BoundedHttpClient;
 import org.baobabcart.router.transport.Connections;
+import org.baobabcart.router.transport.InterimResponses;
 
 /**
  * Sends attempts to upstreams over HTTP. Thread-safe; callbacks run on the caller's event loop.
@@ -208,6 +209,8 @@
                         AttemptException.of(FailureKind.SILENT, upstream.name(), "no progress within the timeout")));
         attempt.timer.start(request.timeouts().firstByte());
         abandoned.onSuccess(attempt::fail);
+        InterimResponses.limit(
+                opened, failure -> attempt.fail(AttemptException.of(FailureKind.BROKEN, upstream.name(), failure)));
         opened.send(request.body()).onComplete(sent -> {
             if (sent.failed()) {
                 attempt.fail(AttemptException.of(FailureKind.BROKEN, upstream.name(), sent.cause()));
