Answer requests that still run at the end of a drain, on the own interface too

Cause: CallerApi.drain shut the servers down with the drain timeout, at whose end Vert.x closes connections whatever runs on them. Ruled out: that the claim of such a booking is lost: it was and is recorded as unknown. Change: the requests that run are kept by one class for both interfaces (RunningRequests, taken out of GatewayServer); at the end of the drain they are answered, and connections are closed 200 ms later. Conclusion: what was fixed for one interface had to be looked for on the other.

--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -1,6 +1,5 @@
 package org.baobabcart.router.gateway;
 
-import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -9,7 +8,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.gateway.CallerLimits;
 import org.baobabcart.model.gateway.RouteTable;
@@ -20,6 +18,7 @@
 import org.baobabcart.router.exchange.ConnectionGuard;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.InvalidRequests;
+import org.baobabcart.router.exchange.RunningRequests;
 import org.baobabcart.router.timeline.EventField;
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
@@ -48,8 +47,7 @@
     private final GatewayRuntime runtime;
     private final DrainState drain;
     private final ConnectionGuard guard;
-    /** The requests that run, with the event loops of their connections. */
-    private final Map<CallerExchange, Context> running = new ConcurrentHashMap<>();
+    private final RunningRequests running = RunningRequests.create();
 
     private HttpServer server;
     private volatile boolean rejecting;
@@ -91,7 +89,7 @@
 
     /** Answers the requests that still run, because the process ends now. */
     void endRunning() {
-        running.forEach((exchange, context) -> context.runOnContext(ignored -> exchange.endForStop()));
+        running.endAll();
     }
 
     /** Stops accepting connections and waits until the open ones are closed. */
@@ -121,8 +119,7 @@
         }
         CallerExchange exchange = CallerExchange.create(
                 runtime.exchanges(), request, () -> chunked || drain.isDraining(), () -> requestEnded(request));
-        running.put(exchange, runtime.vertx().getOrCreateContext());
-        exchange.addEndAction(() -> running.remove(exchange));
+        running.add(runtime.vertx(), exchange);
         try {
             begin(exchange, request);
         } catch (RuntimeException failure) {
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -31,6 +31,8 @@
  */
 public final class CallerApi {
     private static final Duration DRAIN_POLL = Duration.ofMillis(10);
+    /** The time for writing the answers to requests that still run at the end of a drain. */
+    private static final Duration LAST_RESPONSES = Duration.ofMillis(200);
     /** A negative port makes Vert.x bind all instances of a deployment to the same free port. */
     private static final int SHARED_FREE_PORT = -1;
 
@@ -101,17 +103,19 @@
      * Stops accepting connections, waits for running requests, and closes. Queued requests that might still be waiting
      * at the timeout are refused immediately, so that their callers can retry at another router.
      *
-     * @param timeout the time after which connections are closed even if requests are still running
+     * @param timeout the time after which running requests are answered with an error
      */
     public Uni<Void> drain(Duration timeout) {
         long end = System.nanoTime() + timeout.toNanos();
         runtime.drain().begin();
         runtime.drain().endBy(end);
         runtime.dispatcher().refuseWaitingBeyond(end);
+        vertx.setTimer(Math.max(1, timeout.toMillis()), ignored -> verticles.forEach(CallerVerticle::endRunning));
+        Duration untilClosed = timeout.plus(LAST_RESPONSES);
         return Futures.toUni(() -> {
             List<Future<Void>> closing = new ArrayList<>();
-            verticles.forEach(verticle -> closing.add(verticle.shutdown(timeout)));
-            long deadline = System.nanoTime() + timeout.toNanos();
+            verticles.forEach(verticle -> closing.add(verticle.shutdown(untilClosed)));
+            long deadline = System.nanoTime() + untilClosed.toNanos();
             return Future.join(closing)
                     .otherwiseEmpty()
                     .compose(ignored -> awaitIdle(deadline))
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -19,6 +19,7 @@
 import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.exchange.ConnectionGuard;
 import org.baobabcart.router.exchange.InvalidRequests;
+import org.baobabcart.router.exchange.RunningRequests;
 import org.baobabcart.router.timeline.EventField;
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
@@ -30,6 +31,7 @@
     private final TrafficRuntime runtime;
     private final String host;
     private final int port;
+    private final RunningRequests running = RunningRequests.create();
     private ConnectionGuard connectionGuard;
     private HttpServer server;
 
@@ -72,6 +74,11 @@
         return server.shutdown(timeout.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** Answers the requests that still run, because the process ends now. */
+    void endRunning() {
+        running.endAll();
+    }
+
     private Router routes() {
         Router router = Router.router(vertx);
         for (ModelRequest.Kind kind : ModelRequest.Kind.values()) {
@@ -152,6 +159,7 @@
         runtime.drain().requestBegan();
         CallerExchange exchange =
                 CallerExchange.create(runtime.exchanges(), request, this::isStopping, () -> requestEnded(request));
+        running.add(vertx, exchange);
         exchange.setRequestId(RequestIds.next());
         request.response().putHeader(Headers.REQUEST_ID, exchange.requestId());
         exchange.record(
--- a/router/src/test/java/org/baobabcart/router/traffic/CallerBehaviourTest.java
+++ b/router/src/test/java/org/baobabcart/router/traffic/CallerBehaviourTest.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -30,6 +31,7 @@
 /** Callers that disconnect, stall or send invalid requests, and the drain of the caller API. */
 class CallerBehaviourTest extends CallerApiTestBase {
     private static final int BODY_LIMIT = 64 * 1024;
+    private static final Duration SHORT_DRAIN = Duration.ofMillis(500);
 
     @Override
     TrafficSettings settings() {
@@ -179,6 +181,52 @@
         }
     }
 
+    @Test
+    void drainAnswersRequestsThatStillRunAtItsEnd() throws Exception {
+        CompletableFuture<HttpServerRequest> received = new CompletableFuture<>();
+        FakeUpstream engine = upstream("e", received::complete);
+        fakes.setView(sheet(), engine.engine("layout-large", "v1"));
+        try (Socket socket = sendChat(false)) {
+            received.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+            api.drain(SHORT_DRAIN).subscribeAsCompletionStage();
+            String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(response, startsWith("HTTP/1.1 502"));
+            assertThat(response, containsString("\"ran\":\"unknown\""));
+        }
+    }
+
+    @Test
+    void claimOfBookingThatStillRunsAtTheEndOfTheDrainIsUnknown() throws Exception {
+        FakeUpstream service = upstream("s", request -> {});
+        fakes.setView(sheet(), service.service("orders"));
+        CompletableFuture<HttpResponse<String>> booking = http.sendAsync(
+                request("/services/orders/bookings", Headers.IDEMPOTENCY_KEY, "b1")
+                        .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+        await(() -> service.requests().size() == 1);
+        api.drain(SHORT_DRAIN).subscribeAsCompletionStage();
+        HttpResponse<String> response = booking.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+        assertThat(response.statusCode(), is(502));
+        assertThat(response.body(), containsString("\"ran\":\"unknown\""));
+        await(() -> !fakes.outcomes.isEmpty());
+        assertThat(fakes.outcomes.get(0).kind(), is(ClaimOutcome.Kind.UNKNOWN));
+    }
+
+    @Test
+    void drainEndsStreamsThatStillRunAtItsEndWithErrorEvent() throws Exception {
+        FakeUpstream engine =
+                upstream("e", request -> FakeUpstream.beginStream(request).write(FakeUpstream.event("first")));
+        fakes.setView(sheet(), engine.engine("layout-large", "v1"));
+        try (Socket socket = sendChat(true)) {
+            readUntil(socket.getInputStream(), "first");
+            api.drain(SHORT_DRAIN).subscribeAsCompletionStage();
+            String rest = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(rest, containsString("\"code\""));
+            assertThat(rest, not(containsString("[DONE]")));
+        }
+    }
+
     private static void writeContinuously(HttpServerResponse response, Buffer part, AtomicLong written) {
         while (!response.closed() && !response.writeQueueFull()) {
             response.write(part);
