Notice silent watches within ten seconds on the own interface

What callers see: a published sheet takes more than half a minute to be in force, everywhere, if the open connections of all routers to the platform have gone silent for good. Cause: a watch was asked for 30 s and taken for broken 5 s after its end; routers read directly once a minute, and peers have nothing newer if all watchers are silent at once. Ruled out: that the test shows something else: with watches that the stand-in did not silence it was green. The stand-in of the platform silenced only the requests that came after; it silences open watches too now. Change: watches of 8 s, taken for broken after 10 s, which leaves 8 s of the target of 18 s for a read that meets a silent idle connection and for the exchange among peers.

--- a/integration/src/test/java/org/baobabcart/integration/cut/NetworkPartitionControlTest.java
+++ b/integration/src/test/java/org/baobabcart/integration/cut/NetworkPartitionControlTest.java
@@ -22,6 +22,7 @@
 import org.baobabcart.integration.support.ClosedLoopLoad;
 import org.baobabcart.launcher.FleetNetwork;
 import org.baobabcart.launcher.FleetNode;
+import org.baobabcart.launcher.LocalFleet;
 import org.baobabcart.model.request.Headers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -122,6 +123,17 @@
         assertThat(System.nanoTime() - published, lessThan(MAX_TIME_TO_APPLY.toNanos()));
     }
 
+    /** Watches and idle connections of all routers deliver nothing any more, and no router learns that from their ends. */
+    @Test
+    void publishedSheetArrivesWhileOpenConnectionsToThePlatformAreSilent() {
+        LocalFleet local = fleet.localFleet();
+        local.fault(local.platform(), "{\"silent-connections\": true}");
+        long newer = local.publish(fleet.sheet(0.5, 0.5));
+        long published = System.nanoTime();
+        fleet.routers().forEach(router -> awaitApplied(router, newer));
+        assertThat(System.nanoTime() - published, lessThan(MAX_TIME_TO_APPLY.toNanos()));
+    }
+
     @Test
     void sessionsKeepTheirVersionAcrossAPartition() {
         fleet.localFleet().publish(fleet.sheet(0.5, 0.5));
--- a/router/src/main/java/org/baobabcart/router/platform/PlatformSettings.java
+++ b/router/src/main/java/org/baobabcart/router/platform/PlatformSettings.java
@@ -8,7 +8,8 @@
  *
  * @param connectTimeout the timeout of opening a connection
  * @param callTimeout the timeout of one call, including the connection; greater than the connect timeout
- * @param watchDuration the duration that is requested for a watch
+ * @param watchDuration the duration that is requested for a watch; together with the grace it limits how long a connection that has
+ *     gone silent hides changes
  * @param watchEndGrace the time after its requested end at which a silent watch is treated as broken
  * @param maxConnections the maximum number of connections for calls
  * @param transport the transport that creates connections
@@ -27,8 +28,8 @@
         return new PlatformSettings(
                 Duration.ofMillis(500),
                 Duration.ofSeconds(2),
-                Duration.ofSeconds(30),
-                Duration.ofSeconds(5),
+                Duration.ofSeconds(8),
+                Duration.ofSeconds(2),
                 DEFAULT_MAX_CONNECTIONS,
                 Transport.plain());
     }
--- a/standins/src/main/java/org/baobabcart/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/org/baobabcart/standins/platform/PlatformStandIn.java
@@ -136,7 +136,7 @@
     private void openWatch(RoutingContext context, String kind, List<ObjectTable.Event> missedEvents) {
         context.response().setChunked(true).putHeader("Content-Type", "application/json");
         context.response().writeHead();
-        Watch watch = Watch.of(vertx(), kind, context.response());
+        Watch watch = Watch.of(vertx(), kind, context.response(), () -> isSilent(context));
         watches.add(watch);
         missedEvents.forEach(event -> watch.send(event, watchLagMillis));
         context.response().closeHandler(ignored -> watches.remove(watch));
--- a/standins/src/main/java/org/baobabcart/standins/platform/Watch.java
+++ b/standins/src/main/java/org/baobabcart/standins/platform/Watch.java
@@ -3,23 +3,30 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
+import java.util.function.BooleanSupplier;
 
 /** An open watch request whose events can be delayed. Confined to the event loop. */
 final class Watch {
     private final Vertx vertx;
     private final String kind;
     private final HttpServerResponse response;
+    private final BooleanSupplier isSilent;
     private long lastDueMillis;
 
-    private Watch(Vertx vertx, String kind, HttpServerResponse response) {
+    private Watch(Vertx vertx, String kind, HttpServerResponse response, BooleanSupplier isSilent) {
         this.vertx = vertx;
         this.kind = kind;
         this.response = response;
+        this.isSilent = isSilent;
     }
 
-    /** Creates a watch that writes its events to the response. */
-    static Watch of(Vertx vertx, String kind, HttpServerResponse response) {
-        return new Watch(vertx, kind, response);
+    /**
+     * Creates a watch that writes its events to the response.
+     *
+     * @param isSilent whether the connection has gone silent, after which nothing more is written
+     */
+    static Watch of(Vertx vertx, String kind, HttpServerResponse response, BooleanSupplier isSilent) {
+        return new Watch(vertx, kind, response, isSilent);
     }
 
     /** Sends an event after the lag and never before an earlier event. Ignores events of other kinds. */
@@ -40,7 +47,7 @@
 
     /** Ends the response normally. */
     void end() {
-        if (!response.closed() && !response.ended()) {
+        if (isWritable()) {
             response.end();
         }
     }
@@ -62,8 +69,12 @@
     }
 
     private void write(JsonObject line) {
-        if (!response.closed() && !response.ended()) {
+        if (isWritable()) {
             response.write(line.encode() + "\n");
         }
     }
+
+    private boolean isWritable() {
+        return !isSilent.getAsBoolean() && !response.closed() && !response.ended();
+    }
 }
