--- a/review/harness/review/Store.java
+++ b/review/harness/review/Store.java
@@ -9,7 +9,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 
 /** The platform's metadata store, as PROTOCOL.md describes it: lists, watches, conditional writes. One thread a connection. */
@@ -21,7 +23,9 @@
     private final TreeMap<String, ObjectNode> objects = new TreeMap<>();
     private final List<Change> history = new ArrayList<>();
     private final List<Waiting> waiting = new ArrayList<>();
+    private final Map<String, Long> watches = new HashMap<>();
     private long revision = 100;
+    private long silencedNanos = Long.MIN_VALUE;
 
     private record Change(long revision, String kind, boolean deleted, ObjectNode object) {}
 
@@ -55,16 +59,38 @@
     }
 
     private void serve(Socket socket) throws Exception {
+        long openedNanos = System.nanoTime();
         try (socket) {
             while (true) {
                 Http.Message request = Http.read(socket.getInputStream());
-                if (request == null || !handle(request, socket)) {
+                if (request != null && isSilent(openedNanos)) {
+                    continue;
+                }
+                if (request == null || !handle(request, socket, openedNanos)) {
                     return;
                 }
             }
         }
     }
 
+    /** Makes all open connections silent for good, without a reset; new ones work. */
+    public synchronized void silenceOpenConnections() {
+        silencedNanos = System.nanoTime();
+        notifyAll();
+    }
+
+    private synchronized boolean isSilent(long openedNanos) {
+        return silencedNanos != Long.MIN_VALUE && openedNanos - silencedNanos <= 0;
+    }
+
+    /** Waits until a watch of a kind begins. */
+    public synchronized void awaitNewWatch(String kind) throws InterruptedException {
+        long before = watches.getOrDefault(kind, 0L);
+        while (watches.getOrDefault(kind, 0L) == before) {
+            wait(100);
+        }
+    }
+
     /** Writes an object as the operator or an engine does; returns when the store acknowledges it. */
     public synchronized long put(String kind, String name, String specification) {
         try {
@@ -128,13 +154,14 @@
         notifyAll();
     }
 
-    private boolean handle(Http.Message request, Socket socket) throws Exception {
+    private boolean handle(Http.Message request, Socket socket, long openedNanos) throws Exception {
         String[] first = request.start().split(" ");
         String[] target = first[1].split("\\?", 2);
         String[] path = target[0].split("/");
         String query = target.length > 1 ? target[1] : "";
         if (first[0].equals("GET") && !parameter(query, "watch").isEmpty()) {
-            return watch(socket, path[2], Long.parseLong(parameter(query, "watch")), Long.parseLong(parameter(query, "waitMs")));
+            long since = Long.parseLong(parameter(query, "watch"));
+            return watch(socket, openedNanos, path[2], since, Long.parseLong(parameter(query, "waitMs")));
         }
         int status = 200;
         JsonNode answer;
@@ -191,12 +218,14 @@
         return true;
     }
 
-    private boolean watch(Socket socket, String kind, long since, long waitMillis) throws Exception {
+    private boolean watch(Socket socket, long openedNanos, String kind, long since, long waitMillis)
+            throws Exception {
         ObjectNode answer = MAPPER.createObjectNode();
         synchronized (this) {
             Waiting call = new Waiting(kind, socket);
             long end = System.nanoTime() + waitMillis * 1_000_000;
             waiting.add(call);
+            watches.merge(kind, 1L, Long::sum);
             notifyAll();
             try {
                 long left = waitMillis;
@@ -210,6 +239,9 @@
             if (call.cut) {
                 return false;
             }
+            if (isSilent(openedNanos)) {
+                return true;
+            }
             ArrayNode events = answer.putArray("events");
             for (Change change : history) {
                 if (change.revision() > since && change.kind().equals(kind)) {
