--- a/review/harness/review/Case.java
+++ b/review/harness/review/Case.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
 
 /** One run of a case: its record, its temporary folder, and the stand-ins and routers that it starts. */
@@ -13,6 +13,9 @@
     /** Whether the disruption is played. */
     public static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
+    /** After this time a run is given up; a run may last 120 s. */
+    private static final long MAX_MILLIS = 110_000;
+
     /** The steps of a case; returns whether the rule held. */
     public interface Steps {
         boolean run(Case run) throws Exception;
@@ -22,7 +25,7 @@
     public final Path root = Path.of("").toAbsolutePath();
     public final Path folder;
     public final Store store;
-    private final List<Router> routers = new ArrayList<>();
+    private final List<Router> routers = new CopyOnWriteArrayList<>();
 
     private Case(Path caseFolder) throws IOException {
         record = new Record(caseFolder.resolve("record.txt"));
@@ -34,6 +37,15 @@
     public static void main(String caseFolder, Steps steps) throws Exception {
         int result = 2;
         Case run = new Case(Path.of(caseFolder));
+        Threads.start("time-limit", () -> {
+            Thread.sleep(MAX_MILLIS);
+            run.record.line("given up after " + MAX_MILLIS + " ms");
+            run.record.line("exit 2");
+            for (Router router : run.routers) {
+                router.close();
+            }
+            Runtime.getRuntime().halt(2);
+        });
         try {
             run.record.line(TROUBLE ? "with the disruption" : "TROUBLE=0: without the disruption");
             result = steps.run(run) ? 0 : 1;
@@ -69,7 +81,7 @@
         return router;
     }
 
-    /** Returns the value, with a line in the record and on standard output. */
+    /** Writes a line to the record and to standard output. */
     public void say(String text) {
         record.line(text);
         System.out.println(text);
