--- a/review/2/Removal.java
+++ b/review/2/Removal.java
@@ -68,6 +68,9 @@
             late += isLate ? 1 : 0;
             lost += isLate && !ANSWERS.getOrDefault(each.id(), "none").equals("200") ? 1 : 0;
         }
+        if (leaving.runs.stream().noneMatch(each -> each.millis() < removed)) {
+            throw new IllegalStateException("the engine got no booking before it left");
+        }
         run.say("the machine is in touch again at " + inTouch + " ms, drainMs ends at " + lateFrom + " ms, the engine exits at "
                 + exited + " ms");
         run.say("bookings that reached " + leaving.name + " later than both: " + late + ", of these not answered with 200: " + lost);
