What a deployment asks of all routers together is read from the settings

Bounds on evacuations and on requests to cold upstreams, and the ports that are free for calls between routers, were read by nobody. They are now fields of FleetSettings, all off where the settings do not name them. No decision uses them yet.

BootSettingsTest: a file without the fields gives FleetSettings.none().

--- a/router/src/main/java/org/baobabcart/router/control/Sections.java
+++ b/router/src/main/java/org/baobabcart/router/control/Sections.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.baobabcart.model.gateway.RouteTable;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.rollout.RollOutState;
 import org.baobabcart.model.sheet.PublishedSheet;
 import org.baobabcart.policy.version.TrackedVersionOrder;
+import org.baobabcart.router.fleet.FleetView;
 import org.baobabcart.router.key.SessionSecrets;
 import org.baobabcart.router.member.Member;
 import org.baobabcart.router.member.Members;
@@ -58,5 +60,14 @@
     /** Orders to move services to other versions; written by the gateway's version order controller. */
     public static final Section<List<TrackedVersionOrder>> VERSION_ORDERS = Section.named("version-orders", List.of());
 
+    /** The registered routers on the opaque request path; written by the gateway's fleet controller. */
+    public static final Section<FleetView> FLEET = Section.named("fleet", FleetView.unknown());
+
+    /**
+     * The data centres that the operator has taken out of use, empty until they are known; written by the gateway's evacuation
+     * controller.
+     */
+    public static final Section<Set<String>> EVACUATED = Section.named("evacuated", Set.of());
+
     private Sections() {}
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewaySettings.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewaySettings.java
@@ -21,6 +21,7 @@
  * @param bufferedBodyBytes the maximum number of bytes of request bodies that are held or being read at once
  * @param bufferedResponseBytes the maximum size of a response that is buffered before it is relayed
  * @param callerStall how long a caller may stop reading its response
+ * @param fleet what the deployment asks of its routers together
  */
 public record GatewaySettings(
         String name,
@@ -33,7 +34,8 @@
         Duration idleConnection,
         long bufferedBodyBytes,
         int bufferedResponseBytes,
-        Duration callerStall) {
+        Duration callerStall,
+        FleetSettings fleet) {
     private static final int MAX_QUEUED = 512;
     private static final int MAX_QUEUED_PER_WORKSPACE = 256;
     private static final double DEFAULT_EXPOSURE = 0.1;
@@ -44,6 +46,7 @@
 
     private static final int BUFFERED_RESPONSE_BYTES = 64 * 1024;
     private static final Duration CALLER_STALL = Duration.ofSeconds(10);
+
     /** Returns the default settings of a router. */
     public static GatewaySettings of(String name, String dataCentre) {
         return new GatewaySettings(
@@ -57,7 +60,8 @@
                 IDLE_CONNECTION,
                 BodyBudget.defaultLimitBytes(),
                 BUFFERED_RESPONSE_BYTES,
-                CALLER_STALL);
+                CALLER_STALL,
+                FleetSettings.none());
     }
 
     /** Returns a copy with another retry budget. */
@@ -73,7 +77,8 @@
                 idleConnection,
                 bufferedBodyBytes,
                 bufferedResponseBytes,
-                callerStall);
+                callerStall,
+                fleet);
     }
 
     /** Returns a copy with another schedule for moving services to other versions. */
@@ -89,6 +94,24 @@
                 idleConnection,
                 bufferedBodyBytes,
                 bufferedResponseBytes,
-                callerStall);
+                callerStall,
+                fleet);
+    }
+
+    /** Returns a copy with other requirements of the deployment. */
+    public GatewaySettings withFleet(FleetSettings newFleet) {
+        return new GatewaySettings(
+                name,
+                dataCentre,
+                queue,
+                retries,
+                move,
+                escalation,
+                connectTimeout,
+                idleConnection,
+                bufferedBodyBytes,
+                bufferedResponseBytes,
+                callerStall,
+                newFleet);
     }
 }
