The traffic view leaves out upstreams of evacuated data centres

Evacuations says which data centres are out of use and when others were taken back. Nothing writes it yet, so that the view is as before.

--- a/router/src/main/java/org/baobabcart/router/control/Sections.java
+++ b/router/src/main/java/org/baobabcart/router/control/Sections.java
@@ -2,11 +2,11 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.baobabcart.model.gateway.RouteTable;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.rollout.RollOutState;
 import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.policy.upstream.Evacuations;
 import org.baobabcart.policy.version.TrackedVersionOrder;
 import org.baobabcart.router.fleet.FleetView;
 import org.baobabcart.router.key.SessionSecrets;
@@ -63,11 +63,8 @@
     /** The registered routers on the opaque request path; written by the gateway's fleet controller. */
     public static final Section<FleetView> FLEET = Section.named("fleet", FleetView.unknown());
 
-    /**
-     * The data centres that the operator has taken out of use, empty until they are known; written by the gateway's evacuation
-     * controller.
-     */
-    public static final Section<Set<String>> EVACUATED = Section.named("evacuated", Set.of());
+    /** The data centres that the operator has taken out of use; written by the gateway's evacuation controller. */
+    public static final Section<Evacuations> EVACUATED = Section.named("evacuated", Evacuations.none());
 
     private Sections() {}
 }
--- a/router/src/main/java/org/baobabcart/router/view/TrafficView.java
+++ b/router/src/main/java/org/baobabcart/router/view/TrafficView.java
@@ -6,6 +6,7 @@
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.rollout.RollOutState;
 import org.baobabcart.model.sheet.PublishedSheet;
+import org.baobabcart.policy.upstream.Evacuations;
 import org.baobabcart.policy.version.TrackedVersionOrder;
 
 /**
@@ -14,10 +15,11 @@
  *
  * @param sheet the sheet in force; empty before the first one
  * @param rollOuts progress and withdrawals of roll-outs
- * @param upstreams engines and services that may be given new requests
+ * @param upstreams engines and services that may be given new requests; none in evacuated data centres
  * @param stopping whether the process accepts no more requests
  * @param routes the routes of the opaque request path; empty before the first ones and where that path is not used
  * @param versionOrders orders to move services to other versions, with the time since each was first seen
+ * @param evacuations the data centres that are out of use
  */
 public record TrafficView(
         Optional<PublishedSheet> sheet,
@@ -25,7 +27,8 @@
         List<VirtualMachine> upstreams,
         boolean stopping,
         Optional<RouteTable> routes,
-        List<TrackedVersionOrder> versionOrders) {
+        List<TrackedVersionOrder> versionOrders,
+        Evacuations evacuations) {
     /** Copies the collections. */
     public TrafficView {
         upstreams = List.copyOf(upstreams);
@@ -35,7 +38,7 @@
     /** Creates a view of a process that does not use the opaque request path. */
     public TrafficView(
             Optional<PublishedSheet> sheet, RollOutState rollOuts, List<VirtualMachine> upstreams, boolean stopping) {
-        this(sheet, rollOuts, upstreams, stopping, Optional.empty(), List.of());
+        this(sheet, rollOuts, upstreams, stopping, Optional.empty(), List.of(), Evacuations.none());
     }
 
     /** Returns the order that moves a service to another version, whether or not it has ended. */
--- a/router/src/main/java/org/baobabcart/router/view/ViewPublisher.java
+++ b/router/src/main/java/org/baobabcart/router/view/ViewPublisher.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.policy.upstream.Evacuations;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Controller;
 import org.baobabcart.router.control.Sections;
@@ -12,7 +13,7 @@
  * control thread and may be read by any thread.
  *
  * <p>The view contains the engines and services that the list of VMs shows as live. Leaving and vanished ones are
- * excluded as soon as the list has been read.
+ * excluded as soon as the list has been read, and so are those in data centres that the operator has taken out of use.
  */
 public final class ViewPublisher implements Controller, TrafficViewSource {
     private final Blackboard blackboard;
@@ -35,6 +36,7 @@
         blackboard.subscribe(Sections.DRAINING, ignored -> publish());
         blackboard.subscribe(Sections.ROUTES, ignored -> publish());
         blackboard.subscribe(Sections.VERSION_ORDERS, ignored -> publish());
+        blackboard.subscribe(Sections.EVACUATED, ignored -> publish());
         publish();
     }
 
@@ -49,19 +51,22 @@
     }
 
     private void publish() {
+        Evacuations evacuations = blackboard.read(Sections.EVACUATED);
         view = new TrafficView(
                 blackboard.read(Sections.SHEET),
                 blackboard.read(Sections.ROLL_OUTS),
-                liveUpstreams(blackboard.read(Sections.VIRTUAL_MACHINES)),
+                liveUpstreams(blackboard.read(Sections.VIRTUAL_MACHINES), evacuations),
                 blackboard.read(Sections.DRAINING),
                 blackboard.read(Sections.ROUTES),
-                blackboard.read(Sections.VERSION_ORDERS));
+                blackboard.read(Sections.VERSION_ORDERS),
+                evacuations);
     }
 
-    private static List<VirtualMachine> liveUpstreams(List<VirtualMachine> machines) {
+    private static List<VirtualMachine> liveUpstreams(List<VirtualMachine> machines, Evacuations evacuations) {
         return machines.stream()
                 .filter(machine -> machine.role() != VirtualMachine.Role.ROUTER)
                 .filter(machine -> machine.state() == VirtualMachine.State.LIVE)
+                .filter(machine -> !evacuations.isEvacuated(machine.dataCentre()))
                 .toList();
     }
 }
