Evacuated data centres receive nothing new until they are taken back

Cause: no code knew the operator's orders to take a data centre out of use; requests reached its upstreams all the while. EvacuationController follows them where the settings name a bound; the traffic view leaves out the upstreams concerned, so that choice, queues, version moves and the check before the first byte agree. A router that has not read them yet is not ready and sends nothing. Upstreams there get no health checks; their state is kept until the return. Callers with no upstream outside evacuated data centres are refused with a time to come back.

--- a/router/src/main/java/org/baobabcart/router/gateway/FollowingController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/FollowingController.java
@@ -10,7 +10,7 @@
     abstract ObjectInformer<?> informer();
 
     @Override
-    public final void start() {
+    public void start() {
         informer().start();
     }
 
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayObjectCodec.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayObjectCodec.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Optional;
+import org.baobabcart.model.gateway.Evacuation;
 import org.baobabcart.model.gateway.RouteTable;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.StoredObject;
@@ -23,6 +24,9 @@
     /** Returns the kind of the orders that move services to other versions. */
     String orderKind();
 
+    /** Returns the kind of the orders that take data centres out of use. */
+    String evacuationKind();
+
     /** Decodes the operator's configuration; empty for another object of the same kind. */
     Optional<RouteTable> routeTable(StoredObject object);
 
@@ -32,6 +36,9 @@
     /** Decodes an order. */
     VersionOrder order(StoredObject object);
 
+    /** Decodes an order that takes a data centre out of use. */
+    Evacuation evacuation(StoredObject object);
+
     /** Encodes the state and progress of an order as the status of its stored object, which the operator reads. */
     JsonNode status(VersionOrder order);
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -104,7 +105,7 @@
                 informerDependencies,
                 blackboard,
                 runtime.attempts().upstreams().notices().rateLimits());
-        this.controllers = List.of(
+        List<Controller> allControllers = new ArrayList<>(List.of(
                 views,
                 RouteController.create(dependencies.objects(), informerDependencies, blackboard, timeline),
                 upstreams,
@@ -117,7 +118,11 @@
                         timeline,
                         dependencies.settings().move(),
                         outcomeRecorder),
-                StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies));
+                StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies)));
+        if (dependencies.settings().fleet().evacuations()) {
+            allControllers.add(evacuations(informerDependencies));
+        }
+        this.controllers = List.copyOf(allControllers);
     }
 
     /** Creates a router that does not listen yet. */
@@ -171,6 +176,22 @@
                 BodyReader.create(vertx, bodyBudget));
     }
 
+    private EvacuationController evacuations(ObjectInformer.Dependencies informerDependencies) {
+        Dispatcher dispatcher = runtime.attempts().dispatcher();
+        metrics.gauge(
+                "gateway.evacuated-data-centres",
+                () -> () -> views.current().evacuations().dataCentres().size());
+        metrics.gauge(
+                "gateway.evacuated-running",
+                () -> () -> dispatcher.running(views.current().evacuations()::isEvacuated));
+        return EvacuationController.create(
+                dependencies.objects(),
+                informerDependencies,
+                blackboard,
+                dependencies.timeline(),
+                dataCentre -> dispatcher.running(dataCentre::equals));
+    }
+
     private static long usedHeapBytes() {
         return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
     }
@@ -304,13 +325,17 @@
                 .end(PrometheusText.of(metrics));
     }
 
-    /** Returns whether a route table, the list of upstreams and the claims on limited ones are loaded and the router is neither stopping nor cut off. */
+    /**
+     * Returns whether a route table, the list of upstreams, the claims on limited ones and the evacuated data centres are loaded, and the
+     * router is neither stopping nor cut off.
+     */
     private boolean isReady() {
         TrafficView view = views.current();
         return !drain.isDraining()
                 && view.routes().isPresent()
                 && upstreams.isSynced()
                 && rateLimits.isSynced()
+                && view.evacuations().isKnown()
                 && !runtime.reachability().isCutOff(view);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -44,6 +44,14 @@
             EventField.CHANGE),
     UPSTREAM_SUSPECTED("an upstream is passed over until a health check succeeds", EventField.UPSTREAM),
     UPSTREAM_BACK("a health check of an upstream that was passed over has succeeded", EventField.UPSTREAM),
+    DATA_CENTRE_CHANGED(
+            "the operator's order on a data centre was learned, renewed or taken back",
+            EventField.DATA_CENTRE,
+            EventField.STATE,
+            EventField.SINCE,
+            EventField.RESOURCE_VERSION,
+            EventField.UPSTREAMS,
+            EventField.RUNNING),
     DEPENDENCY_LOST(
             "a kind of objects in the store cannot be followed; what is known stays",
             EventField.NAME,
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -13,6 +13,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
@@ -36,6 +37,8 @@
     private static final Duration TICK = Duration.ofMillis(20);
     /** The usual time until replacements are listed for a pool whose upstreams are all leaving. */
     private static final Duration REPLACEMENT_DELAY = Duration.ofSeconds(2);
+    /** Several times the interval at which routers learn of changes, and short against the deadlines of callers. */
+    private static final Duration EVACUATED_RETRY_DELAY = Duration.ofSeconds(2);
     /** Spreads the retries of callers that got the same Retry-After over an additional quarter of that time. */
     private static final double RETRY_JITTER = 0.25;
 
@@ -87,6 +90,11 @@
         return queues.values().stream().mapToInt(AdmissionQueue::size).sum();
     }
 
+    /** Returns the number of requests that run at upstreams in these data centres, listed or not. */
+    public synchronized int running(Predicate<String> dataCentres) {
+        return selector.running(dataCentres);
+    }
+
     /** Returns the upstreams of a pool that may receive new requests; computed once per view. */
     public synchronized List<VirtualMachine> membersOf(TrafficView view, Pool pool) {
         return selector.members(view, pool);
@@ -144,7 +152,7 @@
             removeUnlisted(view);
         }
         if (selector.members(view, pool).isEmpty()) {
-            return List.of(() -> waiter.refuse(BaobabcartException.of(ResultCode.NO_UPSTREAM)));
+            return List.of(() -> waiter.refuse(noneListed(view)));
         }
         OptionalLong availableFrom = availableFrom(view, pool);
         if (availableFrom.isPresent() && availableFrom.getAsLong() - waiter.request.targetNanos() > 0) {
@@ -176,15 +184,26 @@
                 health.earliestAvailability(members).orElse(System.nanoTime() + REPLACEMENT_DELAY.toNanos()));
     }
 
+    /** Creates a refusal of a request whose pool has no upstream; nobody knows when evacuated ones are taken back. */
+    private BaobabcartException noneListed(TrafficView view) {
+        return view.evacuations().dataCentres().isEmpty()
+                ? BaobabcartException.of(ResultCode.NO_UPSTREAM)
+                : BaobabcartException.of(ResultCode.NO_UPSTREAM, "no upstream outside evacuated data centres")
+                        .withRetryAfter(randomized(EVACUATED_RETRY_DELAY));
+    }
+
     /**
      * Creates a refusal for the time until upstreams accept requests again. Retry-After is randomized so that callers
      * do not all retry at once.
      */
     private BaobabcartException noneAvailable(long availableFromNanos) {
-        double remaining = Math.max(0, availableFromNanos - System.nanoTime());
-        long wait = (long) (remaining * (1 + RETRY_JITTER * random.nextDouble()));
+        Duration remaining = Duration.ofNanos(Math.max(0, availableFromNanos - System.nanoTime()));
         return BaobabcartException.of(ResultCode.NO_UPSTREAM, "all upstreams decline requests for now")
-                .withRetryAfter(Duration.ofNanos(wait));
+                .withRetryAfter(randomized(remaining));
+    }
+
+    private Duration randomized(Duration minimum) {
+        return Duration.ofNanos((long) (minimum.toNanos() * (1 + RETRY_JITTER * random.nextDouble())));
     }
 
     private QueueEntry<Waiter> entry(Waiter waiter) {
@@ -221,7 +240,7 @@
                 continue;
             }
             if (selector.members(view, entry.getKey()).isEmpty()) {
-                BaobabcartException noUpstream = BaobabcartException.of(ResultCode.NO_UPSTREAM);
+                BaobabcartException noUpstream = noneListed(view);
                 queue.clear()
                         .forEach(removed -> actions.add(() -> removed.item().refuse(noUpstream)));
                 continue;
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
@@ -18,7 +18,8 @@
 
 /**
  * Tracks upstreams that this router suspects, found unreachable or that declined requests. Only those that it suspects
- * or found unreachable are probed, on new connections, until they respond. Thread-safe.
+ * or found unreachable are probed, on new connections, until they respond. Upstreams in evacuated data centres are not
+ * probed; what is known of them is kept until their data centre is taken back. Thread-safe.
  *
  * <p>A suspected upstream becomes unreachable when a connection or a health check fails. A broken connection or a late
  * response alone does not show that other requests cannot be served.
@@ -154,6 +155,9 @@
 
     private void probe(VirtualMachine upstream, long timer) {
         TrafficView view = views.current();
+        if (view.evacuations().isEvacuated(upstream.dataCentre())) {
+            return;
+        }
         if (!view.upstreams().contains(upstream)) {
             stopProbing(upstream, timer);
             return;
@@ -164,9 +168,10 @@
         check(upstream).onSuccess(result -> update(upstream, timer, result));
     }
 
-    /** Checks an upstream, by a connection alone if its rate limit allows no request of this router now. */
+    /** Checks an upstream, by a connection alone if it is evacuated or its rate limit allows no request of this router now. */
     private Future<HealthCheckResult> check(VirtualMachine upstream) {
-        return tryTakePermit(upstream)
+        boolean isEvacuated = views.current().evacuations().isEvacuated(upstream.dataCentre());
+        return !isEvacuated && tryTakePermit(upstream)
                 ? client.checkHealth(upstream, healthPath(upstream), PROBE_TIMEOUT)
                 : client.isReachable(upstream)
                         .map(reachable -> reachable ? HealthCheckResult.HEALTHY : HealthCheckResult.FAILED);
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamLoad.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamLoad.java
@@ -9,20 +9,23 @@
 
 /** Tracks the load of one upstream as known to this router. Guarded by the dispatcher's lock. */
 final class UpstreamLoad {
+    private final String dataCentre;
     private int inFlight;
     private ConcurrencyLimit limit;
     private Optional<LoadReport> report = Optional.empty();
     private long reportedAt;
     private int inFlightAtReport;
 
-    private UpstreamLoad(ConcurrencyLimit limit) {
+    private UpstreamLoad(String dataCentre, ConcurrencyLimit limit) {
+        this.dataCentre = dataCentre;
         this.limit = limit;
     }
 
     /** Creates the state of an upstream that has not been used yet. Only engines report their load. */
-    static UpstreamLoad create(VirtualMachine.Role role) {
-        boolean reports = role == VirtualMachine.Role.ENGINE;
-        return new UpstreamLoad(reports ? ConcurrencyLimit.initial() : ConcurrencyLimit.initialWithoutReports());
+    static UpstreamLoad create(VirtualMachine upstream) {
+        boolean reports = upstream.role() == VirtualMachine.Role.ENGINE;
+        return new UpstreamLoad(
+                upstream.dataCentre(), reports ? ConcurrencyLimit.initial() : ConcurrencyLimit.initialWithoutReports());
     }
 
     /**
@@ -66,6 +69,15 @@
         inFlight--;
     }
 
+    /** Returns the data centre of the upstream. */
+    String dataCentre() {
+        return dataCentre;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
     boolean isIdle() {
         return inFlight == 0;
     }
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamSelector.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamSelector.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.policy.retry.FailureKind;
@@ -72,6 +73,14 @@
         load(upstream).requestEnded(failure);
     }
 
+    /** Returns the number of requests that run at upstreams in these data centres, listed or not. */
+    int running(Predicate<String> dataCentres) {
+        return loads.values().stream()
+                .filter(load -> dataCentres.test(load.dataCentre()))
+                .mapToInt(UpstreamLoad::inFlight)
+                .sum();
+    }
+
     /**
      * Removes idle upstreams that the view no longer lists. Those with requests in flight are removed at a later call.
      */
@@ -128,6 +137,6 @@
     }
 
     private UpstreamLoad load(VirtualMachine upstream) {
-        return loads.computeIfAbsent(upstream.name(), ignored -> UpstreamLoad.create(upstream.role()));
+        return loads.computeIfAbsent(upstream.name(), ignored -> UpstreamLoad.create(upstream));
     }
 }
--- a/router/src/test/java/org/baobabcart/router/gateway/TestOrderCodec.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/TestOrderCodec.java
@@ -4,16 +4,20 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Duration;
 import java.util.Optional;
+import org.baobabcart.model.gateway.Evacuation;
 import org.baobabcart.model.gateway.MoveProgress;
 import org.baobabcart.model.gateway.MoveStage;
 import org.baobabcart.model.gateway.RouteTable;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.model.result.BaobabcartException;
+import org.baobabcart.model.result.ResultCode;
 
-/** Test codec for orders in an in-memory store, with one order of one service. Stateless. */
+/** Test codec for orders in an in-memory store, with one order of one service to another version. Stateless. */
 final class TestOrderCodec implements GatewayObjectCodec {
     static final String KIND = "orders";
+    static final String EVACUATION_KIND = "evacuated";
     static final String SERVICE = "service";
     static final String TARGET = "v2";
 
@@ -45,6 +49,19 @@
         return KIND;
     }
 
+    @Override
+    public String evacuationKind() {
+        return EVACUATION_KIND;
+    }
+
+    @Override
+    public Evacuation evacuation(StoredObject object) {
+        if (!object.spec().isObject()) {
+            throw BaobabcartException.of(ResultCode.BAD_REQUEST, "an object is expected");
+        }
+        return new Evacuation(object.name(), object.resourceVersion(), object.created());
+    }
+
     @Override
     public Optional<RouteTable> routeTable(StoredObject object) {
         return Optional.empty();
