Routers register themselves in the store and know each other

Cause: on the platform no router knew of another one, though bounds on cold upstreams and the price of calls to the store are sums over all of them.

Change: a directory of routers in the store (kind routers, one object each: data centre, peer address, id of the process), written once after the start with jitter, again if it was removed, and deleted at the end of a planned stop.

--- a/router/src/main/java/org/baobabcart/router/gateway/FleetSettings.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/FleetSettings.java
@@ -22,4 +22,9 @@
     public boolean hasPeerPorts() {
         return !peerHost.isEmpty() && firstPeerPort > 0;
     }
+
+    /** Returns {@code host:port} at which other routers reach this one; empty if they do not. */
+    public String peerAddress() {
+        return hasPeerPorts() ? peerHost + ":" + firstPeerPort : "";
+    }
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -4,15 +4,18 @@
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.policy.cascade.FirstByteEstimator;
 import org.baobabcart.policy.cascade.LatencyPressure;
@@ -33,6 +36,7 @@
 import org.baobabcart.router.exchange.BodyReader;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
+import org.baobabcart.router.fleet.FleetController;
 import org.baobabcart.router.limit.RateLimitController;
 import org.baobabcart.router.platform.MonitoredObjectStore;
 import org.baobabcart.router.platform.ObjectInformer;
@@ -76,6 +80,7 @@
     private final GatewayServer server;
     private final UpstreamController upstreams;
     private final RateLimitController rateLimits;
+    private final Optional<FleetController> fleet;
     private final List<Controller> controllers;
     private boolean wasReady;
     private final AtomicBoolean stopStarted = new AtomicBoolean();
@@ -104,7 +109,8 @@
                 informerDependencies,
                 blackboard,
                 runtime.attempts().upstreams().notices().rateLimits());
-        this.controllers = List.of(
+        this.fleet = fleet(informerDependencies);
+        List<Controller> following = List.of(
                 views,
                 RouteController.create(dependencies.objects(), informerDependencies, blackboard, timeline),
                 upstreams,
@@ -118,6 +124,22 @@
                         dependencies.settings().move(),
                         outcomeRecorder),
                 StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies));
+        this.controllers = Stream.concat(following.stream(), fleet.stream()).toList();
+    }
+
+    private Optional<FleetController> fleet(ObjectInformer.Dependencies informerDependencies) {
+        GatewaySettings settings = dependencies.settings();
+        FleetSettings fleetSettings = settings.fleet();
+        return Optional.of(fleetSettings)
+                .filter(FleetSettings::hasPeerPorts)
+                .map(ignored -> FleetController.create(
+                        settings.name(),
+                        settings.dataCentre(),
+                        fleetSettings.peerAddress(),
+                        informerDependencies,
+                        blackboard,
+                        dependencies.timeline(),
+                        fleetSettings.warmUp().isPresent()));
     }
 
     /** Creates a router that does not listen yet. */
@@ -239,7 +261,8 @@
         runtime.attempts().dispatcher().refuseWaitingBeyond(deadline);
         return awaitIdle(deadline)
                 .onComplete(ignored -> server.endRunning())
-                .compose(ignored -> server.shutdown(times.close()))
+                .compose(ignored -> Future.join(server.shutdown(times.close()), leaveFleet(times.close())))
+                .<Void>mapEmpty()
                 .otherwiseEmpty()
                 .onComplete(ignored -> {
                     dependencies
@@ -251,6 +274,15 @@
                 });
     }
 
+    private Future<Void> leaveFleet(Duration timeout) {
+        Promise<Void> left = Promise.promise();
+        loop.execute(() -> fleet.map(FleetController::leave)
+                .orElse(Uni.createFrom().voidItem())
+                .subscribe()
+                .with(ignored -> left.tryComplete(), left::tryFail));
+        return left.future().timeout(timeout.toMillis(), TimeUnit.MILLISECONDS).otherwiseEmpty();
+    }
+
     private Future<Void> awaitIdle(long deadline) {
         if (drain.running() == 0 || System.nanoTime() - deadline >= 0) {
             return Future.succeededFuture();
--- a/router/src/main/java/org/baobabcart/router/platform/MonitoredObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/MonitoredObjectStore.java
@@ -27,19 +27,20 @@
     private final Blackboard blackboard;
     private final Executor loop;
     private final Timeline timeline;
+    private final LabelledMetrics metrics;
     private final Meter respondedCalls;
     private final Meter unansweredCalls;
     private volatile boolean reachable;
 
     private MonitoredObjectStore(
-            ObjectStore store, Blackboard blackboard, Executor loop, Timeline timeline, MetricRegistry metrics) {
+            ObjectStore store, Blackboard blackboard, Executor loop, Timeline timeline, MetricRegistry registry) {
         this.store = store;
         this.blackboard = blackboard;
         this.loop = loop;
         this.timeline = timeline;
-        LabelledMetrics labelled = LabelledMetrics.create(metrics);
-        this.respondedCalls = labelled.meter("platform.calls", LabelledMetrics.labels("result", "answered"));
-        this.unansweredCalls = labelled.meter("platform.calls", LabelledMetrics.labels("result", "unanswered"));
+        this.metrics = LabelledMetrics.create(registry);
+        this.respondedCalls = metrics.meter("platform.calls", LabelledMetrics.labels("result", "answered"));
+        this.unansweredCalls = metrics.meter("platform.calls", LabelledMetrics.labels("result", "unanswered"));
     }
 
     /** Creates a store that monitors the calls to the given one. */
@@ -50,50 +51,69 @@
 
     @Override
     public Uni<StoredObject> read(String kind, String name) {
-        return monitored(store.read(kind, name));
+        return monitored(StoreVerb.READ, kind, store.read(kind, name));
     }
 
     @Override
     public Uni<List<StoredObject>> list(String kind) {
-        return monitored(store.list(kind));
+        return monitored(StoreVerb.LIST, kind, store.list(kind));
     }
 
     @Override
     public Uni<ObjectSnapshot> snapshot(String kind) {
-        return monitored(store.snapshot(kind));
+        return monitored(StoreVerb.LIST, kind, store.snapshot(kind));
     }
 
     @Override
     public Uni<StoredObject> updateStatus(StoredObject object) {
-        return monitored(store.updateStatus(object));
+        return monitored(StoreVerb.UPDATE_STATUS, object.kind(), store.updateStatus(object));
     }
 
     @Override
     public Uni<StoredObject> create(StoredObject object) {
-        return monitored(store.create(object));
+        return monitored(StoreVerb.CREATE, object.kind(), store.create(object));
     }
 
     @Override
     public Uni<StoredObject> update(StoredObject object) {
-        return monitored(store.update(object));
+        return monitored(StoreVerb.UPDATE, object.kind(), store.update(object));
     }
 
     @Override
     public Uni<Void> delete(StoredObject object) {
-        return monitored(store.delete(object));
+        return monitored(StoreVerb.DELETE, object.kind(), store.delete(object));
     }
 
     @Override
     public Multi<ObjectEvent> watch(String kind, String fromResourceVersion) {
         return store.watch(kind, fromResourceVersion)
                 .onItem()
-                .invoke(() -> onResult(true))
+                .invoke(event -> onWatchEvent(kind, event))
                 .onFailure()
-                .invoke(failure -> onResult(isResponse(failure)));
+                .invoke(failure -> {
+                    count(StoreVerb.WATCH, kind);
+                    onResult(isResponse(failure));
+                });
+    }
+
+    /** A bookmark is the end of a poll's response. */
+    private void onWatchEvent(String kind, ObjectEvent event) {
+        if (event.type() == ObjectEvent.Type.BOOKMARK) {
+            count(StoreVerb.WATCH, kind);
+        }
+        onResult(true);
+    }
+
+    private <T> Uni<T> monitored(StoreVerb verb, String kind, Uni<T> call) {
+        return call.onItemOrFailure().invoke((item, failure) -> {
+            count(verb, kind);
+            onResult(failure == null || isResponse(failure));
+        });
     }
 
-    private <T> Uni<T> monitored(Uni<T> call) {
-        return call.onItemOrFailure().invoke((item, failure) -> onResult(failure == null || isResponse(failure)));
+    private void count(StoreVerb verb, String kind) {
+        metrics.meter("platform.store-calls", LabelledMetrics.labels("kind", kind, "verb", verb.label()))
+                .mark();
     }
 
     private static boolean isResponse(Throwable failure) {
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
@@ -256,7 +256,12 @@
     }
 
     private double ageSeconds() {
-        return (dependencies.timers().nanoTime() - lastResponseNanos) / NANOS_PER_SECOND;
+        return ageNanos() / NANOS_PER_SECOND;
+    }
+
+    /** Returns the time since the platform was last heard of this kind, or since the creation. May be called on any thread. */
+    public long ageNanos() {
+        return dependencies.timers().nanoTime() - lastResponseNanos;
     }
 
     private void onResponse() {
--- a/router/src/main/java/org/baobabcart/router/platform/OwnedObjectWriter.java
+++ b/router/src/main/java/org/baobabcart/router/platform/OwnedObjectWriter.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import org.baobabcart.model.platform.StoredObject;
@@ -68,6 +69,11 @@
                         failure -> onFailure(failure, listener));
     }
 
+    /** Removes the object if this writer has written it and no other one since; does nothing while a write is under way. */
+    public Uni<Void> remove() {
+        return pending || stored.isEmpty() ? Uni.createFrom().voidItem() : store.delete(stored.get());
+    }
+
     private void onStored(StoredObject object) {
         pending = false;
         stored = Optional.of(object);
