Two routers of each data centre follow the store for the others

Cause: each router followed each kind of objects for itself.

Change: RelayedObjectStore lies below the informers. Its watches are served by the first two routers of the data centre in rendezvous order, which pass on batches of changes as they hear them from the store, with the age of their last proof; both streams are merged by revision. When the freshest proof is older than four fifths of the bound, or nobody continues from the known revision, the watch fails and the informer reads a list from the store. Relays keep bounded logs and take at most 64 subscribers, which then ask the next of the order. Data centres of fewer than six routers follow the store as before.

RelayFleetTest drives the real informers, relays and registrations: after all six relays of 29 routers are killed, frozen, isolated or cut from the store at once, a change made right then reaches every sound router within the bound of 2 s; history that is dropped, an outage and 200 random changes leave all routers equal to the store, none of them ever at an older state.

--- a/router/src/main/java/org/baobabcart/router/gateway/FleetSettings.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/FleetSettings.java
@@ -1,5 +1,6 @@
 package org.baobabcart.router.gateway;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -10,14 +11,37 @@
  * @param peerHost the address at which other routers reach this one; empty if routers do not talk to each other
  * @param firstPeerPort the first of the ports that are free for calls between routers; zero for none
  * @param lastPeerPort the last of these ports
+ * @param changeBound the time within which changes of the configuration and of upstreams have to take effect
  */
 public record FleetSettings(
-        boolean evacuations, Optional<WarmUpTolerance> warmUp, String peerHost, int firstPeerPort, int lastPeerPort) {
+        boolean evacuations,
+        Optional<WarmUpTolerance> warmUp,
+        String peerHost,
+        int firstPeerPort,
+        int lastPeerPort,
+        Duration changeBound) {
+    private static final Duration DEFAULT_CHANGE_BOUND = Duration.ofSeconds(2);
+
+    /** Creates settings with the default bound on changes. */
+    public FleetSettings(
+            boolean evacuations,
+            Optional<WarmUpTolerance> warmUp,
+            String peerHost,
+            int firstPeerPort,
+            int lastPeerPort) {
+        this(evacuations, warmUp, peerHost, firstPeerPort, lastPeerPort, DEFAULT_CHANGE_BOUND);
+    }
+
     /** Returns settings of a router that stands alone. */
     public static FleetSettings none() {
         return new FleetSettings(false, Optional.empty(), "", 0, 0);
     }
 
+    /** Returns these settings with another bound on changes. */
+    public FleetSettings withChangeBound(Duration newBound) {
+        return new FleetSettings(evacuations, warmUp, peerHost, firstPeerPort, lastPeerPort, newBound);
+    }
+
     /** Returns whether routers may call each other. */
     public boolean hasPeerPorts() {
         return !peerHost.isEmpty() && firstPeerPort > 0;
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -41,6 +42,8 @@
 import org.baobabcart.router.platform.MonitoredObjectStore;
 import org.baobabcart.router.platform.ObjectInformer;
 import org.baobabcart.router.platform.ObjectStore;
+import org.baobabcart.router.relay.RelayController;
+import org.baobabcart.router.relay.RelayTiming;
 import org.baobabcart.router.timeline.EventField;
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
@@ -80,6 +83,7 @@
     private final GatewayServer server;
     private final UpstreamController upstreams;
     private final RateLimitController rateLimits;
+    private final Optional<RelayController> relay;
     private final Optional<FleetController> fleet;
     private final List<Controller> controllers;
     private boolean wasReady;
@@ -96,8 +100,10 @@
                 dependencies.settings().name(), timers.wallClockMillis(), timers::nanoTime, timeline);
         this.runtime = runtime(outcomeRecorder, crashes);
         this.server = GatewayServer.create(runtime, drain);
-        ObjectInformer.Dependencies informerDependencies =
-                new ObjectInformer.Dependencies(store, loop, timers, RandomGenerator.getDefault(), timeline, metrics);
+        this.relay = relay(store);
+        ObjectStore followedStore = relay.map(RelayController::store).orElse(store);
+        ObjectInformer.Dependencies informerDependencies = new ObjectInformer.Dependencies(
+                followedStore, loop, timers, RandomGenerator.getDefault(), timeline, metrics);
         this.upstreams = UpstreamController.create(
                 dependencies.objects(),
                 informerDependencies,
@@ -124,7 +130,33 @@
                         dependencies.settings().move(),
                         outcomeRecorder),
                 StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies));
-        this.controllers = Stream.concat(following.stream(), fleet.stream()).toList();
+        this.controllers = Stream.of(following.stream(), fleet.stream(), relay.stream())
+                .<Controller>flatMap(controller -> controller)
+                .toList();
+    }
+
+    private Optional<RelayController> relay(ObjectStore store) {
+        GatewaySettings settings = dependencies.settings();
+        return Optional.of(settings.fleet())
+                .filter(FleetSettings::hasPeerPorts)
+                .map(fleetSettings -> RelayController.create(
+                        settings.name(),
+                        new RelayController.Dependencies(
+                                dependencies.vertx(),
+                                store,
+                                loop,
+                                timers,
+                                RandomGenerator.getDefault(),
+                                blackboard,
+                                dependencies.timeline(),
+                                metrics),
+                        new RelayTiming(
+                                fleetSettings.changeBound(),
+                                Set.of(
+                                        dependencies.objects().orderKind(),
+                                        RateLimitController.KIND,
+                                        StoredCrashReports.KIND,
+                                        FleetController.KIND))));
     }
 
     private Optional<FleetController> fleet(ObjectInformer.Dependencies informerDependencies) {
@@ -211,6 +243,8 @@
                         EventType.PROCESS_STARTED,
                         EventFields.of(EventField.NAME, dependencies.settings().name()));
         listenMetrics(ports);
+        FleetSettings fleetSettings = dependencies.settings().fleet();
+        relay.ifPresent(server -> server.listen(fleetSettings.peerHost(), fleetSettings.firstPeerPort()));
         return Futures.toUni(() -> listenReadiness(ports.readinessHost(), ports.readinessPort())
                 .compose(ignored -> server.listen(ports.callerHost(), ports.callerPort()))
                 .mapEmpty());
--- a/router/src/main/java/org/baobabcart/router/platform/MonitoredObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/MonitoredObjectStore.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.Executor;
 import org.baobabcart.model.platform.ObjectEvent;
@@ -86,8 +87,16 @@
 
     @Override
     public Multi<ObjectEvent> watch(String kind, String fromResourceVersion) {
-        return store.watch(kind, fromResourceVersion)
-                .onItem()
+        return monitored(kind, store.watch(kind, fromResourceVersion));
+    }
+
+    @Override
+    public Multi<ObjectEvent> watch(String kind, String fromResourceVersion, Duration longestSilence) {
+        return monitored(kind, store.watch(kind, fromResourceVersion, longestSilence));
+    }
+
+    private Multi<ObjectEvent> monitored(String kind, Multi<ObjectEvent> watch) {
+        return watch.onItem()
                 .invoke(event -> onWatchEvent(kind, event))
                 .onFailure()
                 .invoke(failure -> {
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
@@ -45,6 +45,8 @@
 public final class ObjectInformer<T> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final double NANOS_PER_SECOND = 1e9;
+    /** The failures that an outage stands for that another router saw: more than those of a single broken connection. */
+    private static final int REPORTED_OUTAGE_FAILURES = 2;
 
     private final String kind;
     private final Dependencies dependencies;
@@ -284,8 +286,9 @@
             readSnapshot();
             return;
         }
-        failures++;
-        if (failures == 1) {
+        boolean isFirst = failures == 0;
+        failures += failure.getCause() instanceof ReportedOutageException ? REPORTED_OUTAGE_FAILURES : 1;
+        if (isFirst) {
             record(EventType.DEPENDENCY_LOST, String.valueOf(failure.getMessage()));
         }
         long current = round;
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectStore.java
@@ -2,6 +2,7 @@
 
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
+import java.time.Duration;
 import java.util.List;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.ObjectSnapshot;
@@ -48,4 +49,12 @@
      * received.
      */
     Multi<ObjectEvent> watch(String kind, String fromResourceVersion);
+
+    /**
+     * Streams the changes after a version like {@link #watch(String, String)}, with a bookmark at least as often as this if the store supports it. More
+     * frequent bookmarks cost more calls.
+     */
+    default Multi<ObjectEvent> watch(String kind, String fromResourceVersion, Duration longestSilence) {
+        return watch(kind, fromResourceVersion);
+    }
 }
--- /dev/null
+++ b/router/src/main/java/org/baobabcart/router/relay/RelaySource.java
@@ -0,0 +1,154 @@
+package org.baobabcart.router.relay;
+
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.baobabcart.model.platform.ObjectEvent;
+
+/**
+ * What this router hears from the store itself, kept for those who subscribe to it. Confined to the control thread.
+ *
+ * <p>News are as old as the poll that they come from must be: a poll that waits for a known time is answered about then or earlier, and an answer
+ * that arrives later was late on its way.
+ */
+final class RelaySource {
+    /** Beyond these, a router is turned away and asks the next one. */
+    static final int MAX_SUBSCRIBERS = 64;
+
+    /** A larger batch is not kept, and subscribers read a list instead. */
+    private static final int MAX_BATCH_BYTES = 128 * 1024;
+
+    private static final long NANOS_PER_MILLI = Duration.ofMillis(1).toNanos();
+
+    private final LongSupplier clock;
+    private final Map<String, Followed> followed = new HashMap<>();
+    private final Set<Subscriber> subscribers = new HashSet<>();
+
+    /** A connection that receives what this router hears. */
+    interface Subscriber {
+        /** Sends lines; must not block. */
+        void send(Buffer lines);
+    }
+
+    /** A kind that this router follows directly. */
+    private static final class Followed {
+        private ChangeLog log;
+        private final int failures;
+        private long answeredNanos;
+        private boolean hasProof;
+        private long proofNanos;
+
+        private Followed(ChangeLog log, long nowNanos, int failures) {
+            this.log = log;
+            this.answeredNanos = nowNanos;
+            this.failures = failures;
+        }
+    }
+
+    private RelaySource(LongSupplier clock) {
+        this.clock = clock;
+    }
+
+    static RelaySource create(LongSupplier clock) {
+        return new RelaySource(clock);
+    }
+
+    /** Begins to follow a kind at a revision; keeps the log if it ends there. */
+    void begin(String kind, long revision, int failures) {
+        Followed known = followed.get(kind);
+        if (known != null && known.log.end() == revision && failures == 0) {
+            return;
+        }
+        Followed begun = new Followed(ChangeLog.startingAt(revision), clock.getAsLong(), failures);
+        followed.put(kind, begun);
+        send(RelayLine.restart(kind, revision, failures));
+    }
+
+    /** Ends following a kind, of which this router no longer hears from the store. */
+    void end(String kind) {
+        if (followed.remove(kind) != null) {
+            send(RelayLine.end(kind));
+        }
+    }
+
+    /**
+     * Takes the answer to a poll.
+     *
+     * @param revision the revision up to which the changes are complete
+     * @param longestPoll the longest time from one answer to the next
+     */
+    void onAnswer(String kind, long revision, List<ObjectEvent> events, Duration longestPoll) {
+        Followed known = followed.get(kind);
+        if (known == null) {
+            return;
+        }
+        long now = clock.getAsLong();
+        known.proofNanos = Math.min(now, known.answeredNanos + longestPoll.toNanos());
+        known.answeredNanos = now;
+        known.hasProof = true;
+        Buffer lines = RelayLine.events(events);
+        if (lines.length() > MAX_BATCH_BYTES) {
+            known.log = ChangeLog.startingAt(revision);
+            send(RelayLine.restart(kind, revision, 0));
+            return;
+        }
+        boolean hasNews = known.log.append(revision, events, lines.length()).isPresent();
+        if (hasNews && !events.isEmpty()) {
+            send(lines.appendBuffer(RelayLine.bookmark(kind, revision)));
+        }
+    }
+
+    /** Adds a subscriber, which receives all logs; returns false if there are too many. */
+    boolean add(Subscriber subscriber) {
+        if (subscribers.size() >= MAX_SUBSCRIBERS) {
+            return false;
+        }
+        Buffer lines = Buffer.buffer();
+        followed.forEach((kind, known) -> {
+            lines.appendBuffer(RelayLine.restart(kind, known.log.begin(), known.failures));
+            known.log
+                    .after(known.log.begin())
+                    .forEach(batch -> lines.appendBuffer(RelayLine.events(batch.events()))
+                            .appendBuffer(RelayLine.bookmark(kind, batch.to())));
+        });
+        subscribers.add(subscriber);
+        subscriber.send(lines.appendBuffer(ages()));
+        return true;
+    }
+
+    void remove(Subscriber subscriber) {
+        subscribers.remove(subscriber);
+    }
+
+    int subscribers() {
+        return subscribers.size();
+    }
+
+    /** Tells all subscribers the age of the news. */
+    void sendAges() {
+        if (!subscribers.isEmpty()) {
+            send(ages());
+        }
+    }
+
+    private Buffer ages() {
+        long now = clock.getAsLong();
+        Map<String, RelayLine.Age> ages = new HashMap<>();
+        followed.forEach((kind, known) -> {
+            if (known.hasProof) {
+                long millis = (now - known.proofNanos) / NANOS_PER_MILLI + 1;
+                ages.put(kind, new RelayLine.Age(known.log.end(), millis));
+            }
+        });
+        return RelayLine.ages(ages);
+    }
+
+    private void send(Buffer lines) {
+        List.copyOf(subscribers).forEach(subscriber -> subscriber.send(lines));
+    }
+}
--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -35,6 +35,11 @@
     SESSION_KEYS_APPLIED("signing keys are in force", EventField.KEYS, EventField.SOURCE),
     MEMBER_CHANGED(
             "another router is known, suspected or gone", EventField.MEMBER, EventField.STATE, EventField.INCARNATION),
+    RELAY_CHANGED(
+            "this router follows the store for others, or by another one, or no longer",
+            EventField.MEMBER,
+            EventField.STATE,
+            EventField.CAUSE),
     UPSTREAM_CHANGED(
             "an upstream is known, leaving, started anew or gone",
             EventField.UPSTREAM,
--- /dev/null
+++ b/router/src/test/java/org/baobabcart/router/relay/RelayFleet.java
@@ -0,0 +1,274 @@
+package org.baobabcart.router.relay;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.router.control.Blackboard;
+import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.fleet.FleetController;
+import org.baobabcart.router.platform.InformerSettings;
+import org.baobabcart.router.platform.ObjectInformer;
+import org.baobabcart.router.testing.ManualTimerService;
+
+/** Routers with the real informers, relays and registrations in driven time, on links to a store and to each other that can fail. */
+final class RelayFleet {
+    static final Duration BOUND = Duration.ofSeconds(2);
+    static final String KIND = "config";
+    private static final List<String> KINDS = List.of(KIND, "upstreams", "orders");
+    private static final Duration HOP = Duration.ofMillis(1);
+
+    final ManualTimerService timers = ManualTimerService.create();
+    final PolledStore store = new PolledStore(timers);
+    private final Vertx vertx;
+    private final Map<String, Node> nodes = new HashMap<>();
+
+    RelayFleet(Vertx vertx) {
+        this.vertx = vertx;
+    }
+
+    /** Starts routers that are spread over three data centres. */
+    List<Node> start(int routers) {
+        List<Node> started = new ArrayList<>();
+        for (int index = 0; index < routers; index++) {
+            started.add(start("router-" + index, "dc-" + index % 3));
+        }
+        return started;
+    }
+
+    Node start(String name, String dataCentre) {
+        Node node = new Node(name, dataCentre);
+        nodes.put(name, node);
+        node.begin();
+        return node;
+    }
+
+    void advance(Duration duration) {
+        timers.advance(duration);
+    }
+
+    /** A router. While frozen, whatever reaches it waits until it wakes. */
+    final class Node {
+        final String name;
+        final PolledStore.Link link = store.link();
+        private final Blackboard blackboard = Blackboard.create();
+        private final Queue<Runnable> held = new ArrayDeque<>();
+        private final List<LocalConnection> inbound = new ArrayList<>();
+        private final RelayController relay;
+        private final FleetController fleet;
+        private final List<ObjectInformer<StoredObject>> informers = new ArrayList<>();
+        private final Map<String, Map<String, StoredObject>> objects = new HashMap<>();
+        private final Random random;
+        private boolean frozen;
+        private boolean dead;
+        private boolean isolated;
+        long regressions;
+
+        private Node(String name, String dataCentre) {
+            this.name = name;
+            this.random = new Random(name.hashCode());
+            NodeTimers nodeTimers = new NodeTimers(this);
+            RelayController.Dependencies dependencies = new RelayController.Dependencies(
+                    vertx,
+                    link,
+                    this::run,
+                    nodeTimers,
+                    random,
+                    blackboard,
+                    (type, request, fields) -> {},
+                    new MetricRegistry());
+            RelayTiming timing = new RelayTiming(BOUND, Set.of("orders", FleetController.KIND));
+            relay = new RelayController(dependencies, timing, (address, listener) -> connect(this, address, listener));
+            ObjectInformer.Dependencies following = new ObjectInformer.Dependencies(
+                    relay.store(), this::run, nodeTimers, random, (type, request, fields) -> {}, new MetricRegistry());
+            fleet = FleetController.create(
+                    name, dataCentre, name + ":1", following, blackboard, (type, request, fields) -> {}, false);
+            KINDS.forEach(kind -> informers.add(ObjectInformer.create(
+                    kind, following, InformerSettings.defaults(), Optional::of, values -> onObjects(kind, values))));
+        }
+
+        private void begin() {
+            run(() -> {
+                informers.forEach(ObjectInformer::start);
+                fleet.start();
+                relay.start();
+            });
+        }
+
+        private void onObjects(String kind, Map<String, StoredObject> values) {
+            Map<String, StoredObject> before = objects.put(kind, values);
+            values.forEach((objectName, object) -> {
+                StoredObject earlier = before == null ? null : before.get(objectName);
+                if (earlier != null && Revisions.number(earlier) > Revisions.number(object)) {
+                    regressions++;
+                }
+            });
+        }
+
+        void run(Runnable task) {
+            if (frozen) {
+                held.add(task);
+            } else if (!dead) {
+                task.run();
+            }
+        }
+
+        void setFrozen(boolean nowFrozen) {
+            frozen = nowFrozen;
+            while (!frozen && !held.isEmpty()) {
+                run(held.remove());
+            }
+        }
+
+        /** Ends the process; its connections are reset. */
+        void kill() {
+            dead = true;
+            link.setRefused(true);
+            List.copyOf(inbound).forEach(connection -> connection.reset("killed"));
+        }
+
+        /** Cuts the router off from the store and from all others: nothing arrives and nothing is reset. */
+        void setIsolated(boolean nowIsolated) {
+            isolated = nowIsolated;
+            link.setCut(nowIsolated);
+        }
+
+        boolean isRelay() {
+            return relay.isRelay();
+        }
+
+        int relayedKinds() {
+            return relay.relayedKinds();
+        }
+
+        int value(String objectName) {
+            StoredObject object = objects.getOrDefault(KIND, Map.of()).get(objectName);
+            return object == null ? -1 : object.spec().path("value").asInt();
+        }
+
+        boolean agreesWithStore() {
+            return KINDS.stream()
+                    .allMatch(kind -> List.copyOf(
+                                    objects.getOrDefault(kind, Map.of()).values())
+                            .stream()
+                            .map(StoredObject::resourceVersion)
+                            .sorted()
+                            .toList()
+                            .equals(store.list(kind).stream()
+                                    .map(StoredObject::resourceVersion)
+                                    .sorted()
+                                    .toList()));
+        }
+    }
+
+    private RelayNetwork.Connection connect(Node from, String address, RelayNetwork.Listener listener) {
+        Node to = nodes.get(address.substring(0, address.indexOf(':')));
+        LocalConnection connection = new LocalConnection(from, to, listener);
+        timers.after("connect", HOP, connection::open);
+        return connection;
+    }
+
+    /** A connection between two routers. */
+    private final class LocalConnection implements RelayNetwork.Connection, RelaySource.Subscriber {
+        private final Node from;
+        private final Node to;
+        private final RelayNetwork.Listener listener;
+        private boolean closed;
+
+        private LocalConnection(Node from, Node to, RelayNetwork.Listener listener) {
+            this.from = from;
+            this.to = to;
+            this.listener = listener;
+        }
+
+        private boolean isCut() {
+            return from.isolated || to.isolated;
+        }
+
+        private void open() {
+            if (to.dead) {
+                reset("refused");
+            } else if (!isCut()) {
+                to.inbound.add(this);
+                to.run(() -> {
+                    if (!closed && !to.relay.accept(this)) {
+                        reset("turned away");
+                    }
+                });
+            }
+        }
+
+        private void reset(String cause) {
+            if (!closed) {
+                close();
+                timers.after("reset", HOP, () -> from.run(() -> listener.onClosed(cause)));
+            }
+        }
+
+        @Override
+        public void send(Buffer lines) {
+            byte[][] split = split(lines);
+            timers.after("line", HOP, () -> {
+                if (!closed && !isCut()) {
+                    for (byte[] line : split) {
+                        from.run(() -> listener.onLine(line));
+                    }
+                }
+            });
+        }
+
+        private byte[][] split(Buffer lines) {
+            return List.of(lines.toString().split("\n")).stream()
+                    .map(line -> line.getBytes(java.nio.charset.StandardCharsets.UTF_8))
+                    .toArray(byte[][]::new);
+        }
+
+        @Override
+        public void close() {
+            closed = true;
+            to.inbound.remove(this);
+            if (!to.dead) {
+                to.run(() -> to.relay.remove(this));
+            }
+        }
+    }
+
+    /** The timers of a router, which hold back what is due while it is frozen. */
+    private final class NodeTimers implements TimerService {
+        private final Node node;
+
+        private NodeTimers(Node node) {
+            this.node = node;
+        }
+
+        @Override
+        public long nanoTime() {
+            return timers.nanoTime();
+        }
+
+        @Override
+        public long wallClockMillis() {
+            return timers.wallClockMillis();
+        }
+
+        @Override
+        public Subscription every(String name, Duration period, Runnable subscriber) {
+            return timers.every(name, period, () -> node.run(subscriber));
+        }
+
+        @Override
+        public Subscription after(String name, Duration delay, Runnable subscriber) {
+            return timers.after(name, delay, () -> node.run(subscriber));
+        }
+    }
+}
