--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -4,16 +4,19 @@
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.policy.cascade.FirstByteEstimator;
 import org.baobabcart.policy.cascade.LatencyPressure;
@@ -34,10 +37,13 @@
 import org.baobabcart.router.exchange.BodyReader;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
+import org.baobabcart.router.fleet.FleetController;
 import org.baobabcart.router.limit.RateLimitController;
 import org.baobabcart.router.platform.MonitoredObjectStore;
 import org.baobabcart.router.platform.ObjectInformer;
 import org.baobabcart.router.platform.ObjectStore;
+import org.baobabcart.router.relay.RelayController;
+import org.baobabcart.router.relay.RelayTiming;
 import org.baobabcart.router.timeline.EventField;
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
@@ -77,6 +83,8 @@
     private final GatewayServer server;
     private final UpstreamController upstreams;
     private final RateLimitController rateLimits;
+    private final Optional<RelayController> relay;
+    private final Optional<FleetController> fleet;
     private final List<Controller> controllers;
     private boolean wasReady;
     private final AtomicBoolean stopStarted = new AtomicBoolean();
@@ -92,8 +100,10 @@
                 dependencies.settings().name(), timers.wallClockMillis(), timers::nanoTime, timeline);
         this.runtime = runtime(outcomeRecorder, crashes);
         this.server = GatewayServer.create(runtime, drain);
-        ObjectInformer.Dependencies informerDependencies =
-                new ObjectInformer.Dependencies(store, loop, timers, RandomGenerator.getDefault(), timeline, metrics);
+        this.relay = relay(store);
+        ObjectStore followedStore = relay.map(RelayController::store).orElse(store);
+        ObjectInformer.Dependencies informerDependencies = new ObjectInformer.Dependencies(
+                followedStore, loop, timers, RandomGenerator.getDefault(), timeline, metrics);
         this.upstreams = UpstreamController.create(
                 dependencies.objects(),
                 informerDependencies,
@@ -105,7 +115,8 @@
                 informerDependencies,
                 blackboard,
                 runtime.attempts().upstreams().notices().rateLimits());
-        List<Controller> allControllers = new ArrayList<>(List.of(
+        this.fleet = fleet(informerDependencies);
+        List<Controller> following = List.of(
                 views,
                 RouteController.create(dependencies.objects(), informerDependencies, blackboard, timeline),
                 upstreams,
@@ -118,11 +129,52 @@
                         timeline,
                         dependencies.settings().move(),
                         outcomeRecorder),
-                StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies)));
-        if (dependencies.settings().fleet().evacuations()) {
-            allControllers.add(evacuations(informerDependencies));
-        }
-        this.controllers = List.copyOf(allControllers);
+                StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies));
+        Optional<Controller> evacuations = Optional.of(dependencies.settings().fleet())
+                .filter(FleetSettings::evacuations)
+                .map(ignored -> evacuations(informerDependencies));
+        this.controllers = Stream.of(following.stream(), evacuations.stream(), fleet.stream(), relay.stream())
+                .<Controller>flatMap(controllers -> controllers)
+                .toList();
+    }
+
+    private Optional<RelayController> relay(ObjectStore store) {
+        GatewaySettings settings = dependencies.settings();
+        return Optional.of(settings.fleet())
+                .filter(FleetSettings::hasPeerPorts)
+                .map(fleetSettings -> RelayController.create(
+                        settings.name(),
+                        new RelayController.Dependencies(
+                                dependencies.vertx(),
+                                store,
+                                loop,
+                                timers,
+                                RandomGenerator.getDefault(),
+                                blackboard,
+                                dependencies.timeline(),
+                                metrics),
+                        new RelayTiming(
+                                fleetSettings.changeBound(),
+                                Set.of(
+                                        dependencies.objects().orderKind(),
+                                        RateLimitController.KIND,
+                                        StoredCrashReports.KIND,
+                                        FleetController.KIND))));
+    }
+
+    private Optional<FleetController> fleet(ObjectInformer.Dependencies informerDependencies) {
+        GatewaySettings settings = dependencies.settings();
+        FleetSettings fleetSettings = settings.fleet();
+        return Optional.of(fleetSettings)
+                .filter(FleetSettings::hasPeerPorts)
+                .map(ignored -> FleetController.create(
+                        settings.name(),
+                        settings.dataCentre(),
+                        fleetSettings.peerAddress(),
+                        informerDependencies,
+                        blackboard,
+                        dependencies.timeline(),
+                        fleetSettings.warmUp().isPresent()));
     }
 
     /** Creates a router that does not listen yet. */
@@ -210,6 +262,8 @@
                         EventType.PROCESS_STARTED,
                         EventFields.of(EventField.NAME, dependencies.settings().name()));
         listenMetrics(ports);
+        FleetSettings fleetSettings = dependencies.settings().fleet();
+        relay.ifPresent(server -> server.listen(fleetSettings.peerHost(), fleetSettings.firstPeerPort()));
         return Futures.toUni(() -> listenReadiness(ports.readinessHost(), ports.readinessPort())
                 .compose(ignored -> server.listen(ports.callerHost(), ports.callerPort()))
                 .mapEmpty());
@@ -260,7 +314,8 @@
         runtime.attempts().dispatcher().refuseWaitingBeyond(deadline);
         return awaitIdle(deadline)
                 .onComplete(ignored -> server.endRunning())
-                .compose(ignored -> server.shutdown(times.close()))
+                .compose(ignored -> Future.join(server.shutdown(times.close()), leaveFleet(times.close())))
+                .<Void>mapEmpty()
                 .otherwiseEmpty()
                 .onComplete(ignored -> {
                     dependencies
@@ -272,6 +327,15 @@
                 });
     }
 
+    private Future<Void> leaveFleet(Duration timeout) {
+        Promise<Void> left = Promise.promise();
+        loop.execute(() -> fleet.map(FleetController::leave)
+                .orElse(Uni.createFrom().voidItem())
+                .subscribe()
+                .with(ignored -> left.tryComplete(), left::tryFail));
+        return left.future().timeout(timeout.toMillis(), TimeUnit.MILLISECONDS).otherwiseEmpty();
+    }
+
     private Future<Void> awaitIdle(long deadline) {
         if (drain.running() == 0 || System.nanoTime() - deadline >= 0) {
             return Future.succeededFuture();
