Cold upstreams are known and get nothing from routers that do not own them

The entry's remaining time, responses, new entries and incarnations, connections accepted again and data centres taken back tell that an upstream is cold. Asked where slots are granted and once more before the first byte, also for health checks; an upstream that refused connections is probed by a bare connection until it accepts one. Off unless the settings name a tolerance and the service a rate. No router is an owner yet: the registrations are not read here.

--- a/model/src/main/java/org/baobabcart/model/gateway/RouteTable.java
+++ b/model/src/main/java/org/baobabcart/model/gateway/RouteTable.java
@@ -17,6 +17,7 @@
     private final Map<String, KeyHolder> keys;
     private final boolean keysRequired;
     private final CallerLimits limits;
+    private final Map<String, WarmUp> warmUps;
     private final Map<String, Map<String, Route>> byHostAndPrefix;
 
     private RouteTable(
@@ -25,13 +26,15 @@
             Map<String, String> healthPaths,
             Map<String, KeyHolder> keys,
             boolean keysRequired,
-            CallerLimits limits) {
+            CallerLimits limits,
+            Map<String, WarmUp> warmUps) {
         this.version = version;
         this.routes = List.copyOf(routes);
         this.healthPaths = Map.copyOf(healthPaths);
         this.keys = Map.copyOf(keys);
         this.keysRequired = keysRequired;
         this.limits = limits;
+        this.warmUps = Map.copyOf(warmUps);
         this.byHostAndPrefix = routes.stream()
                 .collect(Collectors.groupingBy(
                         Route::host, Collectors.toMap(Route::pathPrefix, route -> route, (first, second) -> first)));
@@ -45,12 +48,17 @@
      */
     public static RouteTable of(
             long version, List<Route> routes, Map<String, String> healthPaths, CallerLimits limits) {
-        return new RouteTable(version, routes, healthPaths, Map.of(), false, limits);
+        return new RouteTable(version, routes, healthPaths, Map.of(), false, limits, Map.of());
     }
 
     /** Returns a copy with API keys. Requests then need a key unless their route is anonymous. */
     public RouteTable withKeys(Map<String, KeyHolder> newKeys) {
-        return new RouteTable(version, routes, healthPaths, newKeys, true, limits);
+        return new RouteTable(version, routes, healthPaths, newKeys, true, limits, warmUps);
+    }
+
+    /** Returns a copy in which upstreams of these services are cold after their start. */
+    public RouteTable withWarmUps(Map<String, WarmUp> newWarmUps) {
+        return new RouteTable(version, routes, healthPaths, keys, keysRequired, limits, newWarmUps);
     }
 
     /** Returns the version of the configuration. */
@@ -73,6 +81,16 @@
         return healthPaths.getOrDefault(service, "");
     }
 
+    /** Returns what cold upstreams bear, by service; services whose upstreams are never cold are left out. */
+    public Map<String, WarmUp> warmUps() {
+        return warmUps;
+    }
+
+    /** Returns what cold upstreams of a service bear; empty if they are never cold. */
+    public Optional<WarmUp> warmUp(String service) {
+        return Optional.ofNullable(warmUps.get(service));
+    }
+
     /** Returns whether requests need a key unless their route is anonymous. */
     public boolean keysRequired() {
         return keysRequired;
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayObjectCodec.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayObjectCodec.java
@@ -1,6 +1,7 @@
 package org.baobabcart.router.gateway;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
 import java.util.Optional;
 import org.baobabcart.model.gateway.RouteTable;
 import org.baobabcart.model.gateway.VersionOrder;
@@ -29,6 +30,11 @@
     /** Decodes an upstream; empty for one that takes no requests. */
     Optional<VirtualMachine> upstream(StoredObject object);
 
+    /** Decodes how long an upstream remains cold, zero if it is warm; empty if its object does not tell. */
+    default Optional<Duration> remainingColdTime(StoredObject object) {
+        return Optional.empty();
+    }
+
     /** Decodes an order. */
     VersionOrder order(StoredObject object);
 
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -9,10 +9,12 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.policy.cascade.FirstByteEstimator;
 import org.baobabcart.policy.cascade.LatencyPressure;
@@ -33,6 +35,7 @@
 import org.baobabcart.router.exchange.BodyReader;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
+import org.baobabcart.router.fleet.FleetNews;
 import org.baobabcart.router.limit.RateLimitController;
 import org.baobabcart.router.platform.MonitoredObjectStore;
 import org.baobabcart.router.platform.ObjectInformer;
@@ -42,6 +45,7 @@
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
 import org.baobabcart.router.transport.Transport;
+import org.baobabcart.router.upstream.ColdUpstreams;
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.DispatcherSettings;
 import org.baobabcart.router.upstream.UpstreamClient;
@@ -93,18 +97,26 @@
         this.server = GatewayServer.create(runtime, drain);
         ObjectInformer.Dependencies informerDependencies =
                 new ObjectInformer.Dependencies(store, loop, timers, RandomGenerator.getDefault(), timeline, metrics);
+        ColdUpstreams coldUpstreams = runtime.attempts().upstreams().notices().coldUpstreams();
+        Optional<ColdUpstreamController> coldUpstreamController = dependencies
+                .settings()
+                .fleet()
+                .warmUp()
+                .map(tolerance -> ColdUpstreamController.create(
+                        tolerance, blackboard, timers, () -> FleetNews.NEVER, coldUpstreams));
         this.upstreams = UpstreamController.create(
                 dependencies.objects(),
                 informerDependencies,
                 blackboard,
                 timeline,
+                listed -> coldUpstreamController.ifPresent(controller -> controller.onListed(listed)),
                 runtime.attempts().upstreams()::restarted);
         this.rateLimits = RateLimitController.create(
                 dependencies.settings().name(),
                 informerDependencies,
                 blackboard,
                 runtime.attempts().upstreams().notices().rateLimits());
-        this.controllers = List.of(
+        List<Controller> others = List.of(
                 views,
                 RouteController.create(dependencies.objects(), informerDependencies, blackboard, timeline),
                 upstreams,
@@ -118,6 +130,9 @@
                         dependencies.settings().move(),
                         outcomeRecorder),
                 StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies));
+        // Upstreams are marked as cold before the view lists them.
+        this.controllers =
+                Stream.concat(coldUpstreamController.stream(), others.stream()).toList();
     }
 
     /** Creates a router that does not listen yet. */
@@ -147,6 +162,10 @@
         metrics.gauge("process.heap-bytes", () -> GatewayProcess::usedHeapBytes);
         metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
         metrics.gauge("gateway.rate-limited-upstreams", () -> client.notices().rateLimits()::count);
+        ColdUpstreams coldUpstreams = client.notices().coldUpstreams();
+        metrics.gauge("gateway.cold-upstreams", () -> () -> coldUpstreams.count(timers.nanoTime()));
+        metrics.gauge("gateway.cold-upstream-permits", () -> coldUpstreams::permitted);
+        metrics.gauge("gateway.cold-upstream-permits-refused", () -> coldUpstreams::heldBack);
         client.registerMetrics(metrics);
         metrics.gauge("gateway.buffered-bytes", () -> bodyBudget::usedBytes);
         metrics.gauge("gateway.bodies-waiting", () -> bodyBudget::waiting);
--- a/router/src/main/java/org/baobabcart/router/gateway/UpstreamController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/UpstreamController.java
@@ -25,7 +25,8 @@
 
     private final Blackboard blackboard;
     private final Timeline timeline;
-    private final ObjectInformer<VirtualMachine> informer;
+    private final ObjectInformer<ListedUpstream> informer;
+    private final Consumer<Collection<ListedUpstream>> listListener;
     private final Consumer<String> restartListener;
     private final Map<String, VirtualMachine> knownMachines = new HashMap<>();
 
@@ -34,7 +35,9 @@
             ObjectInformer.Dependencies dependencies,
             Blackboard blackboard,
             Timeline timeline,
+            Consumer<Collection<ListedUpstream>> listListener,
             Consumer<String> restartListener) {
+        this.listListener = listListener;
         this.restartListener = restartListener;
         this.blackboard = blackboard;
         this.timeline = timeline;
@@ -42,13 +45,14 @@
                 objectCodec.upstreamKind(),
                 dependencies,
                 InformerSettings.defaults().withRemovalGrace(REMOVAL_GRACE),
-                objectCodec::upstream,
+                object -> ListedUpstream.decode(objectCodec, object),
                 this::onChanged);
     }
 
     /**
      * Creates a controller without upstreams.
      *
+     * @param listListener called with the entries of each list before the list is published
      * @param restartListener called with the name of each restarted upstream, after the list that contains it is published
      */
     static UpstreamController create(
@@ -56,12 +60,13 @@
             ObjectInformer.Dependencies dependencies,
             Blackboard blackboard,
             Timeline timeline,
+            Consumer<Collection<ListedUpstream>> listListener,
             Consumer<String> restartListener) {
-        return new UpstreamController(objectCodec, dependencies, blackboard, timeline, restartListener);
+        return new UpstreamController(objectCodec, dependencies, blackboard, timeline, listListener, restartListener);
     }
 
     @Override
-    ObjectInformer<VirtualMachine> informer() {
+    ObjectInformer<ListedUpstream> informer() {
         return informer;
     }
 
@@ -70,8 +75,9 @@
         return informer.isSynced();
     }
 
-    private void onChanged(Map<String, VirtualMachine> upstreams) {
-        Collection<VirtualMachine> machines = upstreams.values();
+    private void onChanged(Map<String, ListedUpstream> upstreams) {
+        List<VirtualMachine> machines =
+                upstreams.values().stream().map(ListedUpstream::machine).toList();
         Set<String> removedNames = new HashSet<>(knownMachines.keySet());
         removedNames.removeAll(upstreams.keySet());
         removedNames.forEach(this::removeKnown);
@@ -80,7 +86,8 @@
                 .map(VirtualMachine::name)
                 .toList();
         machines.forEach(this::updateKnown);
-        blackboard.write(Sections.VIRTUAL_MACHINES, List.copyOf(machines));
+        listListener.accept(upstreams.values());
+        blackboard.write(Sections.VIRTUAL_MACHINES, machines);
         restartedNames.forEach(this::reportRestart);
     }
 
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -94,13 +94,11 @@
 
     /**
      * Returns whether the view still lists the upstream unchanged since a slot at it was granted, and the upstream has
-     * not declined new requests since. A limit that it has advertised since is counted against.
+     * not declined new requests since. A limit that it has advertised since is counted against, and so is a request that meets a cold upstream.
      */
     public synchronized boolean isEligible(TrafficView view, Slot slot) {
         VirtualMachine upstream = slot.upstream();
-        return selector.isListed(view, upstream)
-                && health.acceptsRequests(upstream)
-                && (slot.isRateLimited() || health.tryTakePermit(upstream));
+        return selector.isListed(view, upstream) && health.acceptsRequests(upstream) && health.tryUse(slot);
     }
 
     /**
@@ -333,6 +331,7 @@
         private final Pool pool;
         private final int size;
         private final boolean rateLimited;
+        private final OptionalLong coldGrantNanos;
         private final AtomicBoolean open = new AtomicBoolean(true);
 
         private CountedSlot(VirtualMachine upstream, Pool pool, int size) {
@@ -340,6 +339,8 @@
             this.pool = pool;
             this.size = size;
             this.rateLimited = health.isRateLimited(upstream);
+            long now = System.nanoTime();
+            this.coldGrantNanos = health.isCold(upstream, now) ? OptionalLong.of(now) : OptionalLong.empty();
         }
 
         @Override
@@ -347,6 +348,11 @@
             return rateLimited;
         }
 
+        @Override
+        public OptionalLong coldGrantNanos() {
+            return coldGrantNanos;
+        }
+
         @Override
         public VirtualMachine upstream() {
             return upstream;
--- a/router/src/main/java/org/baobabcart/router/upstream/ResponseRules.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/ResponseRules.java
@@ -15,6 +15,11 @@
     /** Returns the availability that the upstream announces in the response head. */
     UpstreamNotice noticeOf(int status, MultiMap headers);
 
+    /** Returns what the response to a health check announces. */
+    default UpstreamNotice healthNoticeOf(int status, MultiMap headers) {
+        return UpstreamNotice.none();
+    }
+
     /** Returns whether a response names the request that it belongs to. */
     boolean namesRequest(MultiMap headers);
 
--- a/router/src/main/java/org/baobabcart/router/upstream/Slot.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Slot.java
@@ -1,6 +1,7 @@
 package org.baobabcart.router.upstream;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.policy.retry.FailureKind;
 
@@ -12,6 +13,9 @@
     /** Returns whether the slot was granted within a rate limit of the upstream. */
     boolean isRateLimited();
 
+    /** Returns when the slot was granted within the budget of an upstream that was cold; empty if the upstream was warm. */
+    OptionalLong coldGrantNanos();
+
     /**
      * Records the head of the response.
      *
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -153,7 +153,13 @@
         String healthPath = path.isEmpty() ? settings.rules().healthPath() : path;
         return healthCheckClient
                 .call(HttpMethod.GET, upstream.address() + healthPath, timeout)
-                .map(response -> response.status() == STATUS_OK ? HealthCheckResult.HEALTHY : HealthCheckResult.FAILED)
+                .map(response -> {
+                    notices.update(
+                            upstream,
+                            settings.rules().healthNoticeOf(response.status(), response.headers()),
+                            System.nanoTime());
+                    return response.status() == STATUS_OK ? HealthCheckResult.HEALTHY : HealthCheckResult.FAILED;
+                })
                 .otherwise(cause ->
                         cause instanceof LateResponseException ? HealthCheckResult.LATE : HealthCheckResult.FAILED);
     }
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
@@ -74,9 +74,34 @@
         return client.notices().rateLimits().isLimited(upstream);
     }
 
-    /** Counts a request that is about to be sent; returns whether the rate limit of the upstream allows it. */
+    /** Returns whether the upstream is cold, as far as this router knows. */
+    public boolean isCold(VirtualMachine upstream, long nowNanos) {
+        return coldUpstreams().isCold(upstream, nowNanos);
+    }
+
+    /**
+     * Counts a request that is about to be sent; returns whether the rate limit of the upstream allows it and, while the upstream is cold, this
+     * router's part of what it bears.
+     */
     public boolean tryTakePermit(VirtualMachine upstream) {
-        return client.notices().rateLimits().tryTake(upstream, System.nanoTime());
+        long now = System.nanoTime();
+        return coldUpstreams().tryTake(upstream, now)
+                && client.notices().rateLimits().tryTake(upstream, now);
+    }
+
+    /** Counts a request that is sent now against the limits that its slot does not cover; returns whether it may be sent. */
+    public boolean tryUse(Slot slot) {
+        long now = System.nanoTime();
+        VirtualMachine upstream = slot.upstream();
+        OptionalLong granted = slot.coldGrantNanos();
+        boolean isBorne = granted.isPresent()
+                ? coldUpstreams().confirm(upstream, granted.getAsLong(), now)
+                : coldUpstreams().tryTake(upstream, now);
+        return isBorne && (slot.isRateLimited() || client.notices().rateLimits().tryTake(upstream, now));
+    }
+
+    private ColdUpstreams coldUpstreams() {
+        return client.notices().coldUpstreams();
     }
 
     /** Returns the upstreams that accept requests, as far as their notices to this router say. */
@@ -107,7 +132,7 @@
 
     /** Marks the upstream as unreachable and starts to probe it. */
     public void markUnreachable(VirtualMachine upstream) {
-        confirm(upstream, suspect(upstream));
+        confirm(upstream, suspect(upstream), HealthCheckResult.FAILED);
     }
 
     /**
@@ -134,14 +159,14 @@
         if (result.isHealthy()) {
             stopProbing(upstream, timer);
         } else {
-            confirm(upstream, timer);
+            confirm(upstream, timer, result);
         }
     }
 
-    private void confirm(VirtualMachine upstream, long timer) {
+    private void confirm(VirtualMachine upstream, long timer, HealthCheckResult result) {
         suspicions.computeIfPresent(
                 upstream.name(),
-                (name, suspicion) -> suspicion.timer() == timer ? suspicion.withConfirmation() : suspicion);
+                (name, suspicion) -> suspicion.timer() == timer ? suspicion.withConfirmation(result) : suspicion);
     }
 
     /** Marks the upstream as declining requests for a default time, unless it has sent a time itself. */
@@ -161,17 +186,43 @@
         if (!acceptsRequests(upstream)) {
             return;
         }
-        check(upstream).onSuccess(result -> update(upstream, timer, result));
+        if (coldUpstreams().hasTerms(upstream.service()) && refuses(upstream)) {
+            client.isReachable(upstream).onSuccess(reachable -> markAnswering(upstream, timer, reachable));
+            return;
+        }
+        // A cold upstream is checked by its owners alone until it is warm.
+        if (!isCold(upstream, System.nanoTime()) || tryTakePermit(upstream)) {
+            checkHealth(upstream).onSuccess(result -> update(upstream, timer, result));
+        }
+    }
+
+    private boolean refuses(VirtualMachine upstream) {
+        Suspicion suspicion = suspicions.get(upstream.name());
+        return suspicion != null && suspicion.refuses();
+    }
+
+    /** An upstream that accepts connections again may have started anew. */
+    private void markAnswering(VirtualMachine upstream, long timer, boolean isReachable) {
+        if (!isReachable) {
+            return;
+        }
+        coldUpstreams().markPossiblyCold(upstream, "it accepts connections again", System.nanoTime());
+        suspicions.computeIfPresent(
+                upstream.name(), (name, suspicion) -> suspicion.timer() == timer ? suspicion.withAnswer() : suspicion);
     }
 
     /** Checks an upstream, by a connection alone if its rate limit allows no request of this router now. */
     private Future<HealthCheckResult> check(VirtualMachine upstream) {
         return tryTakePermit(upstream)
-                ? client.checkHealth(upstream, healthPath(upstream), PROBE_TIMEOUT)
+                ? checkHealth(upstream)
                 : client.isReachable(upstream)
                         .map(reachable -> reachable ? HealthCheckResult.HEALTHY : HealthCheckResult.FAILED);
     }
 
+    private Future<HealthCheckResult> checkHealth(VirtualMachine upstream) {
+        return client.checkHealth(upstream, healthPath(upstream), PROBE_TIMEOUT);
+    }
+
     /** Returns the health check path that the operator configured for the service; empty if there is none. */
     private String healthPath(VirtualMachine upstream) {
         return views.current()
@@ -191,14 +242,21 @@
         });
     }
 
-    /** The periodic probe of a suspected upstream, and whether a connection or a health check has failed since. */
-    private record Suspicion(long timer, boolean isConfirmed) {
+    /**
+     * The periodic probe of a suspected upstream, whether a connection or a health check has failed since, and whether the upstream has accepted no
+     * connection since the last such failure.
+     */
+    private record Suspicion(long timer, boolean isConfirmed, boolean refuses) {
         private static Suspicion unconfirmed(long timer) {
-            return new Suspicion(timer, false);
+            return new Suspicion(timer, false, false);
+        }
+
+        private Suspicion withConfirmation(HealthCheckResult result) {
+            return new Suspicion(timer, true, refuses || result == HealthCheckResult.FAILED);
         }
 
-        private Suspicion withConfirmation() {
-            return new Suspicion(timer, true);
+        private Suspicion withAnswer() {
+            return new Suspicion(timer, isConfirmed, false);
         }
     }
 }
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
@@ -24,6 +24,7 @@
     private final Map<String, Long> leaving = new ConcurrentHashMap<>();
     private final Map<String, Unavailability> unavailable = new ConcurrentHashMap<>();
     private final UpstreamRateLimits rateLimits;
+    private final ColdUpstreams coldUpstreams;
 
     /** A time without requests, announced by one incarnation of an upstream. */
     private record Unavailability(long incarnation, long untilNanos) {}
@@ -31,6 +32,7 @@
     private UpstreamNotices(Timeline timeline) {
         this.timeline = timeline;
         this.rateLimits = UpstreamRateLimits.create(timeline);
+        this.coldUpstreams = ColdUpstreams.create(timeline);
     }
 
     /** Creates a tracker without any notices. */
@@ -50,6 +52,7 @@
             unavailable.put(upstream.name(), new Unavailability(upstream.incarnation(), nowNanos + time.toNanos()));
             recordChange(upstream, "wants no work for " + time.toMillis() + " ms");
         });
+        notice.coldFor().ifPresent(time -> coldUpstreams.markCold(upstream, time, "a response says so", nowNanos));
     }
 
     private void recordChange(VirtualMachine upstream, String change) {
@@ -63,14 +66,19 @@
         return rateLimits;
     }
 
-    /** Returns whether the upstream accepts requests, apart from its rate limit. */
+    /** Returns the upstreams that have just started. */
+    public ColdUpstreams coldUpstreams() {
+        return coldUpstreams;
+    }
+
+    /** Returns whether the upstream accepts requests, apart from its rate limit and from being cold. */
     public boolean acceptsRequests(VirtualMachine upstream, long nowNanos) {
         return !isLeaving(upstream) && unavailableUntil(upstream, nowNanos).isEmpty();
     }
 
     /** Returns the upstreams to which this router may send a request now; the same list if there are no notices. */
     public List<VirtualMachine> acceptingRequests(List<VirtualMachine> upstreams, long nowNanos) {
-        if (leaving.isEmpty() && unavailable.isEmpty() && rateLimits.isEmpty()) {
+        if (leaving.isEmpty() && unavailable.isEmpty() && rateLimits.isEmpty() && coldUpstreams.isEmpty()) {
             return upstreams;
         }
         return upstreams.stream()
@@ -85,14 +93,18 @@
         return incarnation != null && incarnation == upstream.incarnation();
     }
 
-    /** Returns when this router may send to the upstream again, also within its rate limit; empty if it may now. */
+    /** Returns when this router may send to the upstream again, also within its rate limit and while it is cold; empty if it may now. */
     public OptionalLong availableFrom(VirtualMachine upstream, long nowNanos) {
-        OptionalLong available = unavailableUntil(upstream, nowNanos);
-        OptionalLong permitted = rateLimits.availableFrom(upstream, nowNanos);
-        if (available.isEmpty() || permitted.isEmpty()) {
-            return available.isPresent() ? available : permitted;
+        return later(
+                later(unavailableUntil(upstream, nowNanos), rateLimits.availableFrom(upstream, nowNanos)),
+                coldUpstreams.availableFrom(upstream, nowNanos));
+    }
+
+    private static OptionalLong later(OptionalLong one, OptionalLong other) {
+        if (one.isEmpty() || other.isEmpty()) {
+            return one.isPresent() ? one : other;
         }
-        return available.getAsLong() - permitted.getAsLong() > 0 ? available : permitted;
+        return one.getAsLong() - other.getAsLong() > 0 ? one : other;
     }
 
     private OptionalLong unavailableUntil(VirtualMachine upstream, long nowNanos) {
