Merge the directory of routers: owners of cold upstreams are chosen from it

A router's own registration counts as known only once it was read back from the store; until then the router sends nothing to cold upstreams.

--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -4,6 +4,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
@@ -35,6 +36,7 @@
 import org.baobabcart.router.exchange.BodyReader;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
+import org.baobabcart.router.fleet.FleetController;
 import org.baobabcart.router.fleet.FleetNews;
 import org.baobabcart.router.limit.RateLimitController;
 import org.baobabcart.router.platform.MonitoredObjectStore;
@@ -80,6 +82,7 @@
     private final GatewayServer server;
     private final UpstreamController upstreams;
     private final RateLimitController rateLimits;
+    private final Optional<FleetController> fleet;
     private final List<Controller> controllers;
     private boolean wasReady;
     private final AtomicBoolean stopStarted = new AtomicBoolean();
@@ -97,13 +100,15 @@
         this.server = GatewayServer.create(runtime, drain);
         ObjectInformer.Dependencies informerDependencies =
                 new ObjectInformer.Dependencies(store, loop, timers, RandomGenerator.getDefault(), timeline, metrics);
+        this.fleet = fleet(informerDependencies);
+        FleetNews fleetNews = fleet.<FleetNews>map(controller -> controller).orElse(() -> FleetNews.NEVER);
         ColdUpstreams coldUpstreams = runtime.attempts().upstreams().notices().coldUpstreams();
         Optional<ColdUpstreamController> coldUpstreamController = dependencies
                 .settings()
                 .fleet()
                 .warmUp()
-                .map(tolerance -> ColdUpstreamController.create(
-                        tolerance, blackboard, timers, () -> FleetNews.NEVER, coldUpstreams));
+                .map(tolerance ->
+                        ColdUpstreamController.create(tolerance, blackboard, timers, fleetNews, coldUpstreams));
         this.upstreams = UpstreamController.create(
                 dependencies.objects(),
                 informerDependencies,
@@ -116,7 +121,7 @@
                 informerDependencies,
                 blackboard,
                 runtime.attempts().upstreams().notices().rateLimits());
-        List<Controller> others = List.of(
+        List<Controller> following = List.of(
                 views,
                 RouteController.create(dependencies.objects(), informerDependencies, blackboard, timeline),
                 upstreams,
@@ -131,8 +136,24 @@
                         outcomeRecorder),
                 StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies));
         // Upstreams are marked as cold before the view lists them.
-        this.controllers =
-                Stream.concat(coldUpstreamController.stream(), others.stream()).toList();
+        this.controllers = Stream.of(coldUpstreamController.stream(), following.stream(), fleet.stream())
+                .<Controller>flatMap(controllers -> controllers)
+                .toList();
+    }
+
+    private Optional<FleetController> fleet(ObjectInformer.Dependencies informerDependencies) {
+        GatewaySettings settings = dependencies.settings();
+        FleetSettings fleetSettings = settings.fleet();
+        return Optional.of(fleetSettings)
+                .filter(FleetSettings::hasPeerPorts)
+                .map(ignored -> FleetController.create(
+                        settings.name(),
+                        settings.dataCentre(),
+                        fleetSettings.peerAddress(),
+                        informerDependencies,
+                        blackboard,
+                        dependencies.timeline(),
+                        fleetSettings.warmUp().isPresent()));
     }
 
     /** Creates a router that does not listen yet. */
@@ -258,7 +279,8 @@
         runtime.attempts().dispatcher().refuseWaitingBeyond(deadline);
         return awaitIdle(deadline)
                 .onComplete(ignored -> server.endRunning())
-                .compose(ignored -> server.shutdown(times.close()))
+                .compose(ignored -> Future.join(server.shutdown(times.close()), leaveFleet(times.close())))
+                .<Void>mapEmpty()
                 .otherwiseEmpty()
                 .onComplete(ignored -> {
                     dependencies
@@ -270,6 +292,15 @@
                 });
     }
 
+    private Future<Void> leaveFleet(Duration timeout) {
+        Promise<Void> left = Promise.promise();
+        loop.execute(() -> fleet.map(FleetController::leave)
+                .orElse(Uni.createFrom().voidItem())
+                .subscribe()
+                .with(ignored -> left.tryComplete(), left::tryFail));
+        return left.future().timeout(timeout.toMillis(), TimeUnit.MILLISECONDS).otherwiseEmpty();
+    }
+
     private Future<Void> awaitIdle(long deadline) {
         if (drain.running() == 0 || System.nanoTime() - deadline >= 0) {
             return Future.succeededFuture();
