--- a/router/src/main/java/org/baobabcart/router/fleet/FleetController.java
+++ b/router/src/main/java/org/baobabcart/router/fleet/FleetController.java
@@ -175,7 +175,11 @@
         Stream<FleetMember> others = entries.entrySet().stream()
                 .filter(entry -> !entry.getKey().equals(self.name()))
                 .map(entry -> member(entry.getKey(), entry.getValue(), now));
-        List<FleetMember> members = Stream.concat(Stream.of(self), others)
+        // This router is not registered while its entry is missing.
+        long ownSinceNanos =
+                entries.containsKey(self.name()) ? firstSeenNanos.computeIfAbsent(self.name(), ignored -> now) : now;
+        FleetMember own = new FleetMember(self.name(), self.dataCentre(), self.address(), ownSinceNanos);
+        List<FleetMember> members = Stream.concat(Stream.of(own), others)
                 .sorted(Comparator.comparing(FleetMember::name))
                 .toList();
         FleetView view = new FleetView(self.name(), self.dataCentre(), members);
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -38,6 +38,7 @@
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
 import org.baobabcart.router.fleet.FleetController;
+import org.baobabcart.router.fleet.FleetNews;
 import org.baobabcart.router.limit.RateLimitController;
 import org.baobabcart.router.platform.MonitoredObjectStore;
 import org.baobabcart.router.platform.ObjectInformer;
@@ -49,6 +50,7 @@
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
 import org.baobabcart.router.transport.Transport;
+import org.baobabcart.router.upstream.ColdUpstreams;
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.DispatcherSettings;
 import org.baobabcart.router.upstream.UpstreamClient;
@@ -104,18 +106,20 @@
         ObjectStore followedStore = relay.map(RelayController::store).orElse(store);
         ObjectInformer.Dependencies informerDependencies = new ObjectInformer.Dependencies(
                 followedStore, loop, timers, RandomGenerator.getDefault(), timeline, metrics);
+        this.fleet = fleet(informerDependencies);
+        Optional<ColdUpstreamController> coldUpstreams = coldUpstreams();
         this.upstreams = UpstreamController.create(
                 dependencies.objects(),
                 informerDependencies,
                 blackboard,
                 timeline,
+                listed -> coldUpstreams.ifPresent(controller -> controller.onListed(listed)),
                 runtime.attempts().upstreams()::restarted);
         this.rateLimits = RateLimitController.create(
                 dependencies.settings().name(),
                 informerDependencies,
                 blackboard,
                 runtime.attempts().upstreams().notices().rateLimits());
-        this.fleet = fleet(informerDependencies);
         List<Controller> following = List.of(
                 views,
                 RouteController.create(dependencies.objects(), informerDependencies, blackboard, timeline),
@@ -133,11 +137,31 @@
         Optional<Controller> evacuations = Optional.of(dependencies.settings().fleet())
                 .filter(FleetSettings::evacuations)
                 .map(ignored -> evacuations(informerDependencies));
-        this.controllers = Stream.of(following.stream(), evacuations.stream(), fleet.stream(), relay.stream())
+        // Upstreams are marked as cold before the view lists them.
+        this.controllers = Stream.of(
+                        coldUpstreams.stream(),
+                        following.stream(),
+                        evacuations.stream(),
+                        fleet.stream(),
+                        relay.stream())
                 .<Controller>flatMap(controllers -> controllers)
                 .toList();
     }
 
+    private Optional<ColdUpstreamController> coldUpstreams() {
+        FleetNews fleetNews = fleet.<FleetNews>map(controller -> controller).orElse(() -> FleetNews.NEVER);
+        return dependencies
+                .settings()
+                .fleet()
+                .warmUp()
+                .map(tolerance -> ColdUpstreamController.create(
+                        tolerance,
+                        blackboard,
+                        timers,
+                        fleetNews,
+                        runtime.attempts().upstreams().notices().coldUpstreams()));
+    }
+
     private Optional<RelayController> relay(ObjectStore store) {
         GatewaySettings settings = dependencies.settings();
         return Optional.of(settings.fleet())
@@ -204,6 +228,10 @@
         metrics.gauge("process.heap-bytes", () -> GatewayProcess::usedHeapBytes);
         metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
         metrics.gauge("gateway.rate-limited-upstreams", () -> client.notices().rateLimits()::count);
+        ColdUpstreams coldUpstreams = client.notices().coldUpstreams();
+        metrics.gauge("gateway.cold-upstreams", () -> () -> coldUpstreams.count(timers.nanoTime()));
+        metrics.gauge("gateway.cold-upstream-permits", () -> coldUpstreams::permitted);
+        metrics.gauge("gateway.cold-upstream-permits-refused", () -> coldUpstreams::heldBack);
         client.registerMetrics(metrics);
         metrics.gauge("gateway.buffered-bytes", () -> bodyBudget::usedBytes);
         metrics.gauge("gateway.bodies-waiting", () -> bodyBudget::waiting);
