Requests leave the data centre when their callers gain by it

Cause: a router left its data centre only when all local upstreams were full by its own count. With 20 routers in a data centre each counts a twentieth, so slow, failing or overloaded local upstreams kept their callers while others stood idle.

Prompts follow their cached prefix only if that saves more than the way. Metrics by data centre and reason, event DEPARTURE_CHANGED.

--- a/policy/src/main/java/org/baobabcart/policy/cascade/FirstByteEstimator.java
+++ b/policy/src/main/java/org/baobabcart/policy/cascade/FirstByteEstimator.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * Estimates the time to the first byte of an answer from the length of its prompt. Not thread-safe.
@@ -74,6 +75,17 @@
                 : line.at(promptTokens) * loadFactor(route).at(nowNanos);
     }
 
+    /**
+     * Returns the time that the model takes to read a number of prompt tokens; empty while there are too few samples or they do
+     * not tell.
+     */
+    public OptionalLong readNanos(String model, int tokens) {
+        Line line = lines.get(model);
+        return line == null || !line.hasEnoughSamples() || line.slope() == 0
+                ? OptionalLong.empty()
+                : OptionalLong.of((long) (line.slope() * tokens));
+    }
+
     /**
      * Returns the delay that a prompt of this length adds to other requests at the model: the share of the model's
      * answers that start late, multiplied by the ratio of the prompt's length to the mean length.
@@ -120,12 +132,14 @@
          * neither negative nor shorter for longer prompts.
          */
         private double at(double x) {
+            double intercept = Math.max(0, sumY / weight - slope() * sumX / weight);
+            return intercept + slope() * x;
+        }
+
+        private double slope() {
             double meanX = sumX / weight;
-            double meanY = sumY / weight;
             double spread = sumXx / weight - meanX * meanX;
-            double slope = spread > 0 ? Math.max(0, (sumXy / weight - meanX * meanY) / spread) : 0;
-            double intercept = Math.max(0, meanY - slope * meanX);
-            return intercept + slope * x;
+            return spread > 0 ? Math.max(0, (sumXy / weight - meanX * sumY / weight) / spread) : 0;
         }
     }
 }
--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -156,7 +156,9 @@
                     long nanos = System.nanoTime() - startNanos;
                     response = Optional.of(begun);
                     slot.responseStarted(
-                            nanos, Optional.ofNullable(begun.headers().get(Headers.LOAD)));
+                            nanos,
+                            begun.status(),
+                            Optional.ofNullable(begun.headers().get(Headers.LOAD)));
                     begun.onFirstChunk(() -> {
                         answerBegun = true;
                         permit.responseStarted();
@@ -178,6 +180,9 @@
     private void checkBeforeSend(
             Slot slot, CrashGuard.Permit permit, UpstreamRequest request, ConnectionUse connection) {
         VirtualMachine upstream = slot.upstream();
+        if (connection.carriedBefore() == 0) {
+            slot.connected();
+        }
         if (handler.abandoned().isComplete()) {
             throw handler.abandoned().result();
         }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -139,9 +139,11 @@
         Dispatcher dispatcher = Dispatcher.create(
                 vertx,
                 new DispatcherSettings(settings.name(), settings.dataCentre(), settings.queue())
-                        .withCrossDataCentreAffinity(),
+                        .withCrossDataCentreAffinity()
+                        .withDepartures(),
                 views,
-                health);
+                health,
+                DepartureReporter.create(metrics, dependencies.timeline()));
         BodyBudget bodyBudget = BodyBudget.create(vertx, settings.bufferedBodyBytes());
         metrics.gauge("gateway.running", () -> drain::running);
         metrics.gauge("process.heap-bytes", () -> GatewayProcess::usedHeapBytes);
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
@@ -154,7 +154,8 @@
                 deadlineNanos,
                 head.tokens().maxOutput(),
                 route.prefixAffinity() ? head.affinity() : "",
-                attempts.failedUpstreams());
+                attempts.failedUpstreams(),
+                modelSelection.cachedPrefixGainNanos());
     }
 
     /** Applies the active route table, which may have changed while the request waited. */
--- a/router/src/main/java/org/baobabcart/router/gateway/ModelSelection.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ModelSelection.java
@@ -3,10 +3,12 @@
 import java.util.List;
 import java.util.Optional;
 import org.baobabcart.model.gateway.Route;
+import org.baobabcart.model.request.PromptPart;
 import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.timeline.EventField;
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
+import org.baobabcart.router.upstream.SlotRequest;
 
 /**
  * Selects the model of a route that answers a request: first the smallest, then the largest if {@code EscalationPolicy} finds it
@@ -89,6 +91,21 @@
         }
     }
 
+    /** Returns the time that an upstream saves that has cached the prompt's shared parts; {@link SlotRequest#UNKNOWN_GAIN} if unknown. */
+    long cachedPrefixGainNanos() {
+        List<PromptPart> parts = head.prefix();
+        List<String> models = models();
+        if (parts.isEmpty() || models.isEmpty()) {
+            return SlotRequest.UNKNOWN_GAIN;
+        }
+        int sharedTokens = parts.subList(0, parts.size() - 1).stream()
+                .mapToInt(PromptPart::tokens)
+                .sum();
+        return runtime.firstByteEstimator()
+                .readNanos(largestModel(), sharedTokens)
+                .orElse(SlotRequest.UNKNOWN_GAIN);
+    }
+
     /** Returns the current time to first byte of the route's largest model, divided by its target. */
     double pressure() {
         return runtime.latencyPressure().of(route.name(), System.nanoTime());
--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -128,6 +128,8 @@
             EventField.CROWDING,
             EventField.PROMPT_TOKENS,
             EventField.ESCALATED),
+    DEPARTURE_CHANGED(
+            "requests begin to leave the data centre, or none do any more", EventField.SERVICE, EventField.STATE),
     NOTE("a message of a part of the program", EventField.SOURCE, EventField.STATE, EventField.CAUSE),
     REQUEST_FINISHED(
             "the caller has a whole answer",
--- a/router/src/main/java/org/baobabcart/router/traffic/PlannedAttemptHandler.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/PlannedAttemptHandler.java
@@ -111,7 +111,8 @@
                 context.deadlineNanos(),
                 plan.size(),
                 plan.affinity(),
-                soFar.failedUpstreams());
+                soFar.failedUpstreams(),
+                SlotRequest.UNKNOWN_GAIN);
     }
 
     @Override
--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -50,18 +50,33 @@
     private List<VirtualMachine> lastUpstreams = List.of();
     private boolean tickScheduled;
 
-    private Dispatcher(Vertx vertx, DispatcherSettings settings, TrafficViewSource views, UpstreamHealth health) {
+    private Dispatcher(
+            Vertx vertx,
+            DispatcherSettings settings,
+            TrafficViewSource views,
+            UpstreamHealth health,
+            DepartureObserver departureObserver) {
         this.vertx = vertx;
         this.settings = settings;
         this.views = views;
         this.health = health;
-        this.selector = UpstreamSelector.create(settings, health);
+        this.selector = UpstreamSelector.create(settings, health, departureObserver);
     }
 
     /** Creates a dispatcher with empty queues. */
     public static Dispatcher create(
             Vertx vertx, DispatcherSettings settings, TrafficViewSource views, UpstreamHealth health) {
-        return new Dispatcher(vertx, settings, views, health);
+        return create(vertx, settings, views, health, DepartureObserver.none());
+    }
+
+    /** Creates a dispatcher with empty queues that reports departures to other data centres. */
+    public static Dispatcher create(
+            Vertx vertx,
+            DispatcherSettings settings,
+            TrafficViewSource views,
+            UpstreamHealth health,
+            DepartureObserver departureObserver) {
+        return new Dispatcher(vertx, settings, views, health, departureObserver);
     }
 
     /**
@@ -282,8 +297,13 @@
         return () -> rejection.entry().item().refuse(refusal);
     }
 
-    private synchronized void recordResponse(VirtualMachine upstream, long latencyNanos, Optional<LoadReport> report) {
-        selector.recordResponse(upstream, latencyNanos, report);
+    private synchronized void recordResponse(
+            CountedSlot slot, long latencyNanos, int status, Optional<LoadReport> report) {
+        selector.recordResponse(slot.pool, slot.upstream, latencyNanos, status, report);
+    }
+
+    private synchronized void recordConnection(CountedSlot slot, long nanos) {
+        selector.recordConnection(slot.pool, slot.upstream, nanos);
     }
 
     private synchronized void recordServiceTime(Pool pool, int size, long nanos) {
@@ -293,7 +313,7 @@
     }
 
     private List<Runnable> releaseSlot(CountedSlot slot, Optional<FailureKind> failure) {
-        selector.release(slot.upstream, failure);
+        selector.release(slot.pool, slot.upstream, failure);
         AdmissionQueue<Waiter> queue = queues.get(slot.pool);
         return queue == null ? List.of() : dispatchQueued(views.current(), slot.pool, queue);
     }
@@ -333,6 +353,7 @@
         private final Pool pool;
         private final int size;
         private final boolean rateLimited;
+        private final long grantedNanos = System.nanoTime();
         private final AtomicBoolean open = new AtomicBoolean(true);
 
         private CountedSlot(VirtualMachine upstream, Pool pool, int size) {
@@ -353,8 +374,13 @@
         }
 
         @Override
-        public void responseStarted(long latencyNanos, Optional<String> load) {
-            recordResponse(upstream, latencyNanos, load.flatMap(LoadReport::parse));
+        public void connected() {
+            recordConnection(this, System.nanoTime() - grantedNanos);
+        }
+
+        @Override
+        public void responseStarted(long latencyNanos, int status, Optional<String> load) {
+            recordResponse(this, latencyNanos, status, load.flatMap(LoadReport::parse));
         }
 
         @Override
--- a/router/src/main/java/org/baobabcart/router/upstream/Slot.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Slot.java
@@ -12,13 +12,17 @@
     /** Returns whether the slot was granted within a rate limit of the upstream. */
     boolean isRateLimited();
 
+    /** Records that a new connection to the upstream was established for the attempt. */
+    void connected();
+
     /**
      * Records the head of the response.
      *
      * @param latencyNanos the time from sending the request to the head of the response
+     * @param status the status of the response
      * @param load the load reported by the upstream, as {@code running/waiting/slots}
      */
-    void responseStarted(long latencyNanos, Optional<String> load);
+    void responseStarted(long latencyNanos, int status, Optional<String> load);
 
     /** Records the service time of a completed request. */
     void responseCompleted(long nanos);
--- a/router/src/main/java/org/baobabcart/router/upstream/SlotRequest.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/SlotRequest.java
@@ -17,6 +17,8 @@
  * @param size the maximum number of tokens in the response; zero for services
  * @param affinity a key shared by similar requests, used to find upstreams with a warm cache
  * @param avoidedUpstreams the upstreams at which an attempt has failed
+ * @param cachedPrefixGainNanos the time that an upstream saves that has cached the shared parts of the prompt; {@link
+ *     #UNKNOWN_GAIN} if unknown
  */
 public record SlotRequest(
         String requestId,
@@ -29,7 +31,11 @@
         long deadlineNanos,
         int size,
         String affinity,
-        Set<String> avoidedUpstreams) {
+        Set<String> avoidedUpstreams,
+        long cachedPrefixGainNanos) {
+    /** The gain of a cached prefix if it is unknown. */
+    public static final long UNKNOWN_GAIN = Long.MAX_VALUE;
+
     /** Copies the set. */
     public SlotRequest {
         avoidedUpstreams = Set.copyOf(avoidedUpstreams);
@@ -53,6 +59,7 @@
                 deadlineNanos,
                 size,
                 affinity,
-                all);
+                all,
+                cachedPrefixGainNanos);
     }
 }
