--- a/router/src/main/java/org/baobabcart/router/upstream/Slot.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Slot.java
@@ -16,13 +16,17 @@
     /** Returns when the slot was granted within the budget of an upstream that was cold; empty if the upstream was warm. */
     OptionalLong coldGrantNanos();
 
+    /** Records that a new connection to the upstream was established for the attempt. */
+    void connected();
+
     /**
      * Records the head of the response.
      *
      * @param latencyNanos the time from sending the request to the head of the response
+     * @param status the status of the response
      * @param load the load reported by the upstream, as {@code running/waiting/slots}
      */
-    void responseStarted(long latencyNanos, Optional<String> load);
+    void responseStarted(long latencyNanos, int status, Optional<String> load);
 
     /** Records the service time of a completed request. */
     void responseCompleted(long nanos);
