Attempts that did not run leave a request its attempts; replaced upstreams are skipped

Cause: after a crash of many, restarted engines reject within milliseconds for as long as the list names their predecessors. Each such attempt counted like a run, so that three in a row refused the caller while sound engines were idle; a request with one attempt was refused by the first. An attempt that is given up before its first byte (NOT_SENT) draws on no budget and makes no upstream unavailable.

--- a/policy/src/main/java/org/baobabcart/policy/retry/FailureKind.java
+++ b/policy/src/main/java/org/baobabcart/policy/retry/FailureKind.java
@@ -7,6 +7,10 @@
 public enum FailureKind {
     /** No connection could be established, so no byte was sent. */
     NOT_CONNECTED(ResultCode.UPSTREAM_UNREACHABLE, Ran.NO),
+    /** The attempt was given up before its first byte, since the control state had changed. */
+    NOT_SENT(ResultCode.NO_UPSTREAM, Ran.NO),
+    /** Another upstream has the address, and has not run the request. */
+    REPLACED(ResultCode.NO_UPSTREAM, Ran.NO),
     /** The upstream reported that it has not run the request. */
     NOT_RUN(ResultCode.NO_UPSTREAM, Ran.NO),
     /** The connection broke before the response was complete. */
--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -187,7 +187,7 @@
         requireTimeToRun();
         TrafficView view = dependencies.views().current();
         if (!dependencies.dispatcher().isEligible(view, slot)) {
-            throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "the upstream no longer accepts work");
+            throw AttemptException.of(FailureKind.NOT_SENT, upstream.name(), "the upstream no longer accepts work");
         }
         dependencies.crashGuard().check(permit);
         handler.check(view, upstream);
@@ -293,6 +293,10 @@
                 handler.probed(upstream, false);
             }
             case NOT_RUN -> dependencies.health().markUnavailable(upstream);
+            case REPLACED -> {
+                dependencies.health().markReplaced(upstream);
+                dependencies.upstreams().retireConnections(upstream.name());
+            }
             case SILENT, BROKEN -> {
                 Future<HealthCheckResult> probed = probe(upstream);
                 if (kind == FailureKind.BROKEN && !answerBegun) {
@@ -308,7 +312,7 @@
 
     /** An upstream that accepts a connection and responds late may be busy, which is no sign that it crashed. */
     private static CrashSeverity severityOf(HealthCheckResult result) {
-        return result == HealthCheckResult.FAILED ? CrashSeverity.LOST_UPSTREAM : CrashSeverity.BROKEN_CONNECTION;
+        return result.isLost() ? CrashSeverity.LOST_UPSTREAM : CrashSeverity.BROKEN_CONNECTION;
     }
 
     /** Retires the pooled connections of the upstream and probes on a new one whether it still accepts connections. */
@@ -317,8 +321,7 @@
         return dependencies.health().checkReachability(upstream).onSuccess(result -> {
             exchange.record(
                     EventType.UPSTREAM_PROBED,
-                    EventFields.of(EventField.UPSTREAM, upstream.name())
-                            .with(EventField.REACHABLE, result != HealthCheckResult.FAILED));
+                    EventFields.of(EventField.UPSTREAM, upstream.name()).with(EventField.REACHABLE, !result.isLost()));
             handler.probed(upstream, result.isHealthy());
         });
     }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
@@ -16,6 +16,7 @@
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.Ran;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.attempt.AttemptLimit;
 import org.baobabcart.policy.crash.RequestFingerprint;
 import org.baobabcart.policy.retry.FailureKind;
 import org.baobabcart.policy.version.PendingAttempt;
@@ -212,10 +213,10 @@
         RouteMatch newMatch = match.refreshed(view, head);
         if (!newMatch.route().allows(service)) {
             throw AttemptException.of(
-                    FailureKind.NOT_RUN, upstream.name(), "the route no longer leads to this service");
+                    FailureKind.NOT_SENT, upstream.name(), "the route no longer leads to this service");
         }
         if (VersionPoolSelector.isWithdrawn(view, upstream)) {
-            throw AttemptException.of(FailureKind.NOT_RUN, upstream.name(), "the upstream's version is withdrawn");
+            throw AttemptException.of(FailureKind.NOT_SENT, upstream.name(), "the upstream's version is withdrawn");
         }
         pendingAttempt = Optional.of(runtime.outcomeRecorder().recordSent(outcomeKey(upstream), System.nanoTime()));
     }
@@ -306,7 +307,7 @@
     }
 
     private boolean hasAttemptsLeft(RequestAttempts attempts) {
-        return attempts.history().sent() < match.route().maxAttempts();
+        return new AttemptLimit(match.route().maxAttempts()).allowsAnother(attempts.tried(), attempts.history());
     }
 
     private VersionOutcomeKey outcomeKey(VirtualMachine upstream) {
@@ -336,7 +337,7 @@
 
     @Override
     public boolean mayRetry(AttemptException failure, RequestAttempts attempts) {
-        boolean notSent = failure.kind() == FailureKind.NOT_CONNECTED;
+        boolean notSent = failure.kind() == FailureKind.NOT_CONNECTED || failure.kind() == FailureKind.NOT_SENT;
         return hasAttemptsLeft(attempts) && (notSent || runtime.retryBudgets().tryTakeRetry(service));
     }
 
--- a/router/src/main/java/org/baobabcart/router/upstream/DefaultResponseRules.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/DefaultResponseRules.java
@@ -39,6 +39,11 @@
                 : UpstreamNotice.none();
     }
 
+    @Override
+    public boolean isFromAnother(String upstream, MultiMap headers) {
+        return false;
+    }
+
     @Override
     public boolean namesRequest(MultiMap headers) {
         return headers.contains(Headers.ATTEMPT_ID);
--- a/router/src/main/java/org/baobabcart/router/upstream/HealthCheckResult.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/HealthCheckResult.java
@@ -6,7 +6,14 @@
     /** The upstream accepted the connection but did not respond in time. It may be busy or frozen, but it has not ended. */
     LATE,
     /** The upstream accepted no connection, closed it, or responded that it is not healthy. */
-    FAILED;
+    FAILED,
+    /** Another upstream has the address, so the upstream has ended. */
+    REPLACED;
+
+    /** Returns whether the upstream has ended or accepts no connections, as far as the check tells. */
+    public boolean isLost() {
+        return this == FAILED || this == REPLACED;
+    }
 
     /** Returns whether the upstream passed the check. */
     public boolean isHealthy() {
--- a/router/src/main/java/org/baobabcart/router/upstream/ResponseRules.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/ResponseRules.java
@@ -15,6 +15,9 @@
     /** Returns the availability that the upstream announces in the response head. */
     UpstreamNotice noticeOf(int status, MultiMap headers);
 
+    /** Returns whether a response tells that another upstream than the named one has sent it. */
+    boolean isFromAnother(String upstream, MultiMap headers);
+
     /** Returns whether a response names the request that it belongs to. */
     boolean namesRequest(MultiMap headers);
 
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -26,6 +26,7 @@
 import org.baobabcart.router.transport.BodyEnd;
 import org.baobabcart.router.transport.BodyFraming;
 import org.baobabcart.router.transport.BoundedHttpClient;
+import org.baobabcart.router.transport.BoundedResponse;
 import org.baobabcart.router.transport.ConnectionPool;
 import org.baobabcart.router.transport.ConnectionUse;
 import org.baobabcart.router.transport.Connections;
@@ -153,11 +154,19 @@
         String healthPath = path.isEmpty() ? settings.rules().healthPath() : path;
         return healthCheckClient
                 .call(HttpMethod.GET, upstream.address() + healthPath, timeout)
-                .map(response -> response.status() == STATUS_OK ? HealthCheckResult.HEALTHY : HealthCheckResult.FAILED)
+                .map(response -> resultOf(upstream, response))
                 .otherwise(cause ->
                         cause instanceof LateResponseException ? HealthCheckResult.LATE : HealthCheckResult.FAILED);
     }
 
+    private HealthCheckResult resultOf(VirtualMachine upstream, BoundedResponse response) {
+        if (settings.rules().isFromAnother(upstream.name(), response.headers())) {
+            notices.markReplaced(upstream, System.nanoTime());
+            return HealthCheckResult.REPLACED;
+        }
+        return response.status() == STATUS_OK ? HealthCheckResult.HEALTHY : HealthCheckResult.FAILED;
+    }
+
     /**
      * Retires the kept connections of an upstream: no further request is sent on them, and each is closed when its
      * running request has ended.
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
@@ -89,7 +89,7 @@
     public OptionalLong earliestAvailability(Collection<VirtualMachine> upstreams) {
         long now = System.nanoTime();
         return upstreams.stream()
-                .filter(upstream -> !client.notices().isLeaving(upstream))
+                .filter(upstream -> !client.notices().isGone(upstream, now))
                 .mapToLong(upstream ->
                         client.notices().availableFrom(upstream, now).orElse(now))
                 .min();
@@ -153,6 +153,11 @@
         unavailableUntil.put(upstream.name(), System.nanoTime() + DEFAULT_UNAVAILABLE_PERIOD.toNanos());
     }
 
+    /** Marks the upstream as replaced by another one at its address, so that it gets no more requests until its entry in the list changes. */
+    public void markReplaced(VirtualMachine upstream) {
+        client.notices().markReplaced(upstream, System.nanoTime());
+    }
+
     private void probe(VirtualMachine upstream, long timer) {
         TrafficView view = views.current();
         if (view.evacuations().isEvacuated(upstream.dataCentre())) {
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
@@ -23,6 +23,7 @@
     private final Timeline timeline;
     private final Map<String, Long> leaving = new ConcurrentHashMap<>();
     private final Map<String, Unavailability> unavailable = new ConcurrentHashMap<>();
+    private final ReplacedUpstreams replaced = ReplacedUpstreams.create();
     private final UpstreamRateLimits rateLimits;
 
     /** A time without requests, announced by one incarnation of an upstream. */
@@ -52,6 +53,13 @@
         });
     }
 
+    /** Records that another upstream has answered at the address of this one. */
+    public void markReplaced(VirtualMachine upstream, long nowNanos) {
+        if (replaced.add(upstream, nowNanos)) {
+            recordChange(upstream, "another upstream has its address");
+        }
+    }
+
     private void recordChange(VirtualMachine upstream, String change) {
         timeline.record(
                 EventType.UPSTREAM_CHANGED,
@@ -65,24 +73,25 @@
 
     /** Returns whether the upstream accepts requests, apart from its rate limit. */
     public boolean acceptsRequests(VirtualMachine upstream, long nowNanos) {
-        return !isLeaving(upstream) && unavailableUntil(upstream, nowNanos).isEmpty();
+        return !isGone(upstream, nowNanos)
+                && unavailableUntil(upstream, nowNanos).isEmpty();
     }
 
     /** Returns the upstreams to which this router may send a request now; the same list if there are no notices. */
     public List<VirtualMachine> acceptingRequests(List<VirtualMachine> upstreams, long nowNanos) {
-        if (leaving.isEmpty() && unavailable.isEmpty() && rateLimits.isEmpty()) {
+        if (leaving.isEmpty() && replaced.isEmpty() && unavailable.isEmpty() && rateLimits.isEmpty()) {
             return upstreams;
         }
         return upstreams.stream()
-                .filter(upstream -> !isLeaving(upstream)
+                .filter(upstream -> !isGone(upstream, nowNanos)
                         && availableFrom(upstream, nowNanos).isEmpty())
                 .toList();
     }
 
-    /** Returns whether the current incarnation of the upstream has announced that it is leaving. */
-    public boolean isLeaving(VirtualMachine upstream) {
+    /** Returns whether the current incarnation of the upstream has announced that it is leaving, or another upstream has its address. */
+    public boolean isGone(VirtualMachine upstream, long nowNanos) {
         Long incarnation = leaving.get(upstream.name());
-        return incarnation != null && incarnation == upstream.incarnation();
+        return incarnation != null && incarnation == upstream.incarnation() || replaced.contains(upstream, nowNanos);
     }
 
     /** Returns when this router may send to the upstream again, also within its rate limit; empty if it may now. */
@@ -119,6 +128,7 @@
             Long incarnation = incarnations.get(entry.getKey());
             return incarnation != null && !incarnation.equals(entry.getValue());
         });
+        replaced.removeStale(listed, nowNanos);
         unavailable.values().removeIf(unavailability -> unavailability.untilNanos() - nowNanos <= 0);
         rateLimits.removeStale(incarnations);
     }
--- a/router/src/test/java/org/baobabcart/router/upstream/AcceptingRules.java
+++ b/router/src/test/java/org/baobabcart/router/upstream/AcceptingRules.java
@@ -16,6 +16,11 @@
         return UpstreamNotice.none();
     }
 
+    @Override
+    public boolean isFromAnother(String upstream, MultiMap headers) {
+        return false;
+    }
+
     @Override
     public boolean namesRequest(MultiMap headers) {
         return true;
