--- a/router/src/main/java/org/baobabcart/router/upstream/ResponseRules.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/ResponseRules.java
@@ -20,6 +20,9 @@
         return UpstreamNotice.none();
     }
 
+    /** Returns whether a response tells that another upstream than the named one has sent it. */
+    boolean isFromAnother(String upstream, MultiMap headers);
+
     /** Returns whether a response names the request that it belongs to. */
     boolean namesRequest(MultiMap headers);
 
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamNotices.java
@@ -23,6 +23,7 @@
     private final Timeline timeline;
     private final Map<String, Long> leaving = new ConcurrentHashMap<>();
     private final Map<String, Unavailability> unavailable = new ConcurrentHashMap<>();
+    private final ReplacedUpstreams replaced = ReplacedUpstreams.create();
     private final UpstreamRateLimits rateLimits;
     private final ColdUpstreams coldUpstreams;
 
@@ -55,6 +56,13 @@
         notice.coldFor().ifPresent(time -> coldUpstreams.markCold(upstream, time, "a response says so", nowNanos));
     }
 
+    /** Records that another upstream has answered at the address of this one. */
+    public void markReplaced(VirtualMachine upstream, long nowNanos) {
+        if (replaced.add(upstream, nowNanos)) {
+            recordChange(upstream, "another upstream has its address");
+        }
+    }
+
     private void recordChange(VirtualMachine upstream, String change) {
         timeline.record(
                 EventType.UPSTREAM_CHANGED,
@@ -73,24 +81,29 @@
 
     /** Returns whether the upstream accepts requests, apart from its rate limit and from being cold. */
     public boolean acceptsRequests(VirtualMachine upstream, long nowNanos) {
-        return !isLeaving(upstream) && unavailableUntil(upstream, nowNanos).isEmpty();
+        return !isGone(upstream, nowNanos)
+                && unavailableUntil(upstream, nowNanos).isEmpty();
     }
 
     /** Returns the upstreams to which this router may send a request now; the same list if there are no notices. */
     public List<VirtualMachine> acceptingRequests(List<VirtualMachine> upstreams, long nowNanos) {
-        if (leaving.isEmpty() && unavailable.isEmpty() && rateLimits.isEmpty() && coldUpstreams.isEmpty()) {
+        if (leaving.isEmpty()
+                && replaced.isEmpty()
+                && unavailable.isEmpty()
+                && rateLimits.isEmpty()
+                && coldUpstreams.isEmpty()) {
             return upstreams;
         }
         return upstreams.stream()
-                .filter(upstream -> !isLeaving(upstream)
+                .filter(upstream -> !isGone(upstream, nowNanos)
                         && availableFrom(upstream, nowNanos).isEmpty())
                 .toList();
     }
 
-    /** Returns whether the current incarnation of the upstream has announced that it is leaving. */
-    public boolean isLeaving(VirtualMachine upstream) {
+    /** Returns whether the current incarnation of the upstream has announced that it is leaving, or another upstream has its address. */
+    public boolean isGone(VirtualMachine upstream, long nowNanos) {
         Long incarnation = leaving.get(upstream.name());
-        return incarnation != null && incarnation == upstream.incarnation();
+        return incarnation != null && incarnation == upstream.incarnation() || replaced.contains(upstream, nowNanos);
     }
 
     /** Returns when this router may send to the upstream again, also within its rate limit and while it is cold; empty if it may now. */
@@ -131,6 +144,7 @@
             Long incarnation = incarnations.get(entry.getKey());
             return incarnation != null && !incarnation.equals(entry.getValue());
         });
+        replaced.removeStale(listed, nowNanos);
         unavailable.values().removeIf(unavailability -> unavailability.untilNanos() - nowNanos <= 0);
         rateLimits.removeStale(incarnations);
     }
