--- a/router/src/main/java/org/baobabcart/router/gateway/ColdUpstreamController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ColdUpstreamController.java
@@ -48,6 +48,9 @@
     private final Map<String, ListedUpstream> listed = new HashMap<>();
     private boolean hasList;
     private Set<String> evacuated = Set.of();
+    private long lastRunNanos;
+    private long lastRunWallMillis;
+    private Optional<Long> lastPauseNanos = Optional.empty();
     private Optional<TimerService.Subscription> ticks = Optional.empty();
 
     private ColdUpstreamController(
@@ -61,6 +64,8 @@
         this.timers = timers;
         this.fleetNews = fleetNews;
         this.coldUpstreams = coldUpstreams;
+        this.lastRunNanos = timers.nanoTime();
+        this.lastRunWallMillis = timers.wallClockMillis();
     }
 
     /** Creates a controller that knows no upstreams. */
@@ -146,8 +151,12 @@
     private void follow() {
         FleetView view = blackboard.read(Sections.FLEET);
         long now = timers.nanoTime();
+        notePause(now);
         long age = fleetNews.ageNanos();
-        boolean isSettled = view.members().stream()
+        boolean isSettled = lastPauseNanos
+                        .filter(pause -> now - pause < SETTLING.toNanos())
+                        .isEmpty()
+                && view.members().stream()
                 .filter(member -> member.name().equals(view.self()))
                 .anyMatch(self -> now - self.sinceNanos() >= SETTLING.toNanos());
         boolean isCurrent = age >= 0 && age < MAX_NEWS_AGE.toNanos();
@@ -161,6 +170,21 @@
                 now + Math.min(MAX_PAUSE.toNanos(), newsTime));
     }
 
+    /**
+     * What was received during a pause is read after it as if it were new, so this router has to settle again. The steady clock may stand still
+     * while a machine is suspended.
+     */
+    private void notePause(long now) {
+        long wallMillis = timers.wallClockMillis();
+        boolean isPause = now - lastRunNanos >= MAX_PAUSE.toNanos()
+                || wallMillis - lastRunWallMillis >= MAX_PAUSE.toMillis();
+        if (isPause) {
+            lastPauseNanos = Optional.of(now);
+        }
+        lastRunNanos = now;
+        lastRunWallMillis = wallMillis;
+    }
+
     private static StartBudget.Router router(FleetMember member) {
         return new StartBudget.Router(member.name(), member.dataCentre());
     }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayObjectCodec.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayObjectCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.Optional;
+import org.baobabcart.model.gateway.Evacuation;
 import org.baobabcart.model.gateway.RouteTable;
 import org.baobabcart.model.gateway.VersionOrder;
 import org.baobabcart.model.platform.StoredObject;
@@ -24,6 +25,9 @@
     /** Returns the kind of the orders that move services to other versions. */
     String orderKind();
 
+    /** Returns the kind of the orders that take data centres out of use. */
+    String evacuationKind();
+
     /** Decodes the operator's configuration; empty for another object of the same kind. */
     Optional<RouteTable> routeTable(StoredObject object);
 
@@ -38,6 +42,9 @@
     /** Decodes an order. */
     VersionOrder order(StoredObject object);
 
+    /** Decodes an order that takes a data centre out of use. */
+    Evacuation evacuation(StoredObject object);
+
     /** Encodes the state and progress of an order as the status of its stored object, which the operator reads. */
     JsonNode status(VersionOrder order);
 }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -121,7 +122,10 @@
                 informerDependencies,
                 blackboard,
                 runtime.attempts().upstreams().notices().rateLimits());
-        List<Controller> following = List.of(
+        // Upstreams are marked as cold before the view lists them.
+        List<Controller> allControllers = new ArrayList<>();
+        coldUpstreamController.ifPresent(allControllers::add);
+        allControllers.addAll(List.of(
                 views,
                 RouteController.create(dependencies.objects(), informerDependencies, blackboard, timeline),
                 upstreams,
@@ -134,11 +138,12 @@
                         timeline,
                         dependencies.settings().move(),
                         outcomeRecorder),
-                StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies));
-        // Upstreams are marked as cold before the view lists them.
-        this.controllers = Stream.of(coldUpstreamController.stream(), following.stream(), fleet.stream())
-                .<Controller>flatMap(controllers -> controllers)
-                .toList();
+                StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies)));
+        if (dependencies.settings().fleet().evacuations()) {
+            allControllers.add(evacuations(informerDependencies));
+        }
+        fleet.ifPresent(allControllers::add);
+        this.controllers = List.copyOf(allControllers);
     }
 
     private Optional<FleetController> fleet(ObjectInformer.Dependencies informerDependencies) {
@@ -211,6 +216,22 @@
                 BodyReader.create(vertx, bodyBudget));
     }
 
+    private EvacuationController evacuations(ObjectInformer.Dependencies informerDependencies) {
+        Dispatcher dispatcher = runtime.attempts().dispatcher();
+        metrics.gauge(
+                "gateway.evacuated-data-centres",
+                () -> () -> views.current().evacuations().dataCentres().size());
+        metrics.gauge(
+                "gateway.evacuated-running",
+                () -> () -> dispatcher.running(views.current().evacuations()::isEvacuated));
+        return EvacuationController.create(
+                dependencies.objects(),
+                informerDependencies,
+                blackboard,
+                dependencies.timeline(),
+                dataCentre -> dispatcher.running(dataCentre::equals));
+    }
+
     private static long usedHeapBytes() {
         return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
     }
@@ -354,13 +375,17 @@
                 .end(PrometheusText.of(metrics));
     }
 
-    /** Returns whether a route table, the list of upstreams and the claims on limited ones are loaded and the router is neither stopping nor cut off. */
+    /**
+     * Returns whether a route table, the list of upstreams, the claims on limited ones and the evacuated data centres are loaded, and the
+     * router is neither stopping nor cut off.
+     */
     private boolean isReady() {
         TrafficView view = views.current();
         return !drain.isDraining()
                 && view.routes().isPresent()
                 && upstreams.isSynced()
                 && rateLimits.isSynced()
+                && view.evacuations().isKnown()
                 && !runtime.reachability().isCutOff(view);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
@@ -18,7 +18,8 @@
 
 /**
  * Tracks upstreams that this router suspects, found unreachable or that declined requests. Only those that it suspects
- * or found unreachable are probed, on new connections, until they respond. Thread-safe.
+ * or found unreachable are probed, on new connections, until they respond. Upstreams in evacuated data centres are not
+ * probed; what is known of them is kept until their data centre is taken back. Thread-safe.
  *
  * <p>A suspected upstream becomes unreachable when a connection or a health check fails. A broken connection or a late
  * response alone does not show that other requests cannot be served.
@@ -179,6 +180,9 @@
 
     private void probe(VirtualMachine upstream, long timer) {
         TrafficView view = views.current();
+        if (view.evacuations().isEvacuated(upstream.dataCentre())) {
+            return;
+        }
         if (!view.upstreams().contains(upstream)) {
             stopProbing(upstream, timer);
             return;
@@ -190,8 +194,10 @@
             client.isReachable(upstream).onSuccess(reachable -> markAnswering(upstream, timer, reachable));
             return;
         }
-        // A cold upstream is checked by its owners alone until it is warm.
-        if (!isCold(upstream, System.nanoTime()) || tryTakePermit(upstream)) {
+        if (!isCold(upstream, System.nanoTime())) {
+            check(upstream).onSuccess(result -> update(upstream, timer, result));
+        } else if (tryTakePermit(upstream)) {
+            // The owners alone check a cold upstream; the others wait until it is warm.
             checkHealth(upstream).onSuccess(result -> update(upstream, timer, result));
         }
     }
@@ -211,9 +217,10 @@
                 upstream.name(), (name, suspicion) -> suspicion.timer() == timer ? suspicion.withAnswer() : suspicion);
     }
 
-    /** Checks an upstream, by a connection alone if its rate limit allows no request of this router now. */
+    /** Checks an upstream, by a connection alone if it is evacuated or its rate limit allows no request of this router now. */
     private Future<HealthCheckResult> check(VirtualMachine upstream) {
-        return tryTakePermit(upstream)
+        boolean isEvacuated = views.current().evacuations().isEvacuated(upstream.dataCentre());
+        return !isEvacuated && tryTakePermit(upstream)
                 ? checkHealth(upstream)
                 : client.isReachable(upstream)
                         .map(reachable -> reachable ? HealthCheckResult.HEALTHY : HealthCheckResult.FAILED);
