A router that was paused settles again before it sends to cold upstreams; registrations may arrive 8 s old

Cause: after a pause the control thread reads as new what had arrived before it, so that the age of the news does not show the pause.

--- a/router/src/main/java/org/baobabcart/router/gateway/ColdUpstreamController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ColdUpstreamController.java
@@ -31,10 +31,13 @@
 final class ColdUpstreamController implements Controller {
     /** Older registrations are no basis for sending. Longer than the time between two confirmations of the registrations. */
     static final Duration MAX_NEWS_AGE = Duration.ofSeconds(10);
+    /** Registrations that other routers pass on may be this old when they arrive. */
+    private static final Duration MAX_DELIVERY_AGE = Duration.ofSeconds(8);
     /**
      * How long this router has to have been registered. All routers that send have read their registrations since, so that each knows all the others.
      */
-    static final Duration SETTLING = MAX_NEWS_AGE.plus(StartPace.WINDOW).plusSeconds(1);
+    static final Duration SETTLING =
+            MAX_NEWS_AGE.plus(MAX_DELIVERY_AGE).plus(StartPace.WINDOW).plusSeconds(1);
     /** How often the age of the registrations is checked. */
     static final Duration TICK = Duration.ofMillis(250);
     /** A router whose control thread has not run for this long was paused and sends nothing until it runs again. */
@@ -153,12 +156,11 @@
         long now = timers.nanoTime();
         notePause(now);
         long age = fleetNews.ageNanos();
-        boolean isSettled = lastPauseNanos
-                        .filter(pause -> now - pause < SETTLING.toNanos())
-                        .isEmpty()
-                && view.members().stream()
-                .filter(member -> member.name().equals(view.self()))
-                .anyMatch(self -> now - self.sinceNanos() >= SETTLING.toNanos());
+        boolean isSettled =
+                lastPauseNanos.filter(pause -> now - pause < SETTLING.toNanos()).isEmpty()
+                        && view.members().stream()
+                                .filter(member -> member.name().equals(view.self()))
+                                .anyMatch(self -> now - self.sinceNanos() >= SETTLING.toNanos());
         boolean isCurrent = age >= 0 && age < MAX_NEWS_AGE.toNanos();
         List<StartBudget.Router> members = isSettled && isCurrent
                 ? view.members().stream().map(ColdUpstreamController::router).toList()
@@ -176,8 +178,8 @@
      */
     private void notePause(long now) {
         long wallMillis = timers.wallClockMillis();
-        boolean isPause = now - lastRunNanos >= MAX_PAUSE.toNanos()
-                || wallMillis - lastRunWallMillis >= MAX_PAUSE.toMillis();
+        boolean isPause =
+                now - lastRunNanos >= MAX_PAUSE.toNanos() || wallMillis - lastRunWallMillis >= MAX_PAUSE.toMillis();
         if (isPause) {
             lastPauseNanos = Optional.of(now);
         }
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.policy.cascade.FirstByteEstimator;
 import org.baobabcart.policy.cascade.LatencyPressure;
