--- a/router/src/main/java/org/baobabcart/router/gateway/ColdUpstreamController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ColdUpstreamController.java
@@ -31,10 +31,13 @@
 final class ColdUpstreamController implements Controller {
     /** Older registrations are no basis for sending. Longer than the time between two confirmations of the registrations. */
     static final Duration MAX_NEWS_AGE = Duration.ofSeconds(10);
+    /** Registrations that other routers pass on may be this old when they arrive. */
+    private static final Duration MAX_DELIVERY_AGE = Duration.ofSeconds(8);
     /**
      * How long this router has to have been registered. All routers that send have read their registrations since, so that each knows all the others.
      */
-    static final Duration SETTLING = MAX_NEWS_AGE.plus(StartPace.WINDOW).plusSeconds(1);
+    static final Duration SETTLING =
+            MAX_NEWS_AGE.plus(MAX_DELIVERY_AGE).plus(StartPace.WINDOW).plusSeconds(1);
     /** How often the age of the registrations is checked. */
     static final Duration TICK = Duration.ofMillis(250);
     /** A router whose control thread has not run for this long was paused and sends nothing until it runs again. */
@@ -48,6 +51,9 @@
     private final Map<String, ListedUpstream> listed = new HashMap<>();
     private boolean hasList;
     private Set<String> evacuated = Set.of();
+    private long lastRunNanos;
+    private long lastRunWallMillis;
+    private Optional<Long> lastPauseNanos = Optional.empty();
     private Optional<TimerService.Subscription> ticks = Optional.empty();
 
     private ColdUpstreamController(
@@ -61,6 +67,8 @@
         this.timers = timers;
         this.fleetNews = fleetNews;
         this.coldUpstreams = coldUpstreams;
+        this.lastRunNanos = timers.nanoTime();
+        this.lastRunWallMillis = timers.wallClockMillis();
     }
 
     /** Creates a controller that knows no upstreams. */
@@ -146,10 +154,13 @@
     private void follow() {
         FleetView view = blackboard.read(Sections.FLEET);
         long now = timers.nanoTime();
+        notePause(now);
         long age = fleetNews.ageNanos();
-        boolean isSettled = view.members().stream()
-                .filter(member -> member.name().equals(view.self()))
-                .anyMatch(self -> now - self.sinceNanos() >= SETTLING.toNanos());
+        boolean isSettled =
+                lastPauseNanos.filter(pause -> now - pause < SETTLING.toNanos()).isEmpty()
+                        && view.members().stream()
+                                .filter(member -> member.name().equals(view.self()))
+                                .anyMatch(self -> now - self.sinceNanos() >= SETTLING.toNanos());
         boolean isCurrent = age >= 0 && age < MAX_NEWS_AGE.toNanos();
         List<StartBudget.Router> members = isSettled && isCurrent
                 ? view.members().stream().map(ColdUpstreamController::router).toList()
@@ -161,6 +172,21 @@
                 now + Math.min(MAX_PAUSE.toNanos(), newsTime));
     }
 
+    /**
+     * What was received during a pause is read after it as if it were new, so this router has to settle again. The steady clock may stand still
+     * while a machine is suspended.
+     */
+    private void notePause(long now) {
+        long wallMillis = timers.wallClockMillis();
+        boolean isPause =
+                now - lastRunNanos >= MAX_PAUSE.toNanos() || wallMillis - lastRunWallMillis >= MAX_PAUSE.toMillis();
+        if (isPause) {
+            lastPauseNanos = Optional.of(now);
+        }
+        lastRunNanos = now;
+        lastRunWallMillis = wallMillis;
+    }
+
     private static StartBudget.Router router(FleetMember member) {
         return new StartBudget.Router(member.name(), member.dataCentre());
     }
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
@@ -199,20 +199,14 @@
             client.isReachable(upstream).onSuccess(reachable -> markAnswering(upstream, timer, reachable));
             return;
         }
-        if (isEvacuated(upstream)) {
+        if (!isCold(upstream, System.nanoTime())) {
             check(upstream).onSuccess(result -> update(upstream, timer, result));
-            return;
-        }
-        // A cold upstream is checked by its owners alone until it is warm.
-        if (!isCold(upstream, System.nanoTime()) || tryTakePermit(upstream)) {
+        } else if (tryTakePermit(upstream)) {
+            // The owners alone check a cold upstream; the others wait until it is warm.
             checkHealth(upstream).onSuccess(result -> update(upstream, timer, result));
         }
     }
 
-    private boolean isEvacuated(VirtualMachine upstream) {
-        return views.current().evacuations().isEvacuated(upstream.dataCentre());
-    }
-
     private boolean refuses(VirtualMachine upstream) {
         Suspicion suspicion = suspicions.get(upstream.name());
         return suspicion != null && suspicion.refuses();
@@ -230,7 +224,8 @@
 
     /** Checks an upstream, by a connection alone if it is evacuated or its rate limit allows no request of this router now. */
     private Future<HealthCheckResult> check(VirtualMachine upstream) {
-        return !isEvacuated(upstream) && tryTakePermit(upstream)
+        boolean isEvacuated = views.current().evacuations().isEvacuated(upstream.dataCentre());
+        return !isEvacuated && tryTakePermit(upstream)
                 ? checkHealth(upstream)
                 : client.isReachable(upstream)
                         .map(reachable -> reachable ? HealthCheckResult.HEALTHY : HealthCheckResult.FAILED);
