Relays: fewer polls, no churn at the start, registrations of lost routers are removed

The logs show routers that chose relays from partial lists in the first two seconds, and polls that waited less than they may. A router without power stayed subscribed, since nothing on its connection tells.

Change: sharing begins 1.5 s after the start. A pause after changes counts towards the longest time between two answers, which is now eleven twentieths of the bound. What the store has just told is proof enough to go on with a relay.

--- a/router/src/main/java/org/baobabcart/router/fleet/FleetController.java
+++ b/router/src/main/java/org/baobabcart/router/fleet/FleetController.java
@@ -40,6 +40,7 @@
     /** When the registrations of routers that started together are complete. */
     private static final Duration FIRST_READ_DELAY = Duration.ofSeconds(1);
 
+    private static final Duration SECOND_READ_DELAY = Duration.ofSeconds(5);
     private static final Duration READ_PERIOD = Duration.ofSeconds(30);
 
     private final FleetMember self;
@@ -144,6 +145,7 @@
     }
 
     private void onRead(ObjectSnapshot snapshot) {
+        Duration nextDelay = hasRead ? READ_PERIOD : SECOND_READ_DELAY;
         Map<String, FleetEntry> entries = new HashMap<>();
         for (StoredObject object : snapshot.objects()) {
             try {
@@ -160,7 +162,7 @@
         if (view.membersIn(self.dataCentre()).size() >= MIN_SHARING_ROUTERS) {
             follow();
         } else {
-            readAfter(READ_PERIOD);
+            readAfter(nextDelay);
         }
     }
 
--- a/router/src/main/java/org/baobabcart/router/relay/HttpRelayNetwork.java
+++ b/router/src/main/java/org/baobabcart/router/relay/HttpRelayNetwork.java
@@ -13,8 +13,10 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.baobabcart.router.transport.InterimResponses;
 
 /** Connects to relays over HTTP: one streamed response with one JSON object per line. Thread-safe. */
@@ -23,6 +25,7 @@
     private static final int MAX_CONNECTIONS = 4;
 
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final int PROBE_TIMEOUT_MILLIS = 2_000;
     private static final int MAX_LINE_BYTES = 1024 * 1024;
     private static final int OK = 200;
 
@@ -77,10 +80,22 @@
         };
     }
 
+    @Override
+    public void probe(String address, Consumer<Boolean> onResult) {
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.HEAD)
+                .setTimeout(PROBE_TIMEOUT_MILLIS)
+                .setAbsoluteURI("http://" + address + RelayServer.PATH);
+        client.request(options)
+                .compose(HttpClientRequest::send)
+                .timeout(PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .onComplete(result -> loop.execute(() -> onResult.accept(result.succeeded())));
+    }
+
     private void receive(HttpClientResponse response, Listener listener, AtomicBoolean closed) {
         if (response.statusCode() != OK) {
             response.request().reset();
-            close(listener, closed, "status " + response.statusCode());
+            close(listener, closed, "status " + response.statusCode(), true);
             return;
         }
         RecordParser lines = RecordParser.newDelimited("\n", line -> deliver(line, listener, closed));
@@ -102,8 +117,12 @@
     }
 
     private void close(Listener listener, AtomicBoolean closed, String cause) {
+        close(listener, closed, cause, false);
+    }
+
+    private void close(Listener listener, AtomicBoolean closed, String cause, boolean hasAnswered) {
         if (closed.compareAndSet(false, true)) {
-            loop.execute(() -> listener.onClosed(cause));
+            loop.execute(() -> listener.onClosed(cause, hasAnswered));
         }
     }
 }
--- a/router/src/main/java/org/baobabcart/router/relay/KindWatch.java
+++ b/router/src/main/java/org/baobabcart/router/relay/KindWatch.java
@@ -43,6 +43,7 @@
     private boolean isPrompt;
     private long round;
     private int failures;
+    private boolean isDistrustful;
     private boolean isProven;
     private long provenNanos;
     private long bookmarkNanos;
@@ -83,7 +84,7 @@
         bookmarkNanos = clock.getAsLong();
         long revision = Revisions.number(version);
         changes.continueAt(revision);
-        if (!relays.followsDirectly() && hasFreshRelay()) {
+        if (mayBeRelayed()) {
             source.end(kind);
             failures = 0;
             review();
@@ -126,7 +127,7 @@
         unfinished = new ArrayList<>();
         isPrompt = isPromptWanted();
         Multi<ObjectEvent> watch =
-                isPrompt ? store.watch(kind, version, timing.pollWait()) : store.watch(kind, version);
+                isPrompt ? store.watch(kind, version, timing.pollInterval()) : store.watch(kind, version);
         direct = Optional.of(watch.emitOn(loop)
                 .subscribe()
                 .with(
@@ -156,7 +157,7 @@
         List<ObjectEvent> finished = unfinished;
         unfinished = new ArrayList<>();
         source.onAnswer(kind, Revisions.number(event.object()), finished, timing.longestPoll(kind));
-        boolean isOther = relays.followsDirectly() ? isPrompt != isPromptWanted() : hasFreshRelay();
+        boolean isOther = relays.followsDirectly() ? isPrompt != isPromptWanted() : mayBeRelayed();
         if (isOther) {
             complete();
         }
@@ -186,6 +187,7 @@
         boolean hasChanges = takeAll();
         long now = clock.getAsLong();
         if (!isContinuable() || isStale(now)) {
+            isDistrustful = true;
             fail(interruption());
         } else if (hasChanges || now - bookmarkNanos >= BOOKMARK_INTERVAL.toNanos()) {
             emitBookmark(now);
@@ -222,6 +224,21 @@
         return relays.news().stream().anyMatch(news -> news.continues(kind, changes.position()));
     }
 
+    /**
+     * What the store has just told is proof enough to go on with a relay that will tell the next change, unless the relays have not held their promise
+     * before.
+     */
+    private boolean mayBeRelayed() {
+        if (relays.followsDirectly()) {
+            return false;
+        }
+        if (hasFreshRelay()) {
+            isDistrustful = false;
+            return true;
+        }
+        return !isDistrustful && isContinuable() && !isStale(clock.getAsLong());
+    }
+
     private boolean hasFreshRelay() {
         long now = clock.getAsLong();
         long limit = timing.ageLimit(kind).toNanos();
--- a/router/src/main/java/org/baobabcart/router/relay/RelayController.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayController.java
@@ -4,10 +4,13 @@
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import java.time.Duration;
 import java.util.Collection;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Controller;
 import org.baobabcart.router.control.Sections;
@@ -27,6 +30,8 @@
  */
 public final class RelayController implements Controller, RelayView, RelayServer.Acceptor {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    /** Routers that start together know each other then, so that they agree on their relays. */
+    private static final Duration SETTLING = Duration.ofMillis(1_500);
 
     private final Dependencies dependencies;
     private final RelayTiming timing;
@@ -34,9 +39,11 @@
     private final RelaySubscriptions subscriptions;
     private final RelayedObjectStore store;
     private final RelayServer server;
+    private final StaleRegistrations stale;
     private Optional<TimerService.Subscription> heartbeats = Optional.empty();
     private FleetView fleet = FleetView.unknown();
     private boolean wasRelay;
+    private boolean stopped;
 
     /**
      * Dependencies of a relay. Immutable.
@@ -71,6 +78,7 @@
                 dependencies.store(), dependencies.loop(), timers::nanoTime, timing, this, source);
         this.server =
                 new RelayServer(dependencies.vertx(), dependencies.loop(), this, this::isRouter, timing.silenceLimit());
+        this.stale = new StaleRegistrations(dependencies.store(), network, dependencies.random());
         registerMetrics(dependencies.metrics());
     }
 
@@ -104,12 +112,26 @@
 
     @Override
     public void start() {
+        dependencies.blackboard().subscribe(Sections.FLEET, view -> fleet = view);
+        dependencies.timers().after("relay-start", SETTLING, this::startSharing);
+    }
+
+    private void startSharing() {
+        onFleet(dependencies.blackboard().read(Sections.FLEET));
         dependencies.blackboard().subscribe(Sections.FLEET, this::onFleet);
-        heartbeats = Optional.of(dependencies.timers().every("relay", timing.heartbeat(), this::onHeartbeat));
+    }
+
+    /** Routers that share nothing have no timer. */
+    private void ensureHeartbeats() {
+        boolean isNeeded = subscriptions.isSharing() || source.subscribers() > 0;
+        if (isNeeded && heartbeats.isEmpty() && !stopped) {
+            heartbeats = Optional.of(dependencies.timers().every("relay", timing.heartbeat(), this::onHeartbeat));
+        }
     }
 
     @Override
     public Uni<Void> stop() {
+        stopped = true;
         heartbeats.ifPresent(TimerService.Subscription::cancel);
         subscriptions.stop();
         server.close();
@@ -117,8 +139,9 @@
     }
 
     private void onFleet(FleetView view) {
-        fleet = view;
+        source.retainOnly(view.members().stream().map(FleetMember::name).collect(Collectors.toSet()));
         subscriptions.onFleet(view);
+        ensureHeartbeats();
         if (wasRelay != subscriptions.isRelay()) {
             wasRelay = subscriptions.isRelay();
             dependencies
@@ -136,9 +159,17 @@
         if (subscriptions.isSharing()) {
             subscriptions.update();
             store.review();
+            reviewRegistrations();
         }
     }
 
+    /** A relay expects all others of its data centre to subscribe, and they expect their relays to answer. */
+    private void reviewRegistrations() {
+        Set<FleetMember> expected =
+                subscriptions.isRelay() ? subscriptions.expectedSubscribers() : subscriptions.unreached();
+        stale.review(expected, dependencies.timers().nanoTime());
+    }
+
     private void onNews() {
         store.review();
     }
@@ -157,6 +188,7 @@
     }
 
     private void onSubscribers() {
+        ensureHeartbeats();
         store.review();
         subscriptions.setServing(source.subscribers() > 0);
     }
--- a/router/src/main/java/org/baobabcart/router/relay/RelayNetwork.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayNetwork.java
@@ -1,5 +1,7 @@
 package org.baobabcart.router.relay;
 
+import java.util.function.Consumer;
+
 /** Connects to relays. */
 interface RelayNetwork {
     /**
@@ -9,6 +11,13 @@
      */
     Connection connect(String address, Listener listener);
 
+    /**
+     * Tells whether a router answers at all.
+     *
+     * @param onResult called on the control thread
+     */
+    void probe(String address, Consumer<Boolean> onResult);
+
     /** A connection to a relay. */
     interface Connection {
         /** Closes the connection; the listener may still be called. */
@@ -20,7 +29,11 @@
         /** Called with a line without its end. */
         void onLine(byte[] line);
 
-        /** Called once when the connection has ended or could not be opened. */
-        void onClosed(String cause);
+        /**
+         * Called once when the connection has ended or could not be opened.
+         *
+         * @param hasAnswered whether a router has answered and turned this one away
+         */
+        void onClosed(String cause, boolean hasAnswered);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/relay/RelayServer.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayServer.java
@@ -89,7 +89,7 @@
         Stream stream = new Stream(request, context, router);
         Optional.ofNullable(streams.remove(router)).ifPresent(earlier -> {
             acceptor.remove(earlier);
-            earlier.cut();
+            earlier.end();
         });
         if (!acceptor.accept(stream)) {
             context.runOnContext(ignored -> refuse(request, UNAVAILABLE));
@@ -107,7 +107,7 @@
 
     /** Ends all streams; called on the control thread. */
     void close() {
-        streams.values().forEach(Stream::cut);
+        streams.values().forEach(Stream::end);
     }
 
     /** The stream to a subscriber. Writes on the connection's event loop. */
@@ -124,6 +124,11 @@
             this.router = router;
         }
 
+        @Override
+        public String router() {
+            return router;
+        }
+
         @Override
         public void send(Buffer lines) {
             context.runOnContext(ignored -> write(lines));
@@ -155,7 +160,8 @@
             return full && System.nanoTime() - fullSinceNanos > writeLimitNanos;
         }
 
-        private void cut() {
+        @Override
+        public void end() {
             context.runOnContext(ignored -> Connections.abort(request.connection()));
         }
     }
--- a/router/src/main/java/org/baobabcart/router/relay/RelaySource.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelaySource.java
@@ -31,6 +31,12 @@
 
     /** A connection that receives what this router hears. */
     interface Subscriber {
+        /** Returns the name of the subscribed router. */
+        String router();
+
+        /** Ends the stream, upon which the subscriber is removed. */
+        void end();
+
         /** Sends lines; must not block. */
         void send(Buffer lines);
     }
@@ -129,6 +135,13 @@
         return subscribers.size();
     }
 
+    /** Ends the streams to all but these routers, of which some may have lost their power without a word. */
+    void retainOnly(Set<String> routers) {
+        List.copyOf(subscribers).stream()
+                .filter(subscriber -> !routers.contains(subscriber.router()))
+                .forEach(Subscriber::end);
+    }
+
     /** Tells all subscribers the age of the news. */
     void sendAges() {
         if (!subscribers.isEmpty()) {
--- a/router/src/main/java/org/baobabcart/router/relay/RelayTiming.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayTiming.java
@@ -13,11 +13,8 @@
  * @param unboundedKinds the kinds for which that does not hold
  */
 public record RelayTiming(Duration bound, Set<String> unboundedKinds) {
-    private static final int POLL_NUMERATOR = 2;
-    private static final int POLL_DENOMINATOR = 5;
-    /** A pause between two polls gathers changes that arrive in groups. */
-    private static final int PAUSE_DIVISOR = 5;
-
+    private static final int POLL_NUMERATOR = 11;
+    private static final int POLL_DENOMINATOR = 20;
     private static final int HEARTBEAT_DIVISOR = 8;
     private static final int LIMIT_NUMERATOR = 4;
     private static final int LIMIT_DENOMINATOR = 5;
@@ -51,11 +48,11 @@
 
     /** Returns the longest time from one answer of the store to a relay to the next. */
     Duration longestPoll(String kind) {
-        return isBounded(kind) ? pollWait().plus(bound.dividedBy(PAUSE_DIVISOR)) : UNBOUNDED_LIMIT;
+        return isBounded(kind) ? pollInterval() : UNBOUNDED_LIMIT;
     }
 
-    /** Returns how long a relay lets the store wait before it answers that there is no change of a kind with a bound. */
-    Duration pollWait() {
+    /** Returns the longest time from one answer of the store to a relay to the next, for kinds with a bound. */
+    Duration pollInterval() {
         return bound.multipliedBy(POLL_NUMERATOR).dividedBy(POLL_DENOMINATOR);
     }
 }
--- a/router/src/main/java/org/baobabcart/router/relay/RelayedObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayedObjectStore.java
@@ -2,9 +2,9 @@
 
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import org.baobabcart.model.platform.ObjectEvent;
@@ -23,7 +23,7 @@
     private final RelayTiming timing;
     private final RelayView relays;
     private final RelaySource source;
-    private final Map<String, KindWatch> watches = new HashMap<>();
+    private final Map<String, KindWatch> watches = new ConcurrentHashMap<>();
 
     RelayedObjectStore(
             ObjectStore store,
@@ -50,7 +50,7 @@
         watches.values().forEach(KindWatch::review);
     }
 
-    /** Returns the number of kinds whose changes relays tell at present; called on the control thread. */
+    /** Returns the number of kinds whose changes relays tell at present; may be called on any thread. */
     int relayedKinds() {
         return (int) watches.values().stream().filter(KindWatch::isRelayed).count();
     }
--- a/router/src/test/java/org/baobabcart/router/relay/RelayFleetTest.java
+++ b/router/src/test/java/org/baobabcart/router/relay/RelayFleetTest.java
@@ -10,6 +10,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.router.fleet.FleetController;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -230,4 +232,26 @@
         fleet.advance(Duration.ofSeconds(2));
         nodes.forEach(node -> assertThat(node.name, node.value(MAIN), is(2)));
     }
+
+    /** Routers that are gone for good, relays among them, are removed from the list, and no live one stays removed. */
+    @Test
+    void registrationsOfLostRoutersAreRemoved() {
+        List<RelayFleet.Node> nodes = fleet.start(29);
+        fleet.advance(START);
+        List<RelayFleet.Node> lost = List.of(
+                relays(nodes).get(0), nodes.get(4), nodes.get(5), relays(nodes).get(3));
+        lost.forEach(RelayFleet.Node::kill);
+        fleet.advance(Duration.ofMinutes(5));
+        List<String> registered = fleet.store.list(FleetController.KIND).stream()
+                .map(StoredObject::name)
+                .sorted()
+                .toList();
+        assertThat(
+                registered,
+                is(nodes.stream()
+                        .filter(node -> !lost.contains(node))
+                        .map(node -> node.name)
+                        .sorted()
+                        .toList()));
+    }
 }
