--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -36,7 +36,7 @@
     MEMBER_CHANGED(
             "another router is known, suspected or gone", EventField.MEMBER, EventField.STATE, EventField.INCARNATION),
     UPSTREAM_CHANGED(
-            "an upstream is known, leaving, started anew or gone",
+            "an upstream is known, leaving, started anew, cold or gone",
             EventField.UPSTREAM,
             EventField.STATE,
             EventField.SERVICE,
