--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -41,7 +41,7 @@
             EventField.STATE,
             EventField.CAUSE),
     UPSTREAM_CHANGED(
-            "an upstream is known, leaving, started anew or gone",
+            "an upstream is known, leaving, started anew, cold or gone",
             EventField.UPSTREAM,
             EventField.STATE,
             EventField.SERVICE,
