Heads of requests are bounded before they are parsed

Cause: the HTTP parser makes an object of each header line as it arrives, up to 64 KB of five-byte lines, and the operator's limit was checked afterwards; a crowd of such heads ran a router out of memory. Bodies in chunks counted as small until they had grown, and used up the part of the budget for small ones. The limit for heads counted one byte too many for each line without a space after its colon.

Change: a gate in front of the parser of each caller connection, on both interfaces, keeps a head as bytes until it is complete, within the operator's size and time, and until there is memory for what the parser makes of it; one parsed request a connection. Connections are limited by memory and descriptors.

Not covered: trailers of chunked bodies are bounded by the parser's 64 KB a connection only.

--- a/policy/src/main/java/org/baobabcart/policy/admission/ByteBudget.java
+++ b/policy/src/main/java/org/baobabcart/policy/admission/ByteBudget.java
@@ -40,17 +40,24 @@
     public static final class Entry {
         private final int rank;
         private final String workspace;
+        private final boolean sizeKnown;
         private long bytes;
 
-        private Entry(int rank, String workspace, long bytes) {
+        private Entry(int rank, String workspace, long bytes, boolean sizeKnown) {
             this.rank = rank;
             this.workspace = workspace;
             this.bytes = bytes;
+            this.sizeKnown = sizeKnown;
         }
 
         /** Creates an entry; rank 0 is the most urgent. */
         public static Entry of(int rank, String workspace, long bytes) {
-            return new Entry(rank, workspace, bytes);
+            return new Entry(rank, workspace, bytes, true);
+        }
+
+        /** Creates an entry that begins with these bytes and may grow. It counts as large, since many of them could take all that is kept for small ones. */
+        public static Entry ofUnknownSize(int rank, String workspace, long bytes) {
+            return new Entry(rank, workspace, bytes, false);
         }
 
         /** Returns the size in bytes. */
@@ -93,14 +100,14 @@
 
     /** Returns whether no entry that goes before this one is waiting; a small entry passes all large ones. */
     private boolean isFirst(Entry entry) {
-        return isSmall(entry.bytes)
+        return isSmall(entry)
                 || waiting.stream()
-                        .noneMatch(other -> other.rank <= entry.rank && !isSmall(other.bytes) && mayTakeMore(other));
+                        .noneMatch(other -> other.rank <= entry.rank && !isSmall(other) && mayTakeMore(other));
     }
 
     /** Grants more bytes to an entry that has been granted; returns false, and changes nothing, if they do not fit. */
     public boolean tryGrow(Entry entry, long newBytes) {
-        release(entry.bytes, entry);
+        giveBack(entry);
         long oldBytes = entry.bytes;
         entry.bytes = newBytes;
         boolean grown = fits(entry);
@@ -111,7 +118,7 @@
 
     /** Takes back the bytes of an entry that was granted; returns the waiting entries that are granted now. */
     public List<Entry> release(Entry entry) {
-        release(entry.bytes, entry);
+        giveBack(entry);
         List<Entry> granted = new ArrayList<>();
         Iterator<Entry> entries = waiting.iterator();
         while (entries.hasNext()) {
@@ -120,7 +127,7 @@
                 entries.remove();
                 take(next);
                 granted.add(next);
-            } else if (!isSmall(next.bytes) && mayTakeMore(next)) {
+            } else if (!isSmall(next) && mayTakeMore(next)) {
                 // Smaller entries behind this one must not keep it waiting for ever.
                 break;
             }
@@ -145,7 +152,7 @@
         if (usedBytes + entry.bytes > limitBytes) {
             return false;
         }
-        return isSmall(entry.bytes) || largeBytes + entry.bytes <= maxLargeBytes() && mayTakeMore(entry);
+        return isSmall(entry) || largeBytes + entry.bytes <= maxLargeBytes() && mayTakeMore(entry);
     }
 
     /** Returns whether the workspace of a large entry is below its share. */
@@ -154,8 +161,8 @@
         return taken == 0 || taken + entry.bytes <= limitBytes / 2;
     }
 
-    private boolean isSmall(long bytes) {
-        return bytes <= limitBytes / SMALL_PER_BUDGET;
+    private boolean isSmall(Entry entry) {
+        return entry.sizeKnown && entry.bytes <= limitBytes / SMALL_PER_BUDGET;
     }
 
     /** A quarter of the budget is left to small entries. */
@@ -165,18 +172,18 @@
 
     private void take(Entry entry) {
         usedBytes += entry.bytes;
-        if (!isSmall(entry.bytes)) {
+        if (!isSmall(entry)) {
             largeBytes += entry.bytes;
             largeBytesByWorkspace.merge(entry.workspace, entry.bytes, Long::sum);
         }
     }
 
-    private void release(long bytes, Entry entry) {
-        usedBytes -= bytes;
-        if (!isSmall(bytes)) {
-            largeBytes -= bytes;
+    private void giveBack(Entry entry) {
+        usedBytes -= entry.bytes;
+        if (!isSmall(entry)) {
+            largeBytes -= entry.bytes;
             largeBytesByWorkspace.computeIfPresent(
-                    entry.workspace, (ignored, taken) -> taken - bytes == 0 ? null : taken - bytes);
+                    entry.workspace, (ignored, taken) -> taken == entry.bytes ? null : taken - entry.bytes);
         }
     }
 }
--- a/policy/src/test/java/org/baobabcart/policy/admission/ByteBudgetTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/admission/ByteBudgetTest.java
@@ -120,6 +120,23 @@
         assertThat(drawn.usedBytes(), is(0L));
     }
 
+    /** Bodies in chunks began as small ones and grew, until none was left of the part for small bodies. */
+    @Test
+    void bodiesOfUnknownSizeLeaveThePartForSmallOnes() {
+        ByteBudget budget = ByteBudget.of(LIMIT);
+        List<Entry> granted = new ArrayList<>();
+        for (int index = 0; index < 2_000; index++) {
+            Entry entry = Entry.ofUnknownSize(1, "crowd-" + index % 4, 16_384);
+            if (budget.offer(entry) == Decision.GRANTED) {
+                granted.add(entry);
+            }
+        }
+        granted.forEach(entry -> budget.tryGrow(entry, 65_536));
+        assertThat(budget.usedBytes(), lessThanOrEqualTo(LIMIT / 4 * 3));
+        assertThat(budget.offer(Entry.of(1, "ordinary", 2_000)), is(Decision.GRANTED));
+        granted.forEach(budget::release);
+    }
+
     private static void check(ByteBudget budget, List<Entry> granted, List<Entry> waiting) {
         long used = granted.stream().mapToLong(Entry::bytes).sum();
         assertThat(budget.usedBytes(), is(used));
--- a/router/src/main/java/org/baobabcart/router/exchange/BodyBudget.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/BodyBudget.java
@@ -15,9 +15,6 @@
  * Thread-safe.
  */
 public final class BodyBudget {
-    /** Of the heap, which also holds the buffers of connections; a body is copied once more when it is sent. */
-    private static final int HEAP_PARTS = 5;
-
     private final Vertx vertx;
     private final ByteBudget budget;
     private final Map<ByteBudget.Entry, Waiter> waiters = new HashMap<>();
@@ -34,11 +31,6 @@
         return new BodyBudget(vertx, limitBytes);
     }
 
-    /** Returns the default budget, a fifth of the maximum heap. */
-    public static long defaultLimitBytes() {
-        return Runtime.getRuntime().maxMemory() / HEAP_PARTS;
-    }
-
     /** Returns the bytes that are reserved. */
     public synchronized long usedBytes() {
         return budget.usedBytes();
@@ -53,8 +45,10 @@
      * Reserves memory. The result completes on the context of the caller when the bytes are granted, and fails with
      * {@code QUEUE_FULL} if they never can be or too many bodies wait.
      */
-    Pending reserve(int rank, String workspace, long bytes) {
-        ByteBudget.Entry entry = ByteBudget.Entry.of(rank, workspace, bytes);
+    Pending reserve(int rank, String workspace, long bytes, boolean sizeKnown) {
+        ByteBudget.Entry entry = sizeKnown
+                ? ByteBudget.Entry.of(rank, workspace, bytes)
+                : ByteBudget.Entry.ofUnknownSize(rank, workspace, bytes);
         Promise<Reservation> granted = Promise.promise();
         ByteBudget.Decision decision;
         synchronized (this) {
--- a/router/src/main/java/org/baobabcart/router/exchange/BodyReader.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/BodyReader.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
+import java.util.Optional;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 
@@ -57,7 +58,7 @@
         Promise<Buffer> result = Promise.promise();
         long timer = vertx.setTimer(
                 timeout.toMillis(), ignored -> result.tryFail(BaobabcartException.of(ResultCode.REQUEST_TIMEOUT)));
-        BodyBudget.Pending pending = budget.reserve(sender.rank(), sender.workspace(), reserved);
+        BodyBudget.Pending pending = budget.reserve(sender.rank(), sender.workspace(), reserved, !chunked);
         if (!pending.granted().isComplete()) {
             awaitMemory(exchange, pending, timeout);
         }
@@ -73,10 +74,15 @@
 
     private void awaitMemory(CallerExchange exchange, BodyBudget.Pending pending, Duration timeout) {
         exchange.request().pause();
+        Optional<RequestHeadGate> gate = RequestHeadGate.of(exchange.request().connection());
+        gate.ifPresent(RequestHeadGate::pauseBody);
         long millis = Math.min(MAX_WAIT.toMillis(), timeout.toMillis());
         long timer = vertx.setTimer(Math.max(1, millis), ignored -> pending.giveUp());
         exchange.onEnd(pending::giveUp);
-        pending.granted().onComplete(ignored -> vertx.cancelTimer(timer));
+        pending.granted().onComplete(ignored -> {
+            vertx.cancelTimer(timer);
+            gate.ifPresent(RequestHeadGate::resumeBody);
+        });
     }
 
     private static void readInto(
--- a/router/src/main/java/org/baobabcart/router/exchange/ConnectionGuard.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/ConnectionGuard.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Collections;
 import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -16,37 +17,61 @@
  */
 public final class ConnectionGuard {
     private final Vertx vertx;
+    private final ClientMemory memory;
+    private final RequestHeadGate.GateSettings gateSettings;
     private final Supplier<Duration> firstRequestTimeout;
     private final Supplier<Duration> nextRequestTimeout;
-    private final Map<HttpConnection, Long> timers = new IdentityHashMap<>();
+    /** The timers of connections without a request; those that have waited longest come first. */
+    private final Map<HttpConnection, Long> timers = new LinkedHashMap<>();
+
+    private final Map<HttpConnection, RequestHeadGate> gates = new IdentityHashMap<>();
     private final Set<HttpConnection> notReusable = Collections.newSetFromMap(new IdentityHashMap<>());
+    private int open;
 
-    private ConnectionGuard(
-            Vertx vertx, Supplier<Duration> firstRequestTimeout, Supplier<Duration> nextRequestTimeout) {
-        this.vertx = vertx;
-        this.firstRequestTimeout = firstRequestTimeout;
-        this.nextRequestTimeout = nextRequestTimeout;
+    private ConnectionGuard(ExchangeDependencies dependencies, ClientMemory memory, Supplier<Limits> limits) {
+        this.vertx = dependencies.vertx();
+        this.memory = memory;
+        this.firstRequestTimeout = () -> limits.get().firstRequest();
+        this.nextRequestTimeout = () -> limits.get().nextRequest();
+        this.gateSettings = new RequestHeadGate.GateSettings(
+                () -> limits.get().headBytes(),
+                () -> limits.get().firstRequest().toMillis(),
+                RefusalFormat.of(dependencies));
     }
 
-    /** Creates a guard with fixed timeouts for the first and for each further request of a connection. */
-    public static ConnectionGuard create(Vertx vertx, Duration firstRequestTimeout, Duration nextRequestTimeout) {
-        return new ConnectionGuard(vertx, () -> firstRequestTimeout, () -> nextRequestTimeout);
-    }
+    /**
+     * What the operator allows to a connection.
+     *
+     * @param headBytes the maximum size of the head of a request
+     * @param firstRequest how long the first request, and the head of each, may take to arrive
+     * @param nextRequest how long a connection may wait for a further request
+     */
+    public record Limits(int headBytes, Duration firstRequest, Duration nextRequest) {}
 
-    /** Creates a guard whose timeouts may change; a connection uses the timeout that applies when it starts to wait. */
+    /** Creates a guard whose limits may change; a connection uses the timeout that applies when it starts to wait. */
     public static ConnectionGuard create(
-            Vertx vertx, Supplier<Duration> firstRequestTimeout, Supplier<Duration> nextRequestTimeout) {
-        return new ConnectionGuard(vertx, firstRequestTimeout, nextRequestTimeout);
+            ExchangeDependencies dependencies, ClientMemory memory, Supplier<Limits> limits) {
+        return new ConnectionGuard(dependencies, memory, limits);
     }
 
-    /** Called when a connection was opened. */
+    /** Called when a connection was opened. Beyond the limit of connections, the one that has been idle longest is closed. */
     public void connectionOpened(HttpConnection connection) {
         Connections.limitReadAhead(connection);
+        RequestHeadGate.install(connection, memory, gateSettings).ifPresent(gate -> gates.put(connection, gate));
+        open++;
         connection.closeHandler(ignored -> {
+            open--;
             cancelTimer(connection);
+            gates.remove(connection);
             notReusable.remove(connection);
         });
         startTimer(connection, firstRequestTimeout.get());
+        if (open > memory.limits().connections()) {
+            HttpConnection idlest = timers.keySet().iterator().next();
+            cancelTimer(idlest);
+            memory.countClosed("connections");
+            Connections.abort(idlest);
+        }
     }
 
     /** Marks the current request as the last on the connection, since bytes after it may not be a request of the caller. */
@@ -68,6 +93,10 @@
     public void requestEnded(HttpConnection connection) {
         cancelTimer(connection);
         startTimer(connection, nextRequestTimeout.get());
+        RequestHeadGate gate = gates.get(connection);
+        if (gate != null) {
+            gate.requestEnded();
+        }
     }
 
     private void startTimer(HttpConnection connection, Duration limit) {
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -31,6 +31,7 @@
 import org.baobabcart.router.crash.StoredCrashReports;
 import org.baobabcart.router.exchange.BodyBudget;
 import org.baobabcart.router.exchange.BodyReader;
+import org.baobabcart.router.exchange.ClientMemory;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
 import org.baobabcart.router.limit.RateLimitController;
@@ -142,7 +143,7 @@
                         .withCrossDataCentreAffinity(),
                 views,
                 health);
-        BodyBudget bodyBudget = BodyBudget.create(vertx, settings.bufferedBodyBytes());
+        BodyBudget bodyBudget = BodyBudget.create(vertx, settings.clients().bodyBytes());
         metrics.gauge("gateway.running", () -> drain::running);
         metrics.gauge("process.heap-bytes", () -> GatewayProcess::usedHeapBytes);
         metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
@@ -168,7 +169,8 @@
                 LatencyPressure.create(),
                 FirstByteEstimator.create(),
                 RequestMetrics.create(metrics),
-                BodyReader.create(vertx, bodyBudget));
+                BodyReader.create(vertx, bodyBudget),
+                ClientMemory.create(settings.clients(), metrics));
     }
 
     private static long usedHeapBytes() {
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRuntime.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRuntime.java
@@ -6,6 +6,7 @@
 import org.baobabcart.policy.version.VersionOutcomeRecorder;
 import org.baobabcart.router.attempt.AttemptDependencies;
 import org.baobabcart.router.exchange.BodyReader;
+import org.baobabcart.router.exchange.ClientMemory;
 import org.baobabcart.router.exchange.ExchangeDependencies;
 
 /**
@@ -23,6 +24,7 @@
  * @param firstByteEstimator estimates the time to first byte of the largest models; confined likewise
  * @param requestMetrics durations of requests and attempts; confined likewise
  * @param bodies reads request bodies within a budget of memory
+ * @param clientMemory the memory for heads of requests
  */
 record GatewayRuntime(
         Vertx vertx,
@@ -36,4 +38,5 @@
         LatencyPressure latencyPressure,
         FirstByteEstimator firstByteEstimator,
         RequestMetrics requestMetrics,
-        BodyReader bodies) {}
+        BodyReader bodies,
+        ClientMemory clientMemory) {}
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -7,7 +7,6 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.gateway.CallerLimits;
 import org.baobabcart.model.gateway.RouteTable;
@@ -33,10 +32,8 @@
  */
 final class GatewayServer {
     private static final int REQUEST_LINE_BYTES = 8 * 1024;
-    /** The parser's limit, above any limit that an operator sets; the operator's limit is checked afterwards. */
+    /** The parser's limit, above any limit that an operator sets; the operator's limit is checked before. */
     private static final int PARSER_HEADER_BYTES = 64 * 1024;
-    /** The bytes of ": " between name and value and of CRLF at the end of a header line. */
-    private static final int HEADER_FRAMING_BYTES = 4;
 
     private static final int LISTEN_BACKLOG = 1024;
     private static final String CHUNKED = "chunked";
@@ -55,8 +52,12 @@
     private GatewayServer(GatewayRuntime runtime, DrainState drain) {
         this.runtime = runtime;
         this.drain = drain;
-        this.guard =
-                ConnectionGuard.create(runtime.vertx(), () -> limits().headerTimeout(), () -> limits().idleTimeout());
+        this.guard = ConnectionGuard.create(runtime.exchanges(), runtime.clientMemory(), this::connectionLimits);
+    }
+
+    private ConnectionGuard.Limits connectionLimits() {
+        CallerLimits limits = limits();
+        return new ConnectionGuard.Limits(limits.maxHeaderBytes(), limits.headerTimeout(), limits.idleTimeout());
     }
 
     static GatewayServer create(GatewayRuntime runtime, DrainState drain) {
@@ -198,13 +199,6 @@
         if (encoding != null && !CHUNKED.equalsIgnoreCase(encoding.strip())) {
             throw BaobabcartException.of(ResultCode.BAD_HEADER, "only the transfer encoding chunked is supported");
         }
-        int bytes = request.uri().length();
-        for (Map.Entry<String, String> header : request.headers()) {
-            bytes += header.getKey().length() + header.getValue().length() + HEADER_FRAMING_BYTES;
-        }
-        if (bytes > limits().maxHeaderBytes()) {
-            throw BaobabcartException.of(ResultCode.HEADERS_TOO_LARGE);
-        }
     }
 
     /** Responds to a request that the parser rejected and closes its connection, which cannot be used any further. */
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewaySettings.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewaySettings.java
@@ -5,7 +5,7 @@
 import org.baobabcart.policy.cascade.EscalationPolicy;
 import org.baobabcart.policy.retry.SlidingWindowRetryBudget;
 import org.baobabcart.policy.version.VersionMoveSchedule;
-import org.baobabcart.router.exchange.BodyBudget;
+import org.baobabcart.router.exchange.ClientLimits;
 
 /**
  * Settings of the opaque request path. Immutable.
@@ -18,7 +18,7 @@
  * @param escalation decides when a larger model is asked
  * @param connectTimeout the timeout for connecting to an upstream
  * @param idleConnection the time after which an idle connection to an upstream is not reused
- * @param bufferedBodyBytes the maximum number of bytes of request bodies that are held or being read at once
+ * @param clients what clients may take of the process together
  * @param bufferedResponseBytes the maximum size of a response that is buffered before it is relayed
  * @param callerStall how long a caller may stop reading its response
  * @param fleet what the deployment asks of its routers together
@@ -32,7 +32,7 @@
         EscalationPolicy escalation,
         Duration connectTimeout,
         Duration idleConnection,
-        long bufferedBodyBytes,
+        ClientLimits clients,
         int bufferedResponseBytes,
         Duration callerStall,
         FleetSettings fleet) {
@@ -58,7 +58,7 @@
                 EscalationPolicy.defaults(),
                 CONNECT_TIMEOUT,
                 IDLE_CONNECTION,
-                BodyBudget.defaultLimitBytes(),
+                ClientLimits.defaults(),
                 BUFFERED_RESPONSE_BYTES,
                 CALLER_STALL,
                 FleetSettings.none());
@@ -75,7 +75,7 @@
                 escalation,
                 connectTimeout,
                 idleConnection,
-                bufferedBodyBytes,
+                clients,
                 bufferedResponseBytes,
                 callerStall,
                 fleet);
@@ -92,7 +92,7 @@
                 escalation,
                 connectTimeout,
                 idleConnection,
-                bufferedBodyBytes,
+                clients,
                 bufferedResponseBytes,
                 callerStall,
                 fleet);
@@ -109,9 +109,26 @@
                 escalation,
                 connectTimeout,
                 idleConnection,
-                bufferedBodyBytes,
+                clients,
                 bufferedResponseBytes,
                 callerStall,
                 newFleet);
     }
+
+    /** Returns a copy with other limits for clients. */
+    public GatewaySettings withClients(ClientLimits newClients) {
+        return new GatewaySettings(
+                name,
+                dataCentre,
+                queue,
+                retries,
+                move,
+                escalation,
+                connectTimeout,
+                idleConnection,
+                newClients,
+                bufferedResponseBytes,
+                callerStall,
+                fleet);
+    }
 }
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -17,6 +17,8 @@
 import org.baobabcart.router.control.Futures;
 import org.baobabcart.router.exchange.BodyBudget;
 import org.baobabcart.router.exchange.BodyReader;
+import org.baobabcart.router.exchange.ClientLimits;
+import org.baobabcart.router.exchange.ClientMemory;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
 import org.baobabcart.router.upstream.Dispatcher;
@@ -78,7 +80,7 @@
                 dependencies.metrics(),
                 new CallerErrorFormat(),
                 settings.timeouts().callerStall());
-        BodyBudget bodyBudget = BodyBudget.create(vertx, BodyBudget.defaultLimitBytes());
+        BodyBudget bodyBudget = BodyBudget.create(vertx, ClientLimits.defaults().bodyBytes());
         CascadeChooser cascades = CascadeChooser.create(CascadeSettings.defaults(), System::nanoTime);
         TrafficRuntime runtime = new TrafficRuntime(
                 vertx,
@@ -88,7 +90,9 @@
                 attempts,
                 guards,
                 cascades,
-                BodyReader.create(vertx, bodyBudget));
+                BodyReader.create(vertx, bodyBudget),
+                ClientMemory.create(
+                        ClientLimits.defaults().dividedAmong(settings.node().eventLoops()), dependencies.metrics()));
         upstreams.registerMetrics(dependencies.metrics());
         dependencies
                 .metrics()
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -60,7 +60,9 @@
     public Future<?> start() {
         Router routes = routes();
         TrafficSettings.Timeouts timeouts = runtime.settings().timeouts();
-        connectionGuard = ConnectionGuard.create(vertx, timeouts.request(), timeouts.idleConnection());
+        ConnectionGuard.Limits connectionLimits = new ConnectionGuard.Limits(
+                runtime.settings().limits().headerBytes(), timeouts.request(), timeouts.idleConnection());
+        connectionGuard = ConnectionGuard.create(runtime.exchanges(), runtime.clientMemory(), () -> connectionLimits);
         HttpServerOptions options = new HttpServerOptions()
                 .setMaxHeaderSize(runtime.settings().limits().headerBytes())
                 .setMaxInitialLineLength(REQUEST_LINE_BYTES)
--- a/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/TrafficRuntime.java
@@ -4,6 +4,7 @@
 import org.baobabcart.router.attempt.AttemptDependencies;
 import org.baobabcart.router.cascade.CascadeChooser;
 import org.baobabcart.router.exchange.BodyReader;
+import org.baobabcart.router.exchange.ClientMemory;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
 import org.baobabcart.router.upstream.Dispatcher;
@@ -18,7 +19,8 @@
         AttemptDependencies attempts,
         Guards guards,
         CascadeChooser cascades,
-        BodyReader bodies) {
+        BodyReader bodies,
+        ClientMemory clientMemory) {
     /** The shared retry budget, the drain state, and the reporter of version outcomes. */
     record Guards(SharedRetryBudget retries, DrainState drain, VersionOutcomeReporter versionOutcomes) {}
 
--- a/router/src/main/java/org/baobabcart/router/transport/Connections.java
+++ b/router/src/main/java/org/baobabcart/router/transport/Connections.java
@@ -47,7 +47,7 @@
     }
 
     /** Returns the Netty channel of a connection; empty if it has none of its own. */
-    static Optional<Channel> channelOf(HttpConnection connection) {
+    public static Optional<Channel> channelOf(HttpConnection connection) {
         return connection instanceof ConnectionBase base ? Optional.of(base.channel()) : Optional.empty();
     }
 }
