--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -35,6 +35,7 @@
 import org.baobabcart.router.crash.StoredCrashReports;
 import org.baobabcart.router.exchange.BodyBudget;
 import org.baobabcart.router.exchange.BodyReader;
+import org.baobabcart.router.exchange.ClientMemory;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
 import org.baobabcart.router.fleet.FleetController;
@@ -225,7 +226,7 @@
                 views,
                 health,
                 DepartureReporter.create(metrics, dependencies.timeline()));
-        BodyBudget bodyBudget = BodyBudget.create(vertx, settings.bufferedBodyBytes());
+        BodyBudget bodyBudget = BodyBudget.create(vertx, settings.clients().bodyBytes());
         metrics.gauge("gateway.running", () -> drain::running);
         metrics.gauge("process.heap-bytes", () -> GatewayProcess::usedHeapBytes);
         metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
@@ -255,7 +256,8 @@
                 LatencyPressure.create(),
                 FirstByteEstimator.create(),
                 RequestMetrics.create(metrics),
-                BodyReader.create(vertx, bodyBudget));
+                BodyReader.create(vertx, bodyBudget),
+                ClientMemory.create(settings.clients(), metrics));
     }
 
     private EvacuationController evacuations(ObjectInformer.Dependencies informerDependencies) {
