The age of relayed news is that of the store's last answer

Cause: an informer counted the age of what it knows from the last event, and a relay's subscriber makes one every second whether the store has answered the relay or not. The decision on cold upstreams sends nothing on registrations older than 10 s and would have taken older ones for new.

Change: ObjectInformer.ageNanos, and with it FleetNews and platform_age_seconds, is the age of the store's last answer to the relay. Only answers since the connection was opened count, as a suspended relay's clock may have stood still.

RelayFleetTest: while all links to the store are cut, the age at every router grows with the time; a subscriber that was frozen through 40 changes catches up within the bound and never goes back.

--- a/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
@@ -261,9 +261,12 @@
         return ageNanos() / NANOS_PER_SECOND;
     }
 
-    /** Returns the time since the platform was last heard of this kind, or since the creation. May be called on any thread. */
+    /**
+     * Returns the time since the platform has last confirmed what is known of this kind, or since the creation. May be called on any thread.
+     */
     public long ageNanos() {
-        return dependencies.timers().nanoTime() - lastResponseNanos;
+        long sinceResponse = dependencies.timers().nanoTime() - lastResponseNanos;
+        return Math.max(sinceResponse, dependencies.store().newsAgeNanos(kind).orElse(0));
     }
 
     private void onResponse() {
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectStore.java
@@ -4,6 +4,7 @@
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.ObjectSnapshot;
 import org.baobabcart.model.platform.StoredObject;
@@ -57,4 +58,12 @@
     default Multi<ObjectEvent> watch(String kind, String fromResourceVersion, Duration longestSilence) {
         return watch(kind, fromResourceVersion);
     }
+
+    /**
+     * Returns how long ago the platform itself has confirmed what the last watch of a kind has told; empty if its news come from the platform at
+     * once. May be called on any thread.
+     */
+    default OptionalLong newsAgeNanos(String kind) {
+        return OptionalLong.empty();
+    }
 }
--- a/router/src/main/java/org/baobabcart/router/relay/KindWatch.java
+++ b/router/src/main/java/org/baobabcart/router/relay/KindWatch.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import org.baobabcart.model.platform.ObjectEvent;
@@ -44,8 +45,8 @@
     private long round;
     private int failures;
     private boolean isDistrustful;
-    private boolean isProven;
-    private long provenNanos;
+    private volatile boolean isProven;
+    private volatile long provenNanos;
     private long bookmarkNanos;
 
     KindWatch(
@@ -210,8 +211,8 @@
 
     private void prove(long nanos) {
         if (!isProven || nanos - provenNanos > 0) {
-            isProven = true;
             provenNanos = nanos;
+            isProven = true;
         }
     }
 
@@ -274,9 +275,9 @@
         emit(new ObjectEvent(ObjectEvent.Type.BOOKMARK, object));
     }
 
-    /** Returns the age of what is known of the kind; negative if nothing is. */
-    long ageNanos() {
-        return isProven ? clock.getAsLong() - provenNanos : -1;
+    /** Returns the time since the store itself has last confirmed what is known of the kind. May be called on any thread. */
+    OptionalLong ageNanos() {
+        return isProven ? OptionalLong.of(clock.getAsLong() - provenNanos) : OptionalLong.empty();
     }
 
     /** Returns whether relays tell the changes at present. */
--- a/router/src/main/java/org/baobabcart/router/relay/RelayedNews.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayedNews.java
@@ -16,7 +16,8 @@
 /**
  * What a relay has told on one connection. Confined to the control thread.
  *
- * <p>The age of its news is counted from the arrival of the line that told it, so that it grows with any silence.
+ * <p>The age of its news is counted from the arrival of the line that told it, so that it grows with any silence. Only answers that the store has given
+ * since the connection was opened count, as the clock of a relay that was suspended may not have counted that time.
  */
 final class RelayedNews {
     /** The maximum number of kinds, above which a stream is treated as invalid. */
@@ -28,10 +29,12 @@
     private static final long NANOS_PER_MILLI = Duration.ofMillis(1).toNanos();
 
     private final Map<String, KindNews> kinds = new HashMap<>();
+    private final long openedNanos;
     private long lastLineNanos;
     private long events;
 
     private RelayedNews(long nowNanos) {
+        openedNanos = nowNanos;
         lastLineNanos = nowNanos;
     }
 
@@ -114,9 +117,11 @@
             KindNews news = kinds.get(entry.getKey());
             if (news != null) {
                 news.log.append(entry.getValue().path(RelayLine.REVISION).asLong(), List.of(), 0);
-                news.proofNanos =
-                        nowNanos - entry.getValue().path(RelayLine.MILLIS).asLong() * NANOS_PER_MILLI;
-                news.hasProof = true;
+                long proof = nowNanos - entry.getValue().path(RelayLine.MILLIS).asLong() * NANOS_PER_MILLI;
+                if (proof - openedNanos >= 0) {
+                    news.proofNanos = proof;
+                    news.hasProof = true;
+                }
             }
         });
     }
--- a/router/src/main/java/org/baobabcart/router/relay/RelayedObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayedObjectStore.java
@@ -4,6 +4,7 @@
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
@@ -74,6 +75,12 @@
                 .emitter(emitter -> loop.execute(() -> watch(kind).open(fromResourceVersion, emitter)));
     }
 
+    @Override
+    public OptionalLong newsAgeNanos(String kind) {
+        KindWatch watch = watches.get(kind);
+        return watch == null ? OptionalLong.empty() : watch.ageNanos();
+    }
+
     @Override
     public Uni<StoredObject> read(String kind, String name) {
         return store.read(kind, name);
--- a/router/src/test/java/org/baobabcart/router/relay/RelayFleet.java
+++ b/router/src/test/java/org/baobabcart/router/relay/RelayFleet.java
@@ -26,6 +26,9 @@
 final class RelayFleet {
     static final Duration BOUND = Duration.ofSeconds(2);
     static final String KIND = "config";
+    /** More than an answer that is on its way when a link is cut takes. */
+    static final int LATENCY_MILLIS = 10;
+
     private static final List<String> KINDS = List.of(KIND, "upstreams", "orders");
     private static final String TURNED_AWAY = "turned away";
     private static final Duration HOP = Duration.ofMillis(1);
@@ -145,6 +148,10 @@
             link.setCut(nowIsolated);
         }
 
+        long fleetAgeNanos() {
+            return fleet.ageNanos();
+        }
+
         boolean isRelay() {
             return relay.isRelay();
         }
--- a/router/src/test/java/org/baobabcart/router/relay/RelayFleetTest.java
+++ b/router/src/test/java/org/baobabcart/router/relay/RelayFleetTest.java
@@ -254,4 +254,37 @@
                         .sorted()
                         .toList()));
     }
+
+    @Test
+    void aFollowerThatWasFrozenCatchesUp() {
+        List<RelayFleet.Node> nodes = fleet.start(29);
+        fleet.advance(START);
+        List<RelayFleet.Node> frozen =
+                nodes.stream().filter(node -> !node.isRelay()).limit(5).toList();
+        frozen.forEach(node -> node.setFrozen(true));
+        Random random = new Random(4702);
+        for (int step = 0; step < 40; step++) {
+            changeSomething(random, step);
+            fleet.advance(Duration.ofMillis(random.nextInt(300)));
+        }
+        frozen.forEach(node -> node.setFrozen(false));
+        fleet.advance(RelayFleet.BOUND);
+        nodes.forEach(node -> assertThat(node.name, node.agreesWithStore(), is(true)));
+        nodes.forEach(node -> assertThat(node.name, node.regressions, is(0L)));
+    }
+
+    /** Decisions that rest on the list of routers are told its age at the store, whoever has passed it on. */
+    @Test
+    void theAgeOfRelayedNewsIsThatOfTheStoresLastAnswer() {
+        List<RelayFleet.Node> nodes = fleet.start(29);
+        fleet.advance(START.multipliedBy(2));
+        nodes.forEach(node -> node.link.setCut(true));
+        for (int second = 1; second <= 8; second++) {
+            fleet.advance(Duration.ofSeconds(1));
+            long lower = Duration.ofSeconds(second)
+                    .minusMillis(RelayFleet.LATENCY_MILLIS)
+                    .toNanos();
+            nodes.forEach(node -> assertThat(node.name, node.fleetAgeNanos(), greaterThan(lower)));
+        }
+    }
 }
