A relay passes on what changed while its own watch was broken

Change: after a single broken watch or a dropped history the relay sends the difference between its last state and the list that it reads as the next batch. After an outage (more than one failure, or most objects missing) the log begins anew as before, since what is missing may only have expired.

RelayFleetTest.brokenPollsCostOnlyTheRelaysLists; RelayFleetTest, MergedChangesPropertyTest, RelayServerTest, RelayedNewsTest, FleetControllerTest, ObjectInformerTest green.

--- a/router/src/main/java/org/baobabcart/router/relay/FollowedChanges.java
+++ b/router/src/main/java/org/baobabcart/router/relay/FollowedChanges.java
@@ -27,6 +27,26 @@
         snapshot.objects().forEach(object -> revisions.put(object.name(), Revisions.number(object)));
     }
 
+    /** Returns the changes that lead from what is known to a list; a deletion bears the revision of the last known state. */
+    List<ObjectEvent> changesTo(String kind, ObjectSnapshot snapshot) {
+        List<ObjectEvent> events = new ArrayList<>();
+        Map<String, Long> missing = new HashMap<>(revisions);
+        for (StoredObject object : snapshot.objects()) {
+            Long known = missing.remove(object.name());
+            if (known == null || Revisions.number(object) != known) {
+                events.add(new ObjectEvent(ObjectEvent.Type.MODIFIED, object));
+            }
+        }
+        missing.forEach((name, revision) -> events.add(new ObjectEvent(
+                ObjectEvent.Type.DELETED, StoredObject.unreadable(kind, name, Long.toString(revision), "gone"))));
+        return events;
+    }
+
+    /** Returns the number of objects that exist as far as known. */
+    int objects() {
+        return revisions.size();
+    }
+
     /** Continues at the revision from which a reader wants the changes. */
     void continueAt(long revision) {
         position = revision;
--- a/router/src/main/java/org/baobabcart/router/relay/KindWatch.java
+++ b/router/src/main/java/org/baobabcart/router/relay/KindWatch.java
@@ -68,13 +68,36 @@
 
     /** Notes a list that the reader receives. */
     void onSnapshot(ObjectSnapshot snapshot) {
+        if (source.subscribers() > 0 && unfinished.isEmpty()) {
+            bridge(snapshot);
+        }
         changes.start(snapshot);
         prove(clock.getAsLong());
     }
 
+    /**
+     * Tells subscribers the changes between the end of a broken watch and the list that follows it, so that they need no lists of their own. After
+     * an outage they read lists, since what is missing then may only have expired.
+     */
+    private void bridge(ObjectSnapshot snapshot) {
+        List<ObjectEvent> events = changes.changesTo(kind, snapshot);
+        long missing = events.stream()
+                .filter(event -> event.type() == ObjectEvent.Type.DELETED)
+                .count();
+        boolean mayHaveExpired = failures > 1 || failures == 1 && 2 * missing > changes.objects();
+        long revision = Revisions.number(snapshot.resourceVersion());
+        if (!mayHaveExpired && revision >= 0 && source.endsAt(kind, changes.position())) {
+            source.onAnswer(kind, revision, events, timing.longestPoll(kind));
+            failures = 0;
+        }
+    }
+
     /** Notes that a list could not be read. */
     void onSnapshotFailure() {
         failures++;
+        if (failures > 1) {
+            source.end(kind);
+        }
     }
 
     /** Begins to stream changes after a version to a reader, in place of any earlier one. */
@@ -167,7 +190,6 @@
     private void onStoreFailure(Throwable failure) {
         if (!isExpired(failure)) {
             failures++;
-            source.end(kind);
         }
         fail(failure);
     }
--- a/router/src/main/java/org/baobabcart/router/relay/RelaySource.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelaySource.java
@@ -75,6 +75,12 @@
         send(RelayLine.restart(kind, revision, failures));
     }
 
+    /** Returns whether a kind is followed and its log ends at a revision. */
+    boolean endsAt(String kind, long revision) {
+        Followed known = followed.get(kind);
+        return known != null && known.log.end() == revision;
+    }
+
     /** Ends following a kind, of which this router no longer hears from the store. */
     void end(String kind) {
         if (followed.remove(kind) != null) {
--- a/router/src/test/java/org/baobabcart/router/relay/PolledStore.java
+++ b/router/src/test/java/org/baobabcart/router/relay/PolledStore.java
@@ -60,6 +60,13 @@
         cut.forEach(poll -> poll.fail(ResultCode.WATCH_EXPIRED));
     }
 
+    /** Breaks all polls. */
+    void breakPolls() {
+        List<Poll> broken = List.copyOf(waiting);
+        waiting.clear();
+        broken.forEach(poll -> poll.fail(ResultCode.PLATFORM_UNAVAILABLE));
+    }
+
     StoredObject put(String kind, String name, int value) {
         revision++;
         StoredObject object = new StoredObject(
--- a/router/src/test/java/org/baobabcart/router/relay/RelayFleetTest.java
+++ b/router/src/test/java/org/baobabcart/router/relay/RelayFleetTest.java
@@ -199,6 +199,26 @@
         assertThat(nodes.stream().filter(node -> node.relayedKinds() == 4).count(), is(23L));
     }
 
+    /** All open polls break at once, as when a network device restarts: only the relays read lists. */
+    @Test
+    void brokenPollsCostOnlyTheRelaysLists() {
+        List<RelayFleet.Node> nodes = fleet.start(29);
+        fleet.advance(START);
+        for (int round = 0; round < 5; round++) {
+            int before = fleet.store.calls();
+            fleet.store.put("upstreams", "upstream-1", round);
+            fleet.store.breakPolls();
+            fleet.store.remove("upstreams", "upstream-1");
+            fleet.store.put("upstreams", "upstream-2", round);
+            fleet.advance(Duration.ofSeconds(1));
+            nodes.forEach(node -> assertThat(node.name, node.agreesWithStore(), is(true)));
+            assertThat(fleet.store.calls() - before, lessThan(29 * 4));
+            fleet.advance(START);
+        }
+        nodes.forEach(node -> assertThat(node.name, node.regressions, is(0L)));
+        assertThat(relays(nodes).size(), is(6));
+    }
+
     /** Polls hear nothing for a second while changes are made, then the history is dropped and they are cut. */
     @Test
     void historyThatIsDroppedLosesNothing() {
