--- a/router/src/main/java/org/baobabcart/router/relay/KindWatch.java
+++ b/router/src/main/java/org/baobabcart/router/relay/KindWatch.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import org.baobabcart.model.platform.ObjectEvent;
@@ -44,8 +45,8 @@
     private long round;
     private int failures;
     private boolean isDistrustful;
-    private boolean isProven;
-    private long provenNanos;
+    private volatile boolean isProven;
+    private volatile long provenNanos;
     private long bookmarkNanos;
 
     KindWatch(
@@ -67,13 +68,36 @@
 
     /** Notes a list that the reader receives. */
     void onSnapshot(ObjectSnapshot snapshot) {
+        if (source.subscribers() > 0 && unfinished.isEmpty()) {
+            bridge(snapshot);
+        }
         changes.start(snapshot);
         prove(clock.getAsLong());
     }
 
+    /**
+     * Tells subscribers the changes between the end of a broken watch and the list that follows it, so that they need no lists of their own. After
+     * an outage they read lists, since what is missing then may only have expired.
+     */
+    private void bridge(ObjectSnapshot snapshot) {
+        List<ObjectEvent> events = changes.changesTo(kind, snapshot);
+        long missing = events.stream()
+                .filter(event -> event.type() == ObjectEvent.Type.DELETED)
+                .count();
+        boolean mayHaveExpired = failures > 1 || failures == 1 && 2 * missing > changes.objects();
+        long revision = Revisions.number(snapshot.resourceVersion());
+        if (!mayHaveExpired && revision >= 0 && source.endsAt(kind, changes.position())) {
+            source.onAnswer(kind, revision, events, timing.longestPoll(kind));
+            failures = 0;
+        }
+    }
+
     /** Notes that a list could not be read. */
     void onSnapshotFailure() {
         failures++;
+        if (failures > 1) {
+            source.end(kind);
+        }
     }
 
     /** Begins to stream changes after a version to a reader, in place of any earlier one. */
@@ -166,7 +190,6 @@
     private void onStoreFailure(Throwable failure) {
         if (!isExpired(failure)) {
             failures++;
-            source.end(kind);
         }
         fail(failure);
     }
@@ -210,8 +233,8 @@
 
     private void prove(long nanos) {
         if (!isProven || nanos - provenNanos > 0) {
-            isProven = true;
             provenNanos = nanos;
+            isProven = true;
         }
     }
 
@@ -274,9 +297,9 @@
         emit(new ObjectEvent(ObjectEvent.Type.BOOKMARK, object));
     }
 
-    /** Returns the age of what is known of the kind; negative if nothing is. */
-    long ageNanos() {
-        return isProven ? clock.getAsLong() - provenNanos : -1;
+    /** Returns the time since the store itself has last confirmed what is known of the kind. May be called on any thread. */
+    OptionalLong ageNanos() {
+        return isProven ? OptionalLong.of(clock.getAsLong() - provenNanos) : OptionalLong.empty();
     }
 
     /** Returns whether relays tell the changes at present. */
