--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -312,7 +312,7 @@
 
     /** An upstream that accepts a connection and responds late may be busy, which is no sign that it crashed. */
     private static CrashSeverity severityOf(HealthCheckResult result) {
-        return result.isLost() ? CrashSeverity.LOST_UPSTREAM : CrashSeverity.BROKEN_CONNECTION;
+        return result == HealthCheckResult.FAILED ? CrashSeverity.LOST_UPSTREAM : CrashSeverity.BROKEN_CONNECTION;
     }
 
     /** Retires the pooled connections of the upstream and probes on a new one whether it still accepts connections. */
@@ -321,7 +321,8 @@
         return dependencies.health().checkReachability(upstream).onSuccess(result -> {
             exchange.record(
                     EventType.UPSTREAM_PROBED,
-                    EventFields.of(EventField.UPSTREAM, upstream.name()).with(EventField.REACHABLE, !result.isLost()));
+                    EventFields.of(EventField.UPSTREAM, upstream.name())
+                            .with(EventField.REACHABLE, result != HealthCheckResult.FAILED));
             handler.probed(upstream, result.isHealthy());
         });
     }
--- a/router/src/main/java/org/baobabcart/router/upstream/HealthCheckResult.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/HealthCheckResult.java
@@ -10,11 +10,6 @@
     /** Another upstream has the address, so the upstream has ended. */
     REPLACED;
 
-    /** Returns whether the upstream has ended or accepts no connections, as far as the check tells. */
-    public boolean isLost() {
-        return this == FAILED || this == REPLACED;
-    }
-
     /** Returns whether the upstream passed the check. */
     public boolean isHealthy() {
         return this == HEALTHY;
