--- a/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Dispatcher.java
@@ -165,6 +165,7 @@
         if (availableFrom.isPresent() && availableFrom.getAsLong() - waiter.request.targetNanos() > 0) {
             return List.of(() -> waiter.refuse(noneAvailable(availableFrom.getAsLong())));
         }
+        selector.recordRequest(waiter.request);
         AdmissionQueue<Waiter> queue =
                 queues.computeIfAbsent(pool, ignored -> AdmissionQueue.create(settings.queue(), random::nextDouble));
         if (queue.size() == 0) {
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamSelector.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamSelector.java
@@ -55,12 +55,16 @@
         return candidates(eligible(view, pool, Set.of()), true).stream().anyMatch(UpstreamCandidate::hasCapacity);
     }
 
+    /** Records a new request, before it waits. */
+    void recordRequest(SlotRequest request) {
+        departures.recordRequest(request, System.nanoTime());
+    }
+
     /**
      * Selects an upstream and counts the request there; empty if no upstream has a free slot. Avoids upstreams where
      * the request has failed, unless there are no others.
      */
     Optional<VirtualMachine> choose(TrafficView view, SlotRequest request) {
-        departures.recordRequest(request, System.nanoTime());
         return chooseAvoiding(view, request, request.avoidedUpstreams());
     }
 
