Tests of what tells that an upstream is cold; a server in a test that frees its port before it starts again

ReturnedUpstreamTest failed twice with BindException (load average 18 to 27), also on an address that no client uses, so the cause is in the test: Vert.x had not freed the port when its close completed.

--- a/router/src/test/java/org/baobabcart/router/upstream/ReturnedUpstreamTest.java
+++ b/router/src/test/java/org/baobabcart/router/upstream/ReturnedUpstreamTest.java
@@ -4,7 +4,12 @@
 import static org.hamcrest.Matchers.is;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpServer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -27,12 +32,16 @@
     /** No client connects from this address, so that the port stays free while no server listens. */
     private static final String HOST = "127.77.0.5";
 
+    private static final int BACKLOG = 16;
+    private static final int MAX_REQUEST_BYTES = 4_096;
+    private static final byte[] RESPONSE =
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
     private static final StartBudget.Router SELF = new StartBudget.Router("router", "a");
 
     private final Vertx vertx = Vertx.vertx();
     private final AtomicInteger requests = new AtomicInteger();
     private final UpstreamNotices notices = UpstreamNotices.create((type, request, fields) -> {});
-    private final int port = startServer(0).actualPort();
+    private final int port = startServer(0).getLocalPort();
     private final VirtualMachine upstream = new VirtualMachine(
             "engine",
             VirtualMachine.Role.SERVICE,
@@ -51,33 +60,51 @@
                     (type, request, fields) -> {}),
             () -> new TrafficView(Optional.empty(), RollOutState.empty(), List.of(upstream), false),
             (type, request, fields) -> {});
-    private HttpServer server;
+    private ServerSocket server;
+    private Thread acceptor;
 
-    private HttpServer startServer(int onPort) {
-        server = vertx.createHttpServer()
-                .requestHandler(request -> {
-                    requests.incrementAndGet();
-                    request.response().end();
-                })
-                .listen(onPort, HOST)
-                .toCompletionStage()
-                .toCompletableFuture()
-                .join();
+    private ServerSocket startServer(int onPort) {
+        try {
+            server = new ServerSocket(onPort, BACKLOG, InetAddress.getByName(HOST));
+        } catch (IOException fault) {
+            throw new UncheckedIOException(fault);
+        }
+        acceptor = new Thread(() -> serve(server));
+        acceptor.start();
         return server;
     }
 
+    private void serve(ServerSocket own) {
+        while (!own.isClosed()) {
+            try (Socket socket = own.accept()) {
+                if (socket.getInputStream().read(new byte[MAX_REQUEST_BYTES]) >= 0) {
+                    requests.incrementAndGet();
+                    socket.getOutputStream().write(RESPONSE);
+                }
+            } catch (IOException closed) {
+                // The server or the connection was closed.
+            }
+        }
+    }
+
+    /** The port is free once the thread that accepts connections has ended. */
+    private void stopServer() throws Exception {
+        server.close();
+        acceptor.join();
+    }
+
     private void declare(StartBudget budget) {
         notices.coldUpstreams().setTerms(Map.of("desk", new ColdUpstreams.Terms(COLD_TIME, budget)));
     }
 
-    private void returnAfterRefusing() {
-        server.close().toCompletionStage().toCompletableFuture().join();
+    private void returnAfterRefusing() throws Exception {
+        stopServer();
         health.markUnreachable(upstream);
         startServer(port);
     }
 
     @Test
-    void othersSendNoHealthCheckUntilTheUpstreamIsWarm() {
+    void othersSendNoHealthCheckUntilTheUpstreamIsWarm() throws Exception {
         declare(StartBudget.of(8, 17));
         returnAfterRefusing();
         await(() -> health.isCold(upstream, System.nanoTime()));
@@ -89,7 +116,7 @@
     }
 
     @Test
-    void ownerChecksTheHealthWhileTheUpstreamIsCold() {
+    void ownerChecksTheHealthWhileTheUpstreamIsCold() throws Exception {
         declare(StartBudget.of(8, 17));
         notices.coldUpstreams().follow(SELF, List.of(SELF), System.nanoTime() + TIMEOUT.toNanos());
         returnAfterRefusing();
@@ -99,7 +126,7 @@
     }
 
     @Test
-    void upstreamOfAnotherServiceIsCheckedAsBefore() {
+    void upstreamOfAnotherServiceIsCheckedAsBefore() throws Exception {
         returnAfterRefusing();
         await(() -> !health.isSuspected(upstream.name()));
         assertThat(health.isCold(upstream, System.nanoTime()), is(false));
@@ -120,7 +147,8 @@
     }
 
     @AfterEach
-    void stop() {
+    void stop() throws Exception {
+        stopServer();
         vertx.close().toCompletionStage().toCompletableFuture().join();
     }
 }
