--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -11,11 +11,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.policy.cascade.FirstByteEstimator;
@@ -38,14 +36,10 @@
 import org.baobabcart.router.exchange.ClientMemory;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
-import org.baobabcart.router.fleet.FleetController;
-import org.baobabcart.router.fleet.FleetNews;
 import org.baobabcart.router.limit.RateLimitController;
 import org.baobabcart.router.platform.MonitoredObjectStore;
 import org.baobabcart.router.platform.ObjectInformer;
 import org.baobabcart.router.platform.ObjectStore;
-import org.baobabcart.router.relay.RelayController;
-import org.baobabcart.router.relay.RelayTiming;
 import org.baobabcart.router.timeline.EventField;
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
@@ -86,8 +80,7 @@
     private final GatewayServer server;
     private final UpstreamController upstreams;
     private final RateLimitController rateLimits;
-    private final Optional<RelayController> relay;
-    private final Optional<FleetController> fleet;
+    private final FleetParts fleet;
     private final List<Controller> controllers;
     private boolean wasReady;
     private final AtomicBoolean stopStarted = new AtomicBoolean();
@@ -103,18 +96,20 @@
                 dependencies.settings().name(), timers.wallClockMillis(), timers::nanoTime, timeline);
         this.runtime = runtime(outcomeRecorder, crashes);
         this.server = GatewayServer.create(runtime, drain);
-        this.relay = relay(store);
-        ObjectStore followedStore = relay.map(RelayController::store).orElse(store);
-        ObjectInformer.Dependencies informerDependencies = new ObjectInformer.Dependencies(
-                followedStore, loop, timers, RandomGenerator.getDefault(), timeline, metrics);
-        this.fleet = fleet(informerDependencies);
-        Optional<ColdUpstreamController> coldUpstreams = coldUpstreams();
+        this.fleet = FleetParts.create(
+                dependencies,
+                store,
+                loop,
+                timers,
+                blackboard,
+                runtime.attempts().upstreams().notices().coldUpstreams());
+        ObjectInformer.Dependencies informerDependencies = fleet.informerDependencies();
         this.upstreams = UpstreamController.create(
                 dependencies.objects(),
                 informerDependencies,
                 blackboard,
                 timeline,
-                listed -> coldUpstreams.ifPresent(controller -> controller.onListed(listed)),
+                listed -> fleet.coldUpstreams().ifPresent(controller -> controller.onListed(listed)),
                 runtime.attempts().upstreams()::restarted);
         this.rateLimits = RateLimitController.create(
                 dependencies.settings().name(),
@@ -140,68 +135,11 @@
                 .map(ignored -> evacuations(informerDependencies));
         // Upstreams are marked as cold before the view lists them.
         this.controllers = Stream.of(
-                        coldUpstreams.stream(),
-                        following.stream(),
-                        evacuations.stream(),
-                        fleet.stream(),
-                        relay.stream())
+                        fleet.coldUpstreams().stream(), following.stream(), evacuations.stream(), fleet.controllers())
                 .<Controller>flatMap(controllers -> controllers)
                 .toList();
     }
 
-    private Optional<ColdUpstreamController> coldUpstreams() {
-        FleetNews fleetNews = fleet.<FleetNews>map(controller -> controller).orElse(() -> FleetNews.NEVER);
-        return dependencies
-                .settings()
-                .fleet()
-                .warmUp()
-                .map(tolerance -> ColdUpstreamController.create(
-                        tolerance,
-                        blackboard,
-                        timers,
-                        fleetNews,
-                        runtime.attempts().upstreams().notices().coldUpstreams()));
-    }
-
-    private Optional<RelayController> relay(ObjectStore store) {
-        GatewaySettings settings = dependencies.settings();
-        return Optional.of(settings.fleet())
-                .filter(FleetSettings::hasPeerPorts)
-                .map(fleetSettings -> RelayController.create(
-                        settings.name(),
-                        new RelayController.Dependencies(
-                                dependencies.vertx(),
-                                store,
-                                loop,
-                                timers,
-                                RandomGenerator.getDefault(),
-                                blackboard,
-                                dependencies.timeline(),
-                                metrics),
-                        new RelayTiming(
-                                fleetSettings.changeBound(),
-                                Set.of(
-                                        dependencies.objects().orderKind(),
-                                        RateLimitController.KIND,
-                                        StoredCrashReports.KIND,
-                                        FleetController.KIND))));
-    }
-
-    private Optional<FleetController> fleet(ObjectInformer.Dependencies informerDependencies) {
-        GatewaySettings settings = dependencies.settings();
-        FleetSettings fleetSettings = settings.fleet();
-        return Optional.of(fleetSettings)
-                .filter(FleetSettings::hasPeerPorts)
-                .map(ignored -> FleetController.create(
-                        settings.name(),
-                        settings.dataCentre(),
-                        fleetSettings.peerAddress(),
-                        informerDependencies,
-                        blackboard,
-                        dependencies.timeline(),
-                        fleetSettings.warmUp().isPresent()));
-    }
-
     /** Creates a router that does not listen yet. */
     public static GatewayProcess create(GatewayDependencies dependencies) {
         return new GatewayProcess(dependencies);
@@ -294,8 +232,7 @@
                         EventType.PROCESS_STARTED,
                         EventFields.of(EventField.NAME, dependencies.settings().name()));
         listenMetrics(ports);
-        FleetSettings fleetSettings = dependencies.settings().fleet();
-        relay.ifPresent(server -> server.listen(fleetSettings.peerHost(), fleetSettings.firstPeerPort()));
+        fleet.listen();
         return Futures.toUni(() -> listenReadiness(ports.readinessHost(), ports.readinessPort())
                 .compose(ignored -> server.listen(ports.callerHost(), ports.callerPort()))
                 .mapEmpty());
@@ -361,10 +298,7 @@
 
     private Future<Void> leaveFleet(Duration timeout) {
         Promise<Void> left = Promise.promise();
-        loop.execute(() -> fleet.map(FleetController::leave)
-                .orElse(Uni.createFrom().voidItem())
-                .subscribe()
-                .with(ignored -> left.tryComplete(), left::tryFail));
+        loop.execute(() -> fleet.leave().subscribe().with(ignored -> left.tryComplete(), left::tryFail));
         return left.future().timeout(timeout.toMillis(), TimeUnit.MILLISECONDS).otherwiseEmpty();
     }
 
