--- a/policy/src/main/java/org/baobabcart/policy/configuration/ConfigurationRules.java
+++ b/policy/src/main/java/org/baobabcart/policy/configuration/ConfigurationRules.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -43,6 +44,20 @@
         return List.copyOf(rules.findings);
     }
 
+    /**
+     * Returns a finding if routers with one configuration do not take over the other because of its version.
+     *
+     * @param isChanged whether the configurations differ in effect
+     */
+    public static Optional<ConfigurationFinding> versionFinding(long before, long after, boolean isChanged) {
+        if (after > before || after == before && !isChanged) {
+            return Optional.empty();
+        }
+        String message = "routers that hold version " + before + " do not take over "
+                + (after == before ? "changes without a higher version" : "version " + after);
+        return Optional.of(new ConfigurationFinding(FindingKind.UNUSABLE, EntryPlace.of(EntryField.VERSION), message));
+    }
+
     private void checkLimits() {
         CallerLimits limits = entries.limits();
         if (limits.maxHeaderBytes() == 0) {
@@ -152,7 +167,7 @@
                 add(
                         FindingKind.NEVER_MATCHES,
                         new EntryPlace(EntryField.ROUTE_WEIGHT, index, part),
-                        route.services().get(part).service() + " gets no requests of route " + route.name());
+                        route.services().get(part).service() + " has weight 0 on route " + route.name());
             }
         }
     }
--- a/policy/src/main/java/org/baobabcart/policy/configuration/EntryField.java
+++ b/policy/src/main/java/org/baobabcart/policy/configuration/EntryField.java
@@ -2,6 +2,8 @@
 
 /** A field of a configuration's entries. A codec names it as its format does. */
 public enum EntryField {
+    /** The version of the configuration. */
+    VERSION,
     /** The host of a route. */
     ROUTE_HOST,
     /** The path prefix of a route. */
