--- a/cli/src/main/java/org/baobabcart/cli/CommandLine.java
+++ b/cli/src/main/java/org/baobabcart/cli/CommandLine.java
@@ -108,7 +108,8 @@
         ArgumentParser root = ArgumentParsers.newFor("baobabcart")
                 .terminalWidthDetection(false)
                 .build()
-                .description("Operate a fleet of baobabcart routers.");
+                .description("Operate a fleet of baobabcart routers.")
+                .epilog("A configuration of the platform is checked by 'baobabcart check FILE'.");
         Subparsers subparsers = root.addSubparsers().title("commands").metavar("COMMAND");
         Map<String, Subparsers> groups = new LinkedHashMap<>();
         for (Command command : commands) {
--- a/policy/src/main/java/org/baobabcart/policy/configuration/ConfigurationChanges.java
+++ b/policy/src/main/java/org/baobabcart/policy/configuration/ConfigurationChanges.java
@@ -109,8 +109,7 @@
             if (later == null) {
                 withdrawn.merge(holder.workspace(), 1, Integer::sum);
             } else if (!later.equals(holder)) {
-                String message = "%s (rank %d), before %s (rank %d)"
-                        .formatted(later.workspace(), later.rank(), holder.workspace(), holder.rank());
+                String message = HolderText.of(later) + ", before " + HolderText.of(holder);
                 moved.merge(message, 1, Integer::sum);
             }
         });
--- a/policy/src/main/java/org/baobabcart/policy/configuration/ConfigurationRules.java
+++ b/policy/src/main/java/org/baobabcart/policy/configuration/ConfigurationRules.java
@@ -248,8 +248,8 @@
                 : new ConfigurationFinding(
                         FindingKind.NEVER_MATCHES,
                         place,
-                        "the key of %s is also one of %s (rank %d), listed later, whose it is"
-                                .formatted(tenant.holder().workspace(), holder.workspace(), holder.rank()));
+                        "the key of " + HolderText.of(tenant.holder()) + " is also one of " + HolderText.of(holder)
+                                + ", listed later, whose it is");
     }
 
     private void add(FindingKind kind, EntryPlace place, String message) {
