Large bodies that stop arriving give way when another waits for their memory

Cause: a body keeps its part of the budget from before it is read until its request's time ends, so that bodies that stop short kept large ones of other callers out for that time.

Change: when a body has to wait, ByteBudget names large ones without progress for 2 s, the largest first and no more than needed; their requests get 408. Bodies that still arrive, are complete or small keep their part. Counted, and logged at most once a second.

No process test shows it yet.

--- a/policy/src/main/java/org/baobabcart/policy/admission/ByteBudget.java
+++ b/policy/src/main/java/org/baobabcart/policy/admission/ByteBudget.java
@@ -1,10 +1,13 @@
 package org.baobabcart.policy.admission;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Divides a number of bytes among messages before they are read, so that many large ones at once cannot exhaust the
@@ -22,6 +25,9 @@
     private final long limitBytes;
     private final Map<String, Long> largeBytesByWorkspace = new HashMap<>();
     private final List<Entry> waiting = new ArrayList<>();
+    /** Messages that were granted and are not complete. */
+    private final Set<Entry> arriving = new HashSet<>();
+
     private long usedBytes;
     private long largeBytes;
 
@@ -42,6 +48,7 @@
         private final String workspace;
         private final boolean sizeKnown;
         private long bytes;
+        private long progressNanos;
 
         private Entry(int rank, String workspace, long bytes, boolean sizeKnown) {
             this.rank = rank;
@@ -116,8 +123,46 @@
         return grown;
     }
 
+    /** Notes that a part of a granted message has arrived. */
+    public void progressed(Entry entry, long nowNanos) {
+        entry.progressNanos = nowNanos;
+        arriving.add(entry);
+    }
+
+    /** Notes that a granted message is complete or that no more of it is read. */
+    public void received(Entry entry) {
+        arriving.remove(entry);
+    }
+
+    /**
+     * Returns large messages to turn away because a waiting one needs their bytes: those that have made no progress for a time, the largest
+     * first, and no more than are needed. They are not returned again; their bytes count until they are released.
+     *
+     * <p>Answers many large bodies that stop short of their end and would keep the memory until their time is over.
+     */
+    public List<Entry> takeStalled(Entry needy, long nowNanos, long stallNanos) {
+        boolean shareIsFree = mayTakeMore(needy);
+        List<Entry> stalled = arriving.stream()
+                .filter(entry -> !isSmall(entry) && nowNanos - entry.progressNanos >= stallNanos)
+                .filter(entry -> shareIsFree || entry.workspace.equals(needy.workspace))
+                .sorted(Comparator.comparingLong(Entry::bytes).reversed())
+                .toList();
+        List<Entry> taken = new ArrayList<>();
+        long freed = 0;
+        for (Entry entry : stalled) {
+            if (freed >= needy.bytes) {
+                break;
+            }
+            freed += entry.bytes;
+            taken.add(entry);
+        }
+        taken.forEach(arriving::remove);
+        return taken;
+    }
+
     /** Takes back the bytes of an entry that was granted; returns the waiting entries that are granted now. */
     public List<Entry> release(Entry entry) {
+        arriving.remove(entry);
         giveBack(entry);
         List<Entry> granted = new ArrayList<>();
         Iterator<Entry> entries = waiting.iterator();
--- a/policy/src/test/java/org/baobabcart/policy/admission/ByteBudgetTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/admission/ByteBudgetTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -24,6 +25,7 @@
     private static final long LARGE = 4_000_000;
     private static final long SMALL = 1_000;
     private static final int STEPS = 200;
+    private static final long STALL = 2_000_000_000L;
 
     private final ByteBudget budget = ByteBudget.of(LIMIT);
 
@@ -85,6 +87,33 @@
         assertThat(budget.release(granted.get(0)), contains(next));
     }
 
+    /** Bodies that stopped short kept the memory until their requests' time was over, and nothing large was read meanwhile. */
+    @Test
+    void stalledBodiesGiveWayToOneThatWaits() {
+        List<Entry> granted = fill();
+        granted.forEach(entry -> budget.progressed(entry, 0));
+        budget.progressed(granted.get(0), STALL);
+        budget.received(granted.get(1));
+        Entry waiting = Entry.of(1, "waiting", LARGE);
+        assertThat(budget.offer(waiting), is(Decision.WAITING));
+        List<Entry> stalled = budget.takeStalled(waiting, STALL, STALL);
+        assertThat(stalled.size(), is(1));
+        assertThat(granted.subList(2, granted.size()), hasItem(stalled.get(0)));
+        assertThat(budget.release(stalled.get(0)), contains(waiting));
+    }
+
+    @Test
+    void bodiesThatStillArriveOrAreSmallAreNotTurnedAway() {
+        List<Entry> granted = fill();
+        granted.forEach(entry -> budget.progressed(entry, 1));
+        Entry small = Entry.of(1, "small", SMALL);
+        assertThat(budget.offer(small), is(Decision.GRANTED));
+        budget.progressed(small, 0);
+        Entry waiting = Entry.of(1, "waiting", LARGE);
+        budget.offer(waiting);
+        assertThat(budget.takeStalled(waiting, STALL, STALL), empty());
+    }
+
     @Property(tries = 300, seed = "7315")
     void usedBytesAreThoseOfGrantedBodiesAndNeverAboveTheBudget(@ForAll long seed) {
         Random random = new Random(seed);
--- a/router/src/main/java/org/baobabcart/router/exchange/BodyBudget.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/BodyBudget.java
@@ -1,11 +1,15 @@
 package org.baobabcart.router.exchange;
 
+import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.policy.admission.ByteBudget;
@@ -15,20 +19,38 @@
  * Thread-safe.
  */
 public final class BodyBudget {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    /** A body without progress for this time gives way when others wait for its memory. */
+    private static final Duration STALL = Duration.ofSeconds(2);
+
     private final Vertx vertx;
     private final ByteBudget budget;
     private final Map<ByteBudget.Entry, Waiter> waiters = new HashMap<>();
+    private final Map<ByteBudget.Entry, Runnable> turnAwayActions = new HashMap<>();
+    private final long stallNanos;
+    private long turnedAway;
 
     private record Waiter(Context context, Promise<Reservation> granted) {}
 
-    private BodyBudget(Vertx vertx, long limitBytes) {
+    private BodyBudget(Vertx vertx, long limitBytes, Duration stall) {
         this.vertx = vertx;
+        this.stallNanos = stall.toNanos();
         this.budget = ByteBudget.of(limitBytes);
     }
 
     /** Creates a budget of which nothing is used. */
     public static BodyBudget create(Vertx vertx, long limitBytes) {
-        return new BodyBudget(vertx, limitBytes);
+        return create(vertx, limitBytes, STALL);
+    }
+
+    /** Creates a budget whose bodies may be turned away after a time without progress. */
+    static BodyBudget create(Vertx vertx, long limitBytes, Duration stall) {
+        return new BodyBudget(vertx, limitBytes, stall);
+    }
+
+    /** Returns the number of bodies that stopped arriving and were turned away because others waited for their memory. */
+    public synchronized long turnedAway() {
+        return turnedAway;
     }
 
     /** Returns the bytes that are reserved. */
@@ -51,12 +73,15 @@
                 : ByteBudget.Entry.ofUnknownSize(rank, workspace, bytes);
         Promise<Reservation> granted = Promise.promise();
         ByteBudget.Decision decision;
+        List<Runnable> stalled = List.of();
         synchronized (this) {
             decision = budget.offer(entry);
             if (decision == ByteBudget.Decision.WAITING) {
                 waiters.put(entry, new Waiter(vertx.getOrCreateContext(), granted));
+                stalled = takeStalled(entry);
             }
         }
+        stalled.forEach(Runnable::run);
         if (decision == ByteBudget.Decision.GRANTED) {
             granted.complete(new Reservation(entry));
         } else if (decision == ByteBudget.Decision.REFUSED) {
@@ -65,6 +90,18 @@
         return new Pending(entry, granted);
     }
 
+    private List<Runnable> takeStalled(ByteBudget.Entry needy) {
+        List<Runnable> actions = budget.takeStalled(needy, System.nanoTime(), stallNanos).stream()
+                .map(turnAwayActions::remove)
+                .toList();
+        turnedAway += actions.size();
+        if (!actions.isEmpty()) {
+            LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "event=stalled_bodies_refused bodies=%d all=%d", actions.size(), turnedAway);
+        }
+        return actions;
+    }
+
     private static BaobabcartException full() {
         return BaobabcartException.of(ResultCode.QUEUE_FULL, "the memory for request bodies is used up");
     }
@@ -72,6 +109,7 @@
     private void release(ByteBudget.Entry entry) {
         Map<Reservation, Waiter> next = new HashMap<>();
         synchronized (this) {
+            turnAwayActions.remove(entry);
             budget.release(entry).forEach(granted -> next.put(new Reservation(granted), waiters.remove(granted)));
         }
         next.forEach((reservation, waiter) -> waiter.context().runOnContext(ignored -> {
@@ -127,6 +165,32 @@
             return entry.bytes();
         }
 
+        /** Begins to watch the progress of the body; the action runs on the caller's context if the body has to give way to another. */
+        void startArriving(Runnable turnAway) {
+            Context context = vertx.getOrCreateContext();
+            synchronized (BodyBudget.this) {
+                turnAwayActions.put(entry, () -> context.runOnContext(ignored -> turnAway.run()));
+                budget.progressed(entry, System.nanoTime());
+            }
+        }
+
+        /** Notes that a part of the body has arrived. */
+        void progressed() {
+            synchronized (BodyBudget.this) {
+                if (turnAwayActions.containsKey(entry)) {
+                    budget.progressed(entry, System.nanoTime());
+                }
+            }
+        }
+
+        /** Ends the watch, since nothing more is read. */
+        void received() {
+            synchronized (BodyBudget.this) {
+                turnAwayActions.remove(entry);
+                budget.received(entry);
+            }
+        }
+
         /** Returns the memory; does nothing the second time. */
         void release() {
             if (!released) {
--- a/router/src/main/java/org/baobabcart/router/exchange/BodyReader.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/BodyReader.java
@@ -88,9 +88,12 @@
     private static void readInto(
             Promise<Buffer> result, HttpServerRequest request, BodyBudget.Reservation reservation, int limitBytes) {
         Buffer body = Buffer.buffer((int) reservation.bytes());
+        reservation.startArriving(() -> result.tryFail(BaobabcartException.of(ResultCode.REQUEST_TIMEOUT)));
+        result.future().onComplete(ignored -> reservation.received());
         request.exceptionHandler(
                 cause -> result.tryFail(BaobabcartException.of(ResultCode.BAD_REQUEST, "the body is incomplete")));
         request.handler(chunk -> {
+            reservation.progressed();
             long size = (long) body.length() + chunk.length();
             if (result.future().isComplete()) {
                 return;
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -238,6 +238,7 @@
         client.registerMetrics(metrics);
         metrics.gauge("gateway.buffered-bytes", () -> bodyBudget::usedBytes);
         metrics.gauge("gateway.bodies-waiting", () -> bodyBudget::waiting);
+        metrics.gauge("gateway.stalled-bodies-refused", () -> bodyBudget::turnedAway);
         CrashGuard crashGuard = CrashGuard.create(vertx, crashes, metrics);
         return new GatewayRuntime(
                 vertx,
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -98,6 +98,7 @@
                 .metrics()
                 .gauge("caller.running", () -> () -> guards.drain().running());
         dependencies.metrics().gauge("caller.buffered-bytes", () -> bodyBudget::usedBytes);
+        dependencies.metrics().gauge("caller.stalled-bodies-refused", () -> bodyBudget::turnedAway);
         dependencies.metrics().gauge("dispatcher.waiting", () -> dispatcher::waiting);
         return new CallerApi(vertx, runtime);
     }
