The ports that are not for callers bound their clients

Cause: readiness, metrics, admin and changes ports had the parser's limits for heads only; endless heads and idle connections on them were not bounded in number nor time, and responses that are not read were not either.

Change: ServicePort makes their servers: explicit limits for heads and request lines, a number of connections without a running request, beyond which the idlest is closed, a time for these, and no further request while responses are not read. The changes port has limits of its own: with 16 connections RelayServerTest.theNumberOfSubscribersIsBounded was red, since all subscribers may connect at once. The constructor of RelayServer takes the metrics, so that its test passes a registry.

The admin port and connections that stay in a TLS handshake have no test.

--- a/router/src/main/java/org/baobabcart/router/admin/AdminApi.java
+++ b/router/src/main/java/org/baobabcart/router/admin/AdminApi.java
@@ -23,6 +23,7 @@
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.RingTimeline;
 import org.baobabcart.router.timeline.TimelineQuery;
+import org.baobabcart.router.transport.ServicePort;
 import org.baobabcart.router.transport.Transport;
 
 /** Serves the operators' API over HTTP. Thread-safe; control state is read on the control thread only. */
@@ -68,8 +69,12 @@
 
     /** Starts listening and returns the bound port. */
     public Uni<Integer> listen(String host, int port) {
-        return Futures.toUni(() -> vertx.createHttpServer(transport.forMembers(new HttpServerOptions()))
-                        .requestHandler(routes())
+        return Futures.toUni(() -> ServicePort.createServer(
+                                vertx,
+                                metrics,
+                                ServicePort.Limits.forFewClients(),
+                                transport.forMembers(new HttpServerOptions()),
+                                routes())
                         .listen(port, host))
                 .invoke(listening -> server = Optional.of(listening))
                 .map(HttpServer::actualPort);
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -50,6 +50,7 @@
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
+import org.baobabcart.router.transport.ServicePort;
 import org.baobabcart.router.transport.Transport;
 import org.baobabcart.router.upstream.ColdUpstreams;
 import org.baobabcart.router.upstream.Dispatcher;
@@ -380,10 +381,8 @@
     }
 
     private Future<HttpServer> listenReadiness(String host, int port) {
-        return dependencies
-                .vertx()
-                .createHttpServer()
-                .requestHandler(this::handleReadinessCheck)
+        return ServicePort.createServer(
+                        dependencies.vertx(), metrics, ServicePort.Limits.forFewClients(), this::handleReadinessCheck)
                 .listen(port, host);
     }
 
@@ -403,10 +402,7 @@
 
     /** Opens the metrics port; a failure is logged and does not prevent serving callers. */
     private void listenMetrics(GatewayPorts ports) {
-        dependencies
-                .vertx()
-                .createHttpServer()
-                .requestHandler(this::handleMetrics)
+        ServicePort.createServer(dependencies.vertx(), metrics, ServicePort.Limits.forFewClients(), this::handleMetrics)
                 .listen(ports.metricsPort(), ports.readinessHost())
                 .onFailure(failure -> LOGGER.atWarning().log(
                         "event=metrics_not_served port=%d cause=%s", ports.metricsPort(), failure.getMessage()));
--- a/router/src/main/java/org/baobabcart/router/relay/RelayController.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayController.java
@@ -76,8 +76,13 @@
                 network, timers, dependencies.random(), timing, dependencies.timeline(), this::onNews);
         this.store = new RelayedObjectStore(
                 dependencies.store(), dependencies.loop(), timers::nanoTime, timing, this, source);
-        this.server =
-                new RelayServer(dependencies.vertx(), dependencies.loop(), this, this::isRouter, timing.silenceLimit());
+        this.server = new RelayServer(
+                dependencies.vertx(),
+                dependencies.metrics(),
+                dependencies.loop(),
+                this,
+                this::isRouter,
+                timing.silenceLimit());
         this.stale = new StaleRegistrations(dependencies.store(), network, dependencies.random());
         registerMetrics(dependencies.metrics());
     }
--- a/router/src/main/java/org/baobabcart/router/relay/RelayServer.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayServer.java
@@ -1,12 +1,12 @@
 package org.baobabcart.router.relay;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
@@ -16,6 +16,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Predicate;
 import org.baobabcart.router.transport.Connections;
+import org.baobabcart.router.transport.ServicePort;
 
 /**
  * Serves what this router hears from the store to other routers. Thread-safe.
@@ -26,11 +27,15 @@
     static final String PATH = "/apis/baobabcart/v1/changes";
     static final String ROUTER = "router";
     private static final int MAX_UNWRITTEN_BYTES = 256 * 1024;
+    /** All subscribers may connect at once, and others that are turned away. */
+    private static final int MAX_IDLE_CONNECTIONS = 2 * RelaySource.MAX_SUBSCRIBERS;
+
     private static final int NOT_FOUND = 404;
     private static final int FORBIDDEN = 403;
     private static final int UNAVAILABLE = 503;
 
     private final Vertx vertx;
+    private final MetricRegistry metrics;
     private final Executor loop;
     private final Acceptor acceptor;
     private final Predicate<String> isRouter;
@@ -52,8 +57,15 @@
      * @param isRouter returns whether a host is that of a registered router; called on the control thread
      * @param writeLimit how long a subscriber may leave what is sent unread
      */
-    RelayServer(Vertx vertx, Executor loop, Acceptor acceptor, Predicate<String> isRouter, Duration writeLimit) {
+    RelayServer(
+            Vertx vertx,
+            MetricRegistry metrics,
+            Executor loop,
+            Acceptor acceptor,
+            Predicate<String> isRouter,
+            Duration writeLimit) {
         this.vertx = vertx;
+        this.metrics = metrics;
         this.loop = loop;
         this.acceptor = acceptor;
         this.isRouter = isRouter;
@@ -62,8 +74,8 @@
 
     /** Starts to listen. */
     Future<HttpServer> listen(String host, int port) {
-        return vertx.createHttpServer(new HttpServerOptions().setTcpKeepAlive(true))
-                .requestHandler(this::handle)
+        return ServicePort.createServer(
+                        vertx, metrics, ServicePort.Limits.forRouters(MAX_IDLE_CONNECTIONS), this::handle)
                 .listen(port, host);
     }
 
--- a/router/src/test/java/org/baobabcart/router/relay/RelayServerTest.java
+++ b/router/src/test/java/org/baobabcart/router/relay/RelayServerTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
+import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.vertx.core.Vertx;
 import java.io.IOException;
@@ -65,7 +66,8 @@
     }
 
     private int listen() {
-        RelayServer server = new RelayServer(vertx, loop, new Acceptor(), host -> isRegistered, Duration.ofMillis(200));
+        RelayServer server = new RelayServer(
+                vertx, new MetricRegistry(), loop, new Acceptor(), host -> isRegistered, Duration.ofMillis(200));
         return server.listen(HOST, 0)
                 .toCompletionStage()
                 .toCompletableFuture()
