--- a/policy/src/main/java/org/baobabcart/policy/retry/FailureKind.java
+++ b/policy/src/main/java/org/baobabcart/policy/retry/FailureKind.java
@@ -15,6 +15,8 @@
     FAILED(ResultCode.UPSTREAM_FAILED, Ran.UNKNOWN),
     /** No byte arrived within the progress timeout. */
     SILENT(ResultCode.UPSTREAM_TIMEOUT, Ran.UNKNOWN),
+    /** The first byte is late, and another upstream is expected to respond in time. */
+    SLOW(ResultCode.UPSTREAM_TIMEOUT, Ran.UNKNOWN),
     /** The response belongs to another attempt. */
     CROSSED(ResultCode.UPSTREAM_FAILED, Ran.UNKNOWN),
     /** The response ended without its end marker, or exceeds the size that the router buffers. */
--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -298,7 +298,7 @@
                 handler.probed(upstream, false);
             }
             case NOT_RUN -> dependencies.health().markUnavailable(upstream);
-            case SILENT, BROKEN -> {
+            case SILENT, SLOW, BROKEN -> {
                 Future<HealthCheckResult> probed = probe(upstream);
                 if (kind == FailureKind.BROKEN && !answerBegun) {
                     probed.onSuccess(result -> permit.crashed(upstream, severityOf(result)));
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.concurrent.ThreadLocalRandom;
 import org.baobabcart.model.gateway.Route;
@@ -194,10 +195,19 @@
                 head.target(),
                 runtime.codec().attemptHeaders(head, attempt),
                 body,
-                AttemptTimeouts.of(match.route(), timeLeft, modelSelection.pressure()),
+                timeouts(timeLeft),
                 this::mayBeReplaced);
     }
 
+    private UpstreamRequest.ProgressTimeouts timeouts(Duration timeLeft) {
+        UpstreamRequest.ProgressTimeouts timeouts =
+                AttemptTimeouts.of(match.route(), timeLeft, modelSelection.pressure());
+        OptionalDouble replaceAfter = modelSelection.replaceAfterNanos();
+        return mayBeReplaced() && replaceAfter.isPresent()
+                ? timeouts.replacedAfter(Duration.ofNanos((long) replaceAfter.getAsDouble()))
+                : timeouts;
+    }
+
     /**
      * Returns whether another attempt could replace the running one. The last possible attempt is not ended for lack of progress,
      * since a stalled response may still continue.
--- a/router/src/main/java/org/baobabcart/router/gateway/ModelSelection.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ModelSelection.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.baobabcart.model.gateway.Route;
 import org.baobabcart.model.request.PromptPart;
+import org.baobabcart.policy.attempt.FirstBytePolicy;
 import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.timeline.EventField;
 import org.baobabcart.router.timeline.EventFields;
@@ -81,14 +83,45 @@
         return Math.round(value * HUNDREDTHS) / HUNDREDTHS;
     }
 
-    /** Records the time to first byte if the largest model answered, as a measure of the load on its engines. */
+    /** Records the time to first byte; that of the largest model is a measure of the load on its engines. */
     void recordFirstByte(long nanos) {
-        if (escalated || models().size() == 1) {
-            long now = System.nanoTime();
+        List<String> models = models();
+        long now = System.nanoTime();
+        if (models.isEmpty()) {
+            return;
+        }
+        if (isLargest()) {
             runtime.latencyPressure().observe(route.name(), nanos / target(), now);
-            runtime.firstByteEstimator()
-                    .observe(largestModel(), route.name(), head.tokens().prompt(), nanos, isPastTarget(now), now);
         }
+        runtime.firstByteEstimator()
+                .observe(
+                        current().orElseThrow(),
+                        estimatorRoute(),
+                        head.tokens().prompt(),
+                        nanos,
+                        isPastTarget(now),
+                        now);
+    }
+
+    /** Returns how long to wait for the selected model's first byte; empty if another attempt would not be in time. */
+    OptionalDouble replaceAfterNanos() {
+        if (models().isEmpty()) {
+            return OptionalDouble.empty();
+        }
+        long now = System.nanoTime();
+        double expected = runtime.firstByteEstimator()
+                .expectedNanos(
+                        current().orElseThrow(), estimatorRoute(), head.tokens().prompt(), now);
+        return FirstBytePolicy.replaceAfterNanos(exchange.startNanos() + target() - now, expected);
+    }
+
+    /** Returns the key of the estimator's load factor, which differs between a route's models. */
+    private String estimatorRoute() {
+        return isLargest() ? route.name() : route.name() + ' ' + current().orElse("");
+    }
+
+    private boolean isLargest() {
+        return escalated || models().size() == 1;
     }
 
     /** Returns the time that an upstream saves that has cached the prompt's shared parts; {@link SlotRequest#UNKNOWN_GAIN} if unknown. */
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamRequest.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamRequest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import org.baobabcart.policy.retry.FailureKind;
 
 /**
  * The HTTP request of one attempt. Immutable by contract: the body must not be modified after construction.
@@ -41,6 +42,17 @@
      *
      * @param firstByte the time until the head of the response
      * @param betweenBytes the time between two chunks of the response
+     * @param firstByteFailure how an attempt failed that had no first byte by then
      */
-    public record ProgressTimeouts(Duration firstByte, Duration betweenBytes) {}
+    public record ProgressTimeouts(Duration firstByte, Duration betweenBytes, FailureKind firstByteFailure) {
+        /** Creates timeouts after which an attempt is considered lost. */
+        public ProgressTimeouts(Duration firstByte, Duration betweenBytes) {
+            this(firstByte, betweenBytes, FailureKind.SILENT);
+        }
+
+        /** Returns these timeouts, with a shorter time after which another upstream is expected to be faster. */
+        public ProgressTimeouts replacedAfter(Duration shorter) {
+            return new ProgressTimeouts(shorter, betweenBytes, FailureKind.SLOW);
+        }
+    }
 }
