--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -302,7 +302,7 @@
                 dependencies.health().markReplaced(upstream);
                 dependencies.upstreams().retireConnections(upstream.name());
             }
-            case SILENT, BROKEN -> {
+            case SILENT, SLOW, BROKEN -> {
                 Future<HealthCheckResult> probed = probe(upstream);
                 if (kind == FailureKind.BROKEN && !answerBegun) {
                     probed.onSuccess(result -> permit.crashed(upstream, severityOf(result)));
