--- a/router/src/main/java/org/baobabcart/router/gateway/FleetParts.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/FleetParts.java
@@ -9,6 +9,7 @@
 import org.baobabcart.router.control.ControlLoop;
 import org.baobabcart.router.control.Controller;
 import org.baobabcart.router.control.TimerService;
+import org.baobabcart.router.crash.StoredCrashReports;
 import org.baobabcart.router.fleet.FleetController;
 import org.baobabcart.router.fleet.FleetNews;
 import org.baobabcart.router.limit.RateLimitController;
@@ -30,7 +31,6 @@
     private final FleetSettings settings;
     private final Optional<RelayController> relay;
     private final ObjectInformer.Dependencies informerDependencies;
-    private final ObjectInformer.Dependencies directDependencies;
     private final Optional<FleetController> registrations;
     private final Optional<ColdUpstreamController> coldUpstreams;
 
@@ -47,9 +47,13 @@
         this.blackboard = blackboard;
         this.settings = dependencies.settings().fleet();
         this.relay = relay(store);
-        this.informerDependencies =
-                informerDependencies(relay.map(RelayController::store).orElse(store));
-        this.directDependencies = informerDependencies(store);
+        this.informerDependencies = new ObjectInformer.Dependencies(
+                relay.map(RelayController::store).orElse(store),
+                loop,
+                timers,
+                RandomGenerator.getDefault(),
+                dependencies.timeline(),
+                dependencies.metrics());
         this.registrations = registrations();
         FleetNews news = registrations.<FleetNews>map(controller -> controller).orElse(() -> FleetNews.NEVER);
         this.coldUpstreams = settings.warmUp()
@@ -77,19 +81,6 @@
         return informerDependencies;
     }
 
-    /**
-     * Returns the dependencies of informers that follow the store by themselves: their objects are large and change often while many upstreams
-     * fail, which would fill the links of relays.
-     */
-    ObjectInformer.Dependencies directDependencies() {
-        return directDependencies;
-    }
-
-    private ObjectInformer.Dependencies informerDependencies(ObjectStore source) {
-        return new ObjectInformer.Dependencies(
-                source, loop, timers, RandomGenerator.getDefault(), dependencies.timeline(), dependencies.metrics());
-    }
-
     Optional<ColdUpstreamController> coldUpstreams() {
         return coldUpstreams;
     }
@@ -130,6 +121,7 @@
                                 Set.of(
                                         dependencies.objects().orderKind(),
                                         RateLimitController.KIND,
+                                        StoredCrashReports.KIND,
                                         FleetController.KIND))));
     }
 
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -130,7 +130,7 @@
                         timeline,
                         dependencies.settings().move(),
                         outcomeRecorder),
-                StoredCrashReports.create(dependencies.settings().name(), crashes, fleet.directDependencies()));
+                StoredCrashReports.create(dependencies.settings().name(), crashes, informerDependencies));
         Optional<Controller> evacuations = Optional.of(dependencies.settings().fleet())
                 .filter(FleetSettings::evacuations)
                 .map(ignored -> evacuations(informerDependencies));
