--- a/review/kit-2/Router.java
+++ b/review/kit-2/Router.java
@@ -8,7 +8,7 @@
 import java.util.List;
 
 /** A router as a process of its own, started with the command of the deploy file in the project's root. */
-final class Router implements AutoCloseable {
+final class Router {
     private static final String RUN = "run = \"";
 
     final String name;
@@ -30,7 +30,22 @@
         // The routers of a case share one machine, so the metrics port of the deploy file serves only one of them.
         builder.environment().put("BAOBABCART_METRICS_PORT", Integer.toString(freePort()));
         process = builder.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end));
+    }
+
+    /** Ends the process and removes its folder. */
+    private void end() {
+        process.destroyForcibly();
+        try {
+            process.waitFor();
+            Files.deleteIfExists(folder.resolve("settings.toml"));
+            Files.deleteIfExists(folder.resolve("log"));
+            Files.deleteIfExists(folder);
+        } catch (IOException failure) {
+            System.err.println("the folder of " + name + " remains: " + failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private static List<String> command() throws IOException {
@@ -118,7 +133,7 @@
             }
             Thread.sleep(100);
         }
-        throw new IllegalStateException(name + " is not ready; its log is in " + folder.getFileName());
+        throw new IllegalStateException(name + " is not ready");
     }
 
     boolean isReady() {
@@ -139,8 +154,4 @@
                 .reduce("", (before, line) -> line);
     }
 
-    @Override
-    public void close() {
-        process.destroyForcibly();
-    }
 }
