Second review: a case that can't start doesn't count as a broken rule

Java exits with 1 if a class is missing. A broken rule now has a code of its own, which the scripts turn into 1; everything else but 0 is 2. Run without the build: 2.

--- a/review/kit-2/Kit.java
+++ b/review/kit-2/Kit.java
@@ -7,7 +7,8 @@
 final class Kit {
     static final String HOST = "desk.example";
     static final int HELD = 0;
-    static final int BROKEN = 1;
+    /** The scripts turn it into 1, with which Java exits if it can't start. */
+    static final int BROKEN = 10;
     static final int NOT_RUN = 2;
     /** Slots of an engine, as of the order desks of the small deployments. */
     static final int SLOTS = 6;
@@ -30,13 +31,13 @@
             System.exit(NOT_RUN);
         });
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Recorder recorder = new Recorder(java.nio.file.Path.of(arguments[0]));
-        recorder.note("TROUBLE=%s", trouble ? "1" : "0");
         int code = NOT_RUN;
         try {
+            Recorder recorder = new Recorder(java.nio.file.Path.of(arguments[0]));
+            recorder.note("TROUBLE=%s", trouble ? "1" : "0");
             code = body.run(recorder, trouble);
-        } catch (Exception failure) {
-            recorder.result("the case could not run: %s", failure);
+        } catch (Throwable failure) {
+            System.err.println("the case could not run: " + failure);
         }
         System.exit(code);
     }
