--- a/review/9/LastPriority.java
+++ b/review/9/LastPriority.java
@@ -3,6 +3,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -134,12 +135,17 @@
         recorder.note("client sends %s to %s as request %d of its connection", id, router.name, carried + 1);
         Message answer = null;
         String end = "the end of the connection";
+        boolean gaveUp = false;
         try {
             Engine.write(
                     socket.getOutputStream(),
                     Kit.request("POST", "/" + route + "/1", id, "n2ctnfzs989anu6wsjnb", DEADLINE_MILLIS, "x"));
             InputStream input = socket.getInputStream();
             answer = Message.read(input);
+        } catch (SocketTimeoutException late) {
+            // The client ends this connection, not the router.
+            gaveUp = true;
+            end = "nothing in time";
         } catch (IOException broken) {
             end = broken.getMessage();
         }
@@ -148,7 +154,7 @@
             answers.computeIfAbsent(answer.status(), status -> new AtomicInteger()).incrementAndGet();
             return !answer.header("Connection").equalsIgnoreCase("close");
         }
-        if (carried > 0 && !over) {
+        if (carried > 0 && !gaveUp && !over) {
             synchronized (lost) {
                 lost.add(id);
             }
