--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,4 @@
 rm -rf target/review-2
 mkdir -p target/review-2
 javac -encoding UTF-8 -cp target/lib/baobabcart-platform.jar -d target/review-2 review/kit-2/*.java \
-    $(ls review/7/*.java review/8/*.java review/9/*.java review/10/*.java 2>/dev/null)
+    $(ls review/6/*.java review/7/*.java review/8/*.java review/9/*.java 2>/dev/null)
