A stream without a known position is never repeated within its response

Cause: ServerSentEventReader took ids of more than 18 digits for missing ones, and EventRelay treated "no position" as "nothing sent yet". Streams without ids, or with ids that are no numbers, had the same fault, so the limit on digits alone is not the cause. A caller's Last-Event-Id of more than 9 digits was refused with 400.

Ruled out: the crash itself; with ids of up to 18 digits the same streams are continued (StreamPositionProcessTest).

Events without data and id, such as retry times, count as comments. SessionHashTest follows the changed type.

--- a/router/src/main/java/org/baobabcart/router/gateway/AttemptMetadata.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/AttemptMetadata.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
+import org.baobabcart.model.request.EventId;
 
 /**
  * Values that one attempt sends to an upstream in addition to the caller's own headers. Immutable.
@@ -20,4 +20,4 @@
         Optional<String> workspace,
         Optional<String> model,
         int rank,
-        OptionalLong resumeAfter) {}
+        Optional<EventId> resumeAfter) {}
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
@@ -215,6 +215,7 @@
      */
     private boolean mayBeReplaced() {
         return match.route().retryPolicy().repeatable()
+                && eventRelay.isResumable()
                 && hasAttemptsLeft(loop.attempts())
                 && runtime.retryBudgets().hasRetryLeft(service);
     }
@@ -349,7 +350,9 @@
     @Override
     public boolean mayRetry(AttemptException failure, RequestAttempts attempts) {
         boolean notSent = failure.kind() == FailureKind.NOT_CONNECTED || failure.kind() == FailureKind.NOT_SENT;
-        return hasAttemptsLeft(attempts) && (notSent || runtime.retryBudgets().tryTakeRetry(service));
+        return eventRelay.isResumable()
+                && hasAttemptsLeft(attempts)
+                && (notSent || runtime.retryBudgets().tryTakeRetry(service));
     }
 
     private void fail(Throwable cause) {
--- a/router/src/main/java/org/baobabcart/router/gateway/RequestHead.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/RequestHead.java
@@ -5,7 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
+import org.baobabcart.model.request.EventId;
 import org.baobabcart.model.request.PromptPart;
 
 /**
@@ -35,7 +35,7 @@
         Tokens tokens,
         List<PromptPart> prefix,
         Optional<String> session,
-        OptionalLong resumeAfter,
+        Optional<EventId> resumeAfter,
         MultiMap forwarded) {
     private static final char QUERY = '?';
 
--- a/router/src/main/java/org/baobabcart/router/upstream/ServerSentEventReader.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/ServerSentEventReader.java
@@ -3,7 +3,8 @@
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
-import java.util.OptionalLong;
+import java.util.Optional;
+import org.baobabcart.model.request.EventId;
 
 /**
  * Splits a byte stream into server-sent events as framed by the WHATWG HTML standard: an empty line ends an event.
@@ -14,17 +15,11 @@
 public final class ServerSentEventReader {
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
-    private static final byte COMMENT = ':';
-    private static final String DATA_FIELD = "data:";
-    private static final String ID_FIELD = "id:";
+    private static final byte COLON = ':';
+    private static final String DATA_FIELD = "data";
+    private static final String DATA_PREFIX = DATA_FIELD + ":";
+    private static final String ID_FIELD = "id";
     private static final String DONE = "[DONE]";
-    /** Bytes up to and including the space are white space or control characters. */
-    private static final byte SPACE = ' ';
-    /** Every number with this many digits fits into a long. */
-    private static final int MAX_DIGITS = 18;
-
-    private static final int MAX_DIGIT = 9;
-    private static final int RADIX = 10;
 
     private final Handler<Buffer> handler;
     private Buffer pending = Buffer.buffer();
@@ -72,77 +67,59 @@
     /** Returns the event's data, or an empty string if there is none. */
     public static String data(Buffer event) {
         String text = event.toString(StandardCharsets.UTF_8).strip();
-        if (text.startsWith(DATA_FIELD)) {
-            return text.substring(DATA_FIELD.length()).strip();
+        if (text.startsWith(DATA_PREFIX)) {
+            return text.substring(DATA_PREFIX.length()).strip();
         }
         return "";
     }
 
-    /** Returns the event's {@code id} field, or empty if it is missing or not a number. */
-    public static OptionalLong id(Buffer event) {
-        int length = event.length();
+    /** Returns the event's {@code id} field, the last one if there are several; empty if it is missing or not an id. */
+    public static Optional<EventId> id(Buffer event) {
+        Optional<EventId> id = Optional.empty();
         int lineStart = 0;
-        for (int index = 0; index < length; index++) {
+        for (int index = 0; index < event.length(); index++) {
             if (event.getByte(index) == LINE_FEED) {
-                if (startsWithId(event, lineStart, index)) {
-                    return parseNumber(event, lineStart + ID_FIELD.length(), index);
+                if (isField(event, lineStart, index, ID_FIELD)) {
+                    id = EventId.parse(event.getString(
+                            Math.min(lineStart + ID_FIELD.length() + 1, index),
+                            index,
+                            StandardCharsets.ISO_8859_1.name()));
                 }
                 lineStart = index + 1;
             }
         }
-        return OptionalLong.empty();
+        return id;
     }
 
-    /** Returns whether all lines are comments or empty, as sent by servers to keep a connection open. */
-    public static boolean isComment(Buffer event) {
-        boolean lineStart = true;
+    /**
+     * Returns whether the event has data or an id. Comments, as sent by servers to keep a connection open, and reconnection
+     * times have neither.
+     */
+    public static boolean hasDataOrId(Buffer event) {
+        int lineStart = 0;
         for (int index = 0; index < event.length(); index++) {
-            byte current = event.getByte(index);
-            boolean lineEnd = current == LINE_FEED || current == CARRIAGE_RETURN;
-            if (lineStart && !lineEnd && current != COMMENT) {
-                return false;
+            if (event.getByte(index) == LINE_FEED) {
+                if (isField(event, lineStart, index, DATA_FIELD) || isField(event, lineStart, index, ID_FIELD)) {
+                    return true;
+                }
+                lineStart = index + 1;
             }
-            lineStart = current == LINE_FEED || lineStart && lineEnd;
         }
-        return true;
+        return false;
     }
 
-    private static boolean startsWithId(Buffer event, int start, int end) {
-        if (end - start < ID_FIELD.length()) {
+    /** Returns whether a line is a field of this name: the name alone, or the name and a colon. */
+    private static boolean isField(Buffer event, int start, int end, String name) {
+        int nameEnd = start + name.length();
+        if (nameEnd > end) {
             return false;
         }
-        for (int index = 0; index < ID_FIELD.length(); index++) {
-            if (event.getByte(start + index) != ID_FIELD.charAt(index)) {
+        for (int index = 0; index < name.length(); index++) {
+            if (event.getByte(start + index) != name.charAt(index)) {
                 return false;
             }
         }
-        return true;
-    }
-
-    /**
-     * Parses a range as a number, ignoring surrounding white space. Called for each event, so it allocates no string.
-     */
-    private static OptionalLong parseNumber(Buffer event, int start, int end) {
-        int first = start;
-        while (first < end && event.getByte(first) <= SPACE) {
-            first++;
-        }
-        int last = end;
-        while (last > first && event.getByte(last - 1) <= SPACE) {
-            last--;
-        }
-        if (last == first || last - first > MAX_DIGITS) {
-            return OptionalLong.empty();
-        }
-        long value = 0;
-        for (int index = first; index < last; index++) {
-            int digit = event.getByte(index) - '0';
-            if (digit < 0 || digit > MAX_DIGIT) {
-                return OptionalLong.empty();
-            }
-            value = value * RADIX + digit;
-        }
-        return OptionalLong.of(value);
+        return nameEnd == end || event.getByte(nameEnd) == COLON || event.getByte(nameEnd) == CARRIAGE_RETURN;
     }
 
     /** Returns whether the data marks the end of the stream. */
--- a/router/src/test/java/org/baobabcart/router/gateway/SessionHashTest.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/SessionHashTest.java
@@ -8,7 +8,6 @@
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.baobabcart.model.request.PromptPart;
 import org.junit.jupiter.api.Test;
 
@@ -38,7 +37,7 @@
                 RequestHead.Tokens.none(),
                 prefix,
                 session,
-                OptionalLong.empty(),
+                Optional.empty(),
                 MultiMap.caseInsensitiveMultiMap()));
     }
 }
