A callback that throws no longer costs the caller the response

Cause, two faults: ConnectionGuard passed 0 to a Vert.x timer, which throws; and CallerExchange.complete marked the request as ended and cancelled its deadline, then ran the end action, which threw, before it wrote the response.

Ruled out: the value alone.

Change: Callbacks runs what lies between the end of the work and the response and logs what it throws; EventLoopTimers starts timers whose duration comes from outside; an idle time of 0 closes connections after their responses and says so. The idle time begins when the response is written; the count of running requests keeps it from ending a connection with another request on it. A response that cannot be written closes its connection.

Kin: Deadline-Ms and timeoutMs of 0 (500 before, now refused at once), body and store timers, bookkeeping of AttemptLoop, exceptions at the start of an execution.

Changed tests: ConfigurationRulesTest no longer finds a sum of weights beyond the greatest int unusable, since such a split is served now; RouteTableTest .selectsServicesByWeightsOfAnySize holds it to that. ConnectionGuardTest calls responseWritten, which now starts the idle time.

--- a/model/src/main/java/org/baobabcart/model/gateway/Route.java
+++ b/model/src/main/java/org/baobabcart/model/gateway/Route.java
@@ -46,7 +46,7 @@
      * @param point a random number from 0 (inclusive) to 1 (exclusive)
      */
     public String selectService(double point) {
-        int total = services.stream().mapToInt(WeightedService::weight).sum();
+        double total = services.stream().mapToDouble(WeightedService::weight).sum();
         double left = point * total;
         for (WeightedService candidate : services) {
             left -= candidate.weight();
--- a/model/src/test/java/org/baobabcart/model/gateway/RouteTableTest.java
+++ b/model/src/test/java/org/baobabcart/model/gateway/RouteTableTest.java
@@ -28,16 +28,27 @@
         assertThat(table.route("a.example", "/xy/z").isPresent(), is(false));
     }
 
+    /** A sum of weights beyond the greatest int once turned all requests to the last service. */
     @Test
-    void selectsServicesByWeight() {
-        Route split = new Route(
+    void selectsServicesByWeightsOfAnySize() {
+        for (double unit : new double[] {0.01, 0.5, 1, Integer.MAX_VALUE, 1e200}) {
+            Route split = split(
+                    new WeightedService("first", unit),
+                    new WeightedService("none", 0),
+                    new WeightedService("second", unit));
+            assertThat(split.selectService(0.0), is("first"));
+            assertThat(split.selectService(0.499), is("first"));
+            assertThat(split.selectService(0.501), is("second"));
+            assertThat(split.allows("none"), is(false));
+        }
+    }
+
+    private static Route split(WeightedService... services) {
+        return new Route(
                 "split",
                 "a.example",
                 "/x/",
-                List.of(
-                        new WeightedService("most", 90),
-                        new WeightedService("few", 10),
-                        new WeightedService("none", 0)),
+                List.of(services),
                 RetryPolicy.ONCE,
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(1),
@@ -47,6 +58,12 @@
                 false,
                 false,
                 List.of());
+    }
+
+    @Test
+    void selectsServicesByWeight() {
+        Route split =
+                split(new WeightedService("most", 90), new WeightedService("few", 10), new WeightedService("none", 0));
         assertThat(split.selectService(0.0), is("most"));
         assertThat(split.selectService(0.899), is("most"));
         assertThat(split.selectService(0.901), is("few"));
--- a/policy/src/main/java/org/baobabcart/policy/configuration/ConfigurationRules.java
+++ b/policy/src/main/java/org/baobabcart/policy/configuration/ConfigurationRules.java
@@ -64,10 +64,13 @@
             add(
                     FindingKind.UNUSABLE,
                     EntryPlace.of(EntryField.LIMIT_HEADER_BYTES),
-                    "no request has headers of 0 bytes");
+                    "no request has headers of 0 bytes; routers use a limit of their own");
         }
         if (limits.headerTimeout().isZero()) {
-            add(FindingKind.UNUSABLE, EntryPlace.of(EntryField.LIMIT_HEADER_TIMEOUT), "no request arrives in 0 ms");
+            add(
+                    FindingKind.UNUSABLE,
+                    EntryPlace.of(EntryField.LIMIT_HEADER_TIMEOUT),
+                    "no request arrives in 0 ms; routers use a limit of their own");
         }
         if (limits.idleTimeout().isZero()) {
             add(
@@ -146,14 +149,7 @@
     }
 
     private void checkWeights(int index, Route route) {
-        long total = RouteShares.totalWeight(route);
-        if (total > Integer.MAX_VALUE) {
-            add(
-                    FindingKind.UNUSABLE,
-                    EntryPlace.of(EntryField.ROUTE_SERVICES, index),
-                    "the weights add up to " + total + ", more than " + Integer.MAX_VALUE);
-            return;
-        }
+        double total = RouteShares.totalWeight(route);
         int last = route.services().size() - 1;
         if (total == 0) {
             add(
--- a/policy/src/main/java/org/baobabcart/policy/configuration/FindingKind.java
+++ b/policy/src/main/java/org/baobabcart/policy/configuration/FindingKind.java
@@ -7,7 +7,9 @@
     /** No request can match the entry. */
     NEVER_MATCHES(Severity.WARNING),
     /** The entry contradicts another value or is replaced by another entry. */
-    CONTRADICTION(Severity.WARNING);
+    CONTRADICTION(Severity.WARNING),
+    /** Routers read the value as another one, the nearest that they can hold. */
+    ADJUSTED(Severity.WARNING);
 
     private final Severity severity;
 
--- a/policy/src/main/java/org/baobabcart/policy/configuration/RouteShares.java
+++ b/policy/src/main/java/org/baobabcart/policy/configuration/RouteShares.java
@@ -14,10 +14,10 @@
  */
 record RouteShares(Map<String, Double> byService) {
     static RouteShares of(Route route) {
-        long total = totalWeight(route);
-        Map<String, Long> weights = new TreeMap<>();
+        double total = totalWeight(route);
+        Map<String, Double> weights = new TreeMap<>();
         for (WeightedService service : route.services()) {
-            weights.merge(service.service(), (long) service.weight(), Long::sum);
+            weights.merge(service.service(), service.weight(), Double::sum);
         }
         if (total == 0) {
             return new RouteShares(
@@ -26,14 +26,14 @@
         Map<String, Double> shares = new TreeMap<>();
         weights.forEach((service, weight) -> {
             if (weight > 0) {
-                shares.put(service, (double) weight / total);
+                shares.put(service, weight / total);
             }
         });
         return new RouteShares(shares);
     }
 
-    static long totalWeight(Route route) {
-        return route.services().stream().mapToLong(WeightedService::weight).sum();
+    static double totalWeight(Route route) {
+        return route.services().stream().mapToDouble(WeightedService::weight).sum();
     }
 
     @Override
--- a/policy/src/test/java/org/baobabcart/policy/configuration/ConfigurationRulesTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/configuration/ConfigurationRulesTest.java
@@ -63,7 +63,6 @@
                         "NEVER_MATCHES ROUTE_WEIGHT 0 1",
                         "CONTRADICTION ROUTE_SERVICES 1 0",
                         "NEVER_MATCHES ROUTE_WEIGHT 1 0",
-                        "UNUSABLE ROUTE_SERVICES 2 0",
                         "UNUSABLE ROUTE_SERVICE 3 0"));
     }
 
--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -13,6 +13,7 @@
 import org.baobabcart.policy.attempt.AttemptHistory;
 import org.baobabcart.policy.crash.CrashSeverity;
 import org.baobabcart.policy.retry.FailureKind;
+import org.baobabcart.router.exchange.Callbacks;
 import org.baobabcart.router.exchange.CallerExchange;
 import org.baobabcart.router.timeline.EventField;
 import org.baobabcart.router.timeline.EventFields;
@@ -95,7 +96,7 @@
         dependencies
                 .crashGuard()
                 .acquirePermit(handler, handler.deadlineNanos(), exchange.abandoned())
-                .onSuccess(this::queue)
+                .onSuccess(permit -> orFail(() -> queue(permit)))
                 .onFailure(this::fail);
     }
 
@@ -109,7 +110,7 @@
             if (!acquired.isComplete()) {
                 exchange.record(EventType.REQUEST_QUEUED, queuedFields(slotRequest));
             }
-            acquired.onSuccess(slot -> send(slot, permit)).onFailure(failure -> {
+            acquired.onSuccess(slot -> orFail(() -> send(slot, permit))).onFailure(failure -> {
                 permit.attemptEnded();
                 fail(failure);
             });
@@ -155,25 +156,40 @@
                 .compose(begun -> {
                     long nanos = System.nanoTime() - startNanos;
                     response = Optional.of(begun);
-                    slot.responseStarted(
+                    record(() -> slot.responseStarted(
                             nanos,
                             begun.status(),
-                            Optional.ofNullable(begun.headers().get(Headers.LOAD)));
+                            Optional.ofNullable(begun.headers().get(Headers.LOAD))));
                     begun.onFirstChunk(() -> {
                         answerBegun = true;
                         permit.responseStarted();
                     });
-                    handler.responseStarted(upstream, nanos);
+                    record(() -> handler.responseStarted(upstream, nanos));
                     return handler.consume(upstream, begun);
                 })
                 .onSuccess(consumed -> {
-                    slot.responseCompleted(System.nanoTime() - startNanos);
-                    slot.release(Optional.empty());
-                    permit.attemptEnded();
-                    handler.succeeded(upstream);
+                    record(() -> slot.responseCompleted(System.nanoTime() - startNanos));
+                    record(() -> slot.release(Optional.empty()));
+                    record(permit::attemptEnded);
+                    record(() -> handler.succeeded(upstream));
                     result.complete(consumed);
                 })
-                .onFailure(failure -> handleFailure(slot, permit, failure, System.nanoTime() - startNanos));
+                .onFailure(
+                        failure -> orFail(() -> handleFailure(slot, permit, failure, System.nanoTime() - startNanos)));
+    }
+
+    /** Updates statistics or shared state, whose failure must not cost the caller the response. */
+    private void record(Runnable update) {
+        Callbacks.run(exchange.requestId(), update);
+    }
+
+    /** Runs a step of the loop; what it throws ends the request instead of leaving it without a response. */
+    private void orFail(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException fault) {
+            fail(fault);
+        }
     }
 
     /** Performs the final checks before the first byte is sent; throws if the attempt may not be sent. */
@@ -264,10 +280,10 @@
         handler.failed(slot.upstream(), failure.kind(), nanos);
         Future<Void> sharedStateUpdated = updateSharedState(slot.upstream(), failure.kind(), permit);
         slot.release(Optional.of(failure.kind()));
-        sharedStateUpdated.onComplete(ignored -> {
+        sharedStateUpdated.onComplete(ignored -> orFail(() -> {
             permit.attemptEnded();
             retry(failure);
-        });
+        }));
     }
 
     private void retry(AttemptException failure) {
--- a/router/src/main/java/org/baobabcart/router/exchange/BodyReader.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/BodyReader.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.router.transport.EventLoopTimers;
 
 /**
  * Reads request bodies with a size limit and a timeout, within a budget for all of them. A body whose memory is not
@@ -56,8 +57,8 @@
         boolean chunked = request.headers().contains(HttpHeaders.TRANSFER_ENCODING);
         long reserved = chunked ? Math.min(CHUNKED_BYTES, limitBytes) : length;
         Promise<Buffer> result = Promise.promise();
-        long timer = vertx.setTimer(
-                timeout.toMillis(), ignored -> result.tryFail(BaobabcartException.of(ResultCode.REQUEST_TIMEOUT)));
+        long timer = EventLoopTimers.start(
+                vertx, timeout, () -> result.tryFail(BaobabcartException.of(ResultCode.REQUEST_TIMEOUT)));
         BodyBudget.Pending pending = budget.reserve(sender.rank(), sender.workspace(), reserved, !chunked);
         if (!pending.granted().isComplete()) {
             awaitMemory(exchange, pending, timeout);
@@ -76,8 +77,8 @@
         exchange.request().pause();
         Optional<RequestHeadGate> gate = RequestHeadGate.of(exchange.request().connection());
         gate.ifPresent(RequestHeadGate::pauseBody);
-        long millis = Math.min(MAX_WAIT.toMillis(), timeout.toMillis());
-        long timer = vertx.setTimer(Math.max(1, millis), ignored -> pending.giveUp());
+        Duration wait = timeout.compareTo(MAX_WAIT) < 0 ? timeout : MAX_WAIT;
+        long timer = EventLoopTimers.start(vertx, wait, pending::giveUp);
         exchange.onEnd(pending::giveUp);
         pending.granted().onComplete(ignored -> {
             vertx.cancelTimer(timer);
--- a/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
@@ -8,6 +8,8 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -19,6 +21,7 @@
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.transport.Connections;
+import org.baobabcart.router.transport.EventLoopTimers;
 import org.baobabcart.router.upstream.AttemptException;
 import org.baobabcart.router.upstream.UpstreamResponse;
 
@@ -38,7 +41,8 @@
     private final BooleanSupplier closeRequested;
     private final Promise<AttemptException> abandoned = Promise.promise();
     private final long startNanos = System.nanoTime();
-    private Runnable endAction;
+    private final List<Runnable> endActions = new ArrayList<>();
+    private final Runnable writtenAction;
     private String requestId = "";
     private long firstByteNanos;
     private long deadlineTimer = -1;
@@ -55,11 +59,13 @@
             ExchangeDependencies dependencies,
             HttpServerRequest request,
             BooleanSupplier closeRequested,
-            Runnable endAction) {
+            Runnable endAction,
+            Runnable writtenAction) {
         this.dependencies = dependencies;
         this.request = request;
         this.closeRequested = closeRequested;
-        this.endAction = endAction;
+        this.writtenAction = writtenAction;
+        endActions.add(endAction);
     }
 
     /**
@@ -67,13 +73,15 @@
      *
      * @param closeRequested returns whether to close the connection after the response
      * @param endAction runs once when the response has ended or the caller has disconnected
+     * @param writtenAction runs once when the whole response has been written and the connection may be used again
      */
     public static CallerExchange create(
             ExchangeDependencies dependencies,
             HttpServerRequest request,
             BooleanSupplier closeRequested,
-            Runnable endAction) {
-        CallerExchange exchange = new CallerExchange(dependencies, request, closeRequested, endAction);
+            Runnable endAction,
+            Runnable writtenAction) {
+        CallerExchange exchange = new CallerExchange(dependencies, request, closeRequested, endAction, writtenAction);
         request.response().closeHandler(ignored -> exchange.onCallerGone("connection closed"));
         request.response().exceptionHandler(ignored -> exchange.onCallerGone("connection broken"));
         dependencies
@@ -85,11 +93,7 @@
 
     /** Adds an action that runs when the exchange ends. */
     public void addEndAction(Runnable action) {
-        Runnable before = endAction;
-        endAction = () -> {
-            before.run();
-            action.run();
-        };
+        endActions.add(action);
     }
 
     /** Runs an action when the exchange ends, or at once if it has ended. */
@@ -161,12 +165,12 @@
 
     /** Starts a timer that fails the request at its deadline unless it has ended before. */
     public void startDeadline(long deadlineNanos) {
-        long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime()));
-        deadlineTimer = dependencies.vertx().setTimer(millis, ignored -> {
+        Duration timeLeft = Duration.ofNanos(deadlineNanos - System.nanoTime());
+        deadlineTimer = EventLoopTimers.start(dependencies.vertx(), timeLeft, () -> {
             ResultCode code = mayHaveRun ? ResultCode.UPSTREAM_TIMEOUT : ResultCode.DEADLINE_UNREACHABLE;
             AttemptException failure =
                     AttemptException.of(FailureKind.DEADLINE, "", "the request's deadline has passed");
-            abandoned.tryComplete(failure);
+            abandon(failure);
             fail(BaobabcartException.of(code).withCause(failure));
         });
     }
@@ -178,7 +182,7 @@
         }
         ResultCode code = mayHaveRun ? ResultCode.UPSTREAM_FAILED : ResultCode.STOPPING;
         failUnread(BaobabcartException.of(code, "the router ends before the answer was complete"));
-        abandoned.tryComplete(AttemptException.of(FailureKind.DEADLINE, "", "the process ends"));
+        abandon(AttemptException.of(FailureKind.DEADLINE, "", "the process ends"));
     }
 
     /** Records an event of this request. */
@@ -228,12 +232,10 @@
         }
         upstreamResponse.pause();
         if (stallTimer < 0) {
-            stallTimer = dependencies
-                    .vertx()
-                    .setTimer(dependencies.callerStall().toMillis(), ignored -> {
-                        onCallerGone("caller stopped reading");
-                        Connections.abort(request.connection());
-                    });
+            stallTimer = EventLoopTimers.start(dependencies.vertx(), dependencies.callerStall(), () -> {
+                onCallerGone("caller stopped reading");
+                Connections.abort(request.connection());
+            });
         }
         request.response().drainHandler(ignored -> {
             cancelStallTimer();
@@ -331,7 +333,7 @@
             Connections.abort(request.connection());
             return Future.succeededFuture();
         });
-        abandoned.tryComplete(AttemptException.of(FailureKind.BROKEN, "", error.message()));
+        abandon(AttemptException.of(FailureKind.BROKEN, "", error.message()));
     }
 
     private void beginResponse(int status, MultiMap headers) {
@@ -362,22 +364,38 @@
         outcome = Optional.of(type);
         dependencies.vertx().cancelTimer(deadlineTimer);
         cancelStallTimer();
-        record(type, fields);
-        endAction.run();
+        Callbacks.run(requestId, () -> record(type, fields));
+        endActions.forEach(endAction -> Callbacks.run(requestId, endAction));
         if (callerGone) {
             return;
         }
-        long timer = dependencies
-                .vertx()
-                .setTimer(dependencies.callerStall().toMillis(), ignored -> Connections.abort(request.connection()));
-        action.get().onComplete(ignored -> {
+        long timer = EventLoopTimers.start(
+                dependencies.vertx(), dependencies.callerStall(), () -> Connections.abort(request.connection()));
+        writeEnd(action).onComplete(ignored -> {
             dependencies.vertx().cancelTimer(timer);
             if (closeAfterwards) {
                 closeLingering();
+            } else {
+                Callbacks.run(requestId, writtenAction);
             }
         });
     }
 
+    /** Writes the end of the response. If that is not possible, the caller sees the connection close instead of waiting. */
+    private Future<Void> writeEnd(Supplier<Future<Void>> action) {
+        try {
+            return action.get();
+        } catch (RuntimeException failure) {
+            LOGGER.atSevere().withCause(failure).log("event=response_failed request=%s", requestId);
+            Connections.abort(request.connection());
+            return Future.failedFuture(failure);
+        }
+    }
+
+    private void abandon(AttemptException reason) {
+        Callbacks.run(requestId, () -> abandoned.tryComplete(reason));
+    }
+
     private void announceClose() {
         if (closeRequested.getAsBoolean()) {
             closeAfterwards = true;
@@ -407,7 +425,7 @@
             return;
         }
         callerGone = true;
-        abandoned.tryComplete(AttemptException.of(FailureKind.BROKEN, "", "the caller has disconnected"));
+        abandon(AttemptException.of(FailureKind.BROKEN, "", "the caller has disconnected"));
         complete(
                 EventType.REQUEST_CANCELLED,
                 EventFields.of(EventField.CODE, ResultCode.CALLER_GONE.number())
--- a/router/src/main/java/org/baobabcart/router/exchange/ConnectionGuard.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/ConnectionGuard.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.baobabcart.router.transport.Connections;
+import org.baobabcart.router.transport.EventLoopTimers;
 
 /**
  * Closes connections on which no request arrives in time, including those with an incomplete request head. Confined to one event
@@ -26,7 +27,9 @@
 
     private final Map<HttpConnection, RequestHeadGate> gates = new IdentityHashMap<>();
     private final Set<HttpConnection> notReusable = Collections.newSetFromMap(new IdentityHashMap<>());
-    private int open;
+    private final Set<HttpConnection> open = Collections.newSetFromMap(new IdentityHashMap<>());
+    /** The number of running requests of each connection that has any. */
+    private final Map<HttpConnection, Integer> running = new IdentityHashMap<>();
 
     private ConnectionGuard(ExchangeDependencies dependencies, ClientMemory memory, Supplier<Limits> limits) {
         this.vertx = dependencies.vertx();
@@ -58,15 +61,16 @@
     public void connectionOpened(HttpConnection connection) {
         Connections.limitReadAhead(connection);
         RequestHeadGate.install(connection, memory, gateSettings).ifPresent(gate -> gates.put(connection, gate));
-        open++;
+        open.add(connection);
         connection.closeHandler(ignored -> {
-            open--;
+            open.remove(connection);
+            running.remove(connection);
             cancelTimer(connection);
             gates.remove(connection);
             notReusable.remove(connection);
         });
         startTimer(connection, firstRequestTimeout.get());
-        if (open > memory.limits().connections()) {
+        if (open.size() > memory.limits().connections()) {
             HttpConnection idlest = timers.keySet().iterator().next();
             cancelTimer(idlest);
             memory.countClosed("connections");
@@ -84,23 +88,41 @@
         return notReusable.contains(connection);
     }
 
+    /** Returns whether connections may wait for a further request at all. */
+    public boolean isReuseAllowed() {
+        return !nextRequestTimeout.get().isZero();
+    }
+
     /** Called when a request has started on the connection. */
     public void requestBegan(HttpConnection connection) {
+        running.merge(connection, 1, Integer::sum);
         cancelTimer(connection);
     }
 
-    /** Called when the request on the connection has ended. */
+    /** Called when the request on the connection has ended; its response may still have to be written. */
     public void requestEnded(HttpConnection connection) {
-        cancelTimer(connection);
-        startTimer(connection, nextRequestTimeout.get());
+        running.computeIfPresent(connection, (ignored, count) -> count > 1 ? count - 1 : null);
         RequestHeadGate gate = gates.get(connection);
         if (gate != null) {
             gate.requestEnded();
         }
     }
 
+    /** Called when the response has been written. The connection waits for a further request, unless that has started already. */
+    public void responseWritten(HttpConnection connection) {
+        if (running.containsKey(connection) || !open.contains(connection)) {
+            return;
+        }
+        cancelTimer(connection);
+        if (isReuseAllowed()) {
+            startTimer(connection, nextRequestTimeout.get());
+        } else {
+            connection.close();
+        }
+    }
+
     private void startTimer(HttpConnection connection, Duration limit) {
-        long timer = vertx.setTimer(limit.toMillis(), ignored -> {
+        long timer = EventLoopTimers.start(vertx, limit, () -> {
             timers.remove(connection);
             RequestHeadGate gate = gates.get(connection);
             if (gate == null || !gate.refuseIncompleteHead()) {
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -32,7 +32,7 @@
  */
 final class GatewayServer {
     private static final int REQUEST_LINE_BYTES = 8 * 1024;
-    /** The parser's limit, above any limit that an operator sets; the operator's limit is checked before. */
+    /** The parser's limit, which applies to operators who set none or a greater one; smaller ones are checked before. */
     private static final int PARSER_HEADER_BYTES = 64 * 1024;
 
     private static final int LISTEN_BACKLOG = 1024;
@@ -55,9 +55,15 @@
         this.guard = ConnectionGuard.create(runtime.exchanges(), runtime.clientMemory(), this::connectionLimits);
     }
 
+    /** Returns the operator's limits. No request fits into a head of 0 bytes or 0 ms, so that these leave the default in force. */
     private ConnectionGuard.Limits connectionLimits() {
         CallerLimits limits = limits();
-        return new ConnectionGuard.Limits(limits.maxHeaderBytes(), limits.headerTimeout(), limits.idleTimeout());
+        return new ConnectionGuard.Limits(
+                limits.maxHeaderBytes() == 0
+                        ? DEFAULT_LIMITS.maxHeaderBytes()
+                        : Math.min(PARSER_HEADER_BYTES, limits.maxHeaderBytes()),
+                limits.headerTimeout().isZero() ? DEFAULT_LIMITS.headerTimeout() : limits.headerTimeout(),
+                limits.idleTimeout());
     }
 
     static GatewayServer create(GatewayRuntime runtime, DrainState drain) {
@@ -119,7 +125,11 @@
             guard.markLastRequest(request.connection());
         }
         CallerExchange exchange = CallerExchange.create(
-                runtime.exchanges(), request, () -> chunked || drain.isDraining(), () -> requestEnded(request));
+                runtime.exchanges(),
+                request,
+                () -> chunked || drain.isDraining() || !guard.isReuseAllowed(),
+                () -> requestEnded(request),
+                () -> guard.responseWritten(request.connection()));
         running.add(runtime.vertx(), exchange);
         try {
             begin(exchange, request);
@@ -142,6 +152,9 @@
         }
         RouteMatch match = matchRoute(exchange, head);
         Duration maxWait = maxWait(match, head);
+        if (maxWait.isZero()) {
+            throw BaobabcartException.of(ResultCode.DEADLINE_UNREACHABLE);
+        }
         exchange.addEndAction(() -> runtime.requestMetrics().recordRequest(match, exchange));
         long deadlineNanos = exchange.startNanos() + maxWait.toNanos();
         BodyReader.Sender sender = new BodyReader.Sender(match.rank(), match.workspace());
@@ -189,8 +202,8 @@
             RouteMatch match = matchAtHead.refreshed(runtime.attempts().views().current(), head);
             GatewayRequestExecution.create(runtime, exchange, head, match, body, deadlineNanos)
                     .start();
-        } catch (BaobabcartException rejection) {
-            exchange.fail(rejection);
+        } catch (RuntimeException failure) {
+            exchange.fail(failure);
         }
     }
 
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerApi.java
@@ -21,6 +21,7 @@
 import org.baobabcart.router.exchange.ClientMemory;
 import org.baobabcart.router.exchange.DrainState;
 import org.baobabcart.router.exchange.ExchangeDependencies;
+import org.baobabcart.router.transport.EventLoopTimers;
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.DispatcherSettings;
 import org.baobabcart.router.upstream.UpstreamClient;
@@ -128,7 +129,7 @@
         runtime.drain().begin();
         runtime.drain().endBy(end);
         runtime.dispatcher().refuseWaitingBeyond(end);
-        vertx.setTimer(Math.max(1, timeout.toMillis()), ignored -> verticles.forEach(CallerVerticle::endRunning));
+        EventLoopTimers.start(vertx, timeout, () -> verticles.forEach(CallerVerticle::endRunning));
         Duration untilClosed = timeout.plus(LAST_RESPONSES);
         return Futures.toUni(() -> {
             List<Future<Void>> closing = new ArrayList<>();
--- a/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
+++ b/router/src/main/java/org/baobabcart/router/traffic/CallerVerticle.java
@@ -184,8 +184,11 @@
         CallerExchange exchange = CallerExchange.create(
                 runtime.exchanges(),
                 request,
-                () -> isStopping() || connectionGuard.isReuseForbidden(request.connection()),
-                () -> requestEnded(request));
+                () -> isStopping()
+                        || connectionGuard.isReuseForbidden(request.connection())
+                        || !connectionGuard.isReuseAllowed(),
+                () -> requestEnded(request),
+                () -> connectionGuard.responseWritten(request.connection()));
         running.add(vertx, exchange);
         exchange.setRequestId(RequestIds.next());
         request.response().putHeader(Headers.REQUEST_ID, exchange.requestId());
--- a/router/src/main/java/org/baobabcart/router/transport/BoundedHttpClient.java
+++ b/router/src/main/java/org/baobabcart/router/transport/BoundedHttpClient.java
@@ -105,7 +105,7 @@
         Promise<BoundedResponse> result = Promise.promise();
         long retirementsBefore = retirements.get();
         Future<HttpClientRequest> connected = connections.reserve().request(request, Optional.empty());
-        long timer = vertx.setTimer(timeout.toMillis(), ignored -> {
+        long timer = EventLoopTimers.start(vertx, timeout, () -> {
             if (!result.future().isComplete()) {
                 // First of all, so that a call made because of this failure already uses a new connection.
                 retireUnlessSince(retirementsBefore);
--- a/router/src/main/java/org/baobabcart/router/upstream/ProgressTimer.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/ProgressTimer.java
@@ -2,8 +2,8 @@
 
 import io.vertx.core.Vertx;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.baobabcart.router.transport.EventLoopTimers;
 
 /**
  * Runs an action once if no progress is made within a time limit. Confined to one event loop.
@@ -12,7 +12,6 @@
  * would set a timer for each of them.
  */
 final class ProgressTimer {
-    private static final long MIN_DELAY_MILLIS = 1;
 
     private final Vertx vertx;
     private final SilentUpstreamDetector.Registration registration;
@@ -87,8 +86,7 @@
     }
 
     private void schedule(long delayNanos) {
-        long millis = Math.max(MIN_DELAY_MILLIS, TimeUnit.NANOSECONDS.toMillis(delayNanos));
-        timer = vertx.setTimer(millis, ignored -> check());
+        timer = EventLoopTimers.start(vertx, Duration.ofNanos(delayNanos), this::check);
     }
 
     private void check() {
--- a/router/src/test/java/org/baobabcart/router/exchange/ConnectionGuardTest.java
+++ b/router/src/test/java/org/baobabcart/router/exchange/ConnectionGuardTest.java
@@ -73,8 +73,10 @@
     }
 
     private void answer(HttpServerRequest request) {
-        context.runOnContext(ignored ->
-                request.response().end("done").onComplete(written -> guard.requestEnded(request.connection())));
+        context.runOnContext(ignored -> request.response().end("done").onComplete(written -> {
+            guard.requestEnded(request.connection());
+            guard.responseWritten(request.connection());
+        }));
     }
 
     private static String read(Socket socket) throws IOException {
--- a/router/src/test/java/org/baobabcart/router/exchange/StallTimerOutlivesItsRequestTest.java
+++ b/router/src/test/java/org/baobabcart/router/exchange/StallTimerOutlivesItsRequestTest.java
@@ -128,7 +128,7 @@
     private void handle(HttpServerRequest request) {
         ExchangeDependencies dependencies = new ExchangeDependencies(
                 vertx, (type, id, fields) -> {}, new MetricRegistry(), new PlainErrors(), STALL);
-        CallerExchange exchange = CallerExchange.create(dependencies, request, () -> false, () -> {});
+        CallerExchange exchange = CallerExchange.create(dependencies, request, () -> false, () -> {}, () -> {});
         if (request.path().equals("/next")) {
             vertx.setTimer(
                     SECOND_RESPONSE_DELAY.toMillis(),
