--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayRequestExecution.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
@@ -126,8 +127,10 @@
     @Override
     public Optional<RequestFingerprint> fingerprint() {
         if (fingerprint.isEmpty()) {
+            // In ISO 8859-1, bodies that are no UTF-8 stay different.
+            String content = body.toString(StandardCharsets.ISO_8859_1);
             String request = String.join(
-                    "\n", match.workspace(), head.host(), head.method().name(), head.target(), body.toString());
+                    "\n", match.workspace(), head.host(), head.method().name(), head.target(), content);
             fingerprint = Optional.of(new RequestFingerprint(KeyHash.of(request), promptParts()));
         }
         return fingerprint;
--- a/router/src/main/java/org/baobabcart/router/metrics/LabelledMetrics.java
+++ b/router/src/main/java/org/baobabcart/router/metrics/LabelledMetrics.java
@@ -80,8 +80,13 @@
         labels.forEach((label, value) -> text.append(text.charAt(text.length() - 1) == '{' ? "" : ",")
                 .append(label)
                 .append("=\"")
-                .append(value.replaceAll("[\\\\\"\\n]", "_"))
+                .append(escaped(value))
                 .append('"'));
         return text.append('}').toString();
     }
+
+    /** Escapes a value as the Prometheus text format does, so that different values stay different. */
+    private static String escaped(String value) {
+        return value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+    }
 }
