The admission queue holds only the ranks in use

Cause: AdmissionQueue.addRanksUpTo made a queue for each rank from 0 to that of the entry.

Ruled out: the decoder. A smaller bound there would still let a number of the configuration size memory and the loops over ranks; the same priority without a queued request was served before.

Change: ranks in a sorted map, those without work dropped beyond 32. Kin: sums of ints from outside (free places, prompt tokens) are sums of longs.

Before: ExtremeConfigurationProcessTest.queuedRequestOfAnyPriorityIsServed 3 of 3 red.

--- a/policy/src/main/java/org/baobabcart/policy/admission/AdmissionQueue.java
+++ b/policy/src/main/java/org/baobabcart/policy/admission/AdmissionQueue.java
@@ -3,7 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
 import org.baobabcart.model.result.ResultCode;
 
@@ -21,10 +24,13 @@
  */
 public final class AdmissionQueue<T> {
     private static final double CREDIT_LIMIT = 2;
+    /** Ranks without work are kept for their statistics, up to this number of ranks. */
+    private static final int MAX_KEPT_RANKS = 32;
 
     private final Settings settings;
-    private final List<RankQueue<T>> ranks = new ArrayList<>();
-    private final List<Double> floorCredits = new ArrayList<>();
+    /** The ranks that have work or had some lately, the most urgent first. */
+    private final NavigableMap<Integer, RankQueue<T>> ranks = new TreeMap<>();
+
     private final DispatchRateEstimator rate = new DispatchRateEstimator();
     private final RetryAfterSchedule retryAfterSchedule;
     private List<Double> floors = List.of();
@@ -53,7 +59,7 @@
 
     /** Adds an entry and returns the entries that are refused as a result, possibly including the new one. */
     public List<Rejection<T>> offer(QueueEntry<T> entry, long nowNanos) {
-        addRanksUpTo(entry.rank());
+        RankQueue<T> queue = queueOf(entry.rank());
         Duration wait = timelyWait(entry, nowNanos);
         boolean timely = nowNanos + wait.toNanos() <= entry.targetNanos();
         if (!timely) {
@@ -66,9 +72,9 @@
             return List.of(reject(entry, ResultCode.QUEUE_FULL, nowNanos));
         }
         if (timely) {
-            ranks.get(entry.rank()).addTimely(entry);
+            queue.addTimely(entry);
         } else {
-            ranks.get(entry.rank()).addOverdue(entry);
+            queue.addOverdue(entry);
         }
         return size() <= settings.capacity() ? List.of() : dropNewest(entry, nowNanos);
     }
@@ -80,12 +86,12 @@
      */
     public Optional<QueueEntry<T>> poll(List<Double> newFloors, long nowNanos) {
         floors = newFloors;
-        int rank = nextRank();
-        if (rank < 0) {
+        Optional<RankQueue<T>> queue = nextQueue();
+        if (queue.isEmpty()) {
             return Optional.empty();
         }
         rate.recordDispatch(nowNanos);
-        Optional<QueueEntry<T>> next = ranks.get(rank).poll(nowNanos);
+        Optional<QueueEntry<T>> next = queue.get().poll(nowNanos);
         resetIfEmpty();
         return next;
     }
@@ -96,7 +102,7 @@
      */
     public List<Rejection<T>> expire(long nowNanos) {
         List<Rejection<T>> expired = new ArrayList<>();
-        for (RankQueue<T> queue : ranks) {
+        for (RankQueue<T> queue : ranks.values()) {
             queue.removeIf(entry -> nowNanos > entry.latestStartNanos())
                     .forEach(entry -> expired.add(reject(entry, ResultCode.DEADLINE_UNREACHABLE, nowNanos)));
             for (QueueEntry<T> overdue : queue.removeOverdue(nowNanos)) {
@@ -114,7 +120,7 @@
     /** Removes and returns all entries, for use when the upstreams are gone. */
     public List<QueueEntry<T>> clear() {
         List<QueueEntry<T>> all = new ArrayList<>();
-        ranks.forEach(queue -> all.addAll(queue.removeIf(entry -> true)));
+        ranks.values().forEach(queue -> all.addAll(queue.removeIf(entry -> true)));
         resetIfEmpty();
         return all;
     }
@@ -122,7 +128,7 @@
     /** Removes and returns the entries that could still start after the given time. */
     public List<QueueEntry<T>> removeStartableAfter(long nanos) {
         List<QueueEntry<T>> taken = new ArrayList<>();
-        ranks.forEach(queue -> taken.addAll(queue.removeIf(entry -> entry.latestStartNanos() > nanos)));
+        ranks.values().forEach(queue -> taken.addAll(queue.removeIf(entry -> entry.latestStartNanos() > nanos)));
         resetIfEmpty();
         return taken;
     }
@@ -132,20 +138,20 @@
      */
     public List<QueueEntry<T>> removeTargetedBefore(long nanos) {
         List<QueueEntry<T>> taken = new ArrayList<>();
-        ranks.forEach(queue -> taken.addAll(queue.removeIf(entry -> entry.targetNanos() < nanos)));
+        ranks.values().forEach(queue -> taken.addAll(queue.removeIf(entry -> entry.targetNanos() < nanos)));
         resetIfEmpty();
         return taken;
     }
 
     /** Removes an item whose caller has disconnected. */
     public void remove(T item) {
-        ranks.forEach(queue -> queue.removeIf(entry -> entry.item() == item));
+        ranks.values().forEach(queue -> queue.removeIf(entry -> entry.item() == item));
         resetIfEmpty();
     }
 
     /** Returns the number of entries. */
     public int size() {
-        return ranks.stream().mapToInt(RankQueue::size).sum();
+        return ranks.values().stream().mapToInt(RankQueue::size).sum();
     }
 
     private Duration timelyWait(QueueEntry<T> entry, long nowNanos) {
@@ -165,10 +171,10 @@
     private double countAhead(int rank, double ownRankAhead) {
         double all = ownRankAhead;
         double lessUrgentFloors = 0;
-        for (int index = 0; index < ranks.size(); index++) {
-            int size = ranks.get(index).size();
-            all += index < rank ? size : 0;
-            lessUrgentFloors += index > rank && size > 0 ? floor(index) : 0;
+        for (Map.Entry<Integer, RankQueue<T>> other : ranks.entrySet()) {
+            int size = other.getValue().size();
+            all += other.getKey() < rank ? size : 0;
+            lessUrgentFloors += other.getKey() > rank && size > 0 ? floor(other.getKey()) : 0;
         }
         double strict = lessUrgentFloors < 1 ? all / (1 - lessUrgentFloors) : Double.MAX_VALUE;
         return floor(rank) > 0 ? Math.min(strict, (ownRankAhead + 1) / floor(rank)) : strict;
@@ -184,8 +190,8 @@
     }
 
     private List<Rejection<T>> dropNewest(QueueEntry<T> arrived, long nowNanos) {
-        for (int rank = ranks.size() - 1; rank >= 0; rank--) {
-            Optional<QueueEntry<T>> dropped = ranks.get(rank).dropFromLargestBacklog();
+        for (RankQueue<T> queue : ranks.descendingMap().values()) {
+            Optional<QueueEntry<T>> dropped = queue.dropFromLargestBacklog();
             if (dropped.isPresent()) {
                 boolean sameRank = dropped.get().rank() == arrived.rank();
                 ResultCode code = sameRank ? ResultCode.QUEUE_FULL : ResultCode.RANK_SHED;
@@ -201,35 +207,38 @@
         }
     }
 
-    private int nextRank() {
-        int mostUrgent = -1;
-        int floorDue = -1;
-        for (int rank = 0; rank < ranks.size(); rank++) {
-            if (ranks.get(rank).size() == 0) {
-                floorCredits.set(rank, 0.0);
+    private Optional<RankQueue<T>> nextQueue() {
+        Optional<RankQueue<T>> mostUrgent = Optional.empty();
+        Optional<RankQueue<T>> floorDue = Optional.empty();
+        for (Map.Entry<Integer, RankQueue<T>> rank : ranks.entrySet()) {
+            RankQueue<T> queue = rank.getValue();
+            if (queue.size() == 0) {
+                queue.setFloorCredit(0);
                 continue;
             }
-            floorCredits.set(rank, Math.min(CREDIT_LIMIT, floorCredits.get(rank) + floor(rank)));
-            mostUrgent = mostUrgent < 0 ? rank : mostUrgent;
-            if (floorCredits.get(rank) >= 1 && (floorDue < 0 || floorCredits.get(rank) > floorCredits.get(floorDue))) {
-                floorDue = rank;
+            queue.setFloorCredit(Math.min(CREDIT_LIMIT, queue.floorCredit() + floor(rank.getKey())));
+            if (mostUrgent.isEmpty()) {
+                mostUrgent = Optional.of(queue);
+            }
+            double highestCredit = floorDue.map(RankQueue::floorCredit).orElse(0.0);
+            if (queue.floorCredit() >= 1 && queue.floorCredit() > highestCredit) {
+                floorDue = Optional.of(queue);
             }
         }
-        int chosen = floorDue >= 0 ? floorDue : mostUrgent;
-        if (chosen >= 0) {
-            floorCredits.set(chosen, Math.max(0, floorCredits.get(chosen) - 1));
-        }
+        Optional<RankQueue<T>> chosen = floorDue.isPresent() ? floorDue : mostUrgent;
+        chosen.ifPresent(queue -> queue.setFloorCredit(Math.max(0, queue.floorCredit() - 1)));
         return chosen;
     }
 
     private int countQueued(String workspace) {
-        return ranks.stream().mapToInt(queue -> queue.size(workspace)).sum();
+        return ranks.values().stream().mapToInt(queue -> queue.size(workspace)).sum();
     }
 
-    private void addRanksUpTo(int rank) {
-        while (ranks.size() <= rank) {
-            ranks.add(new RankQueue<>());
-            floorCredits.add(0.0);
+    /** Returns the queue of a rank. Ranks are numbers from a configuration, so that only those in use have a queue. */
+    private RankQueue<T> queueOf(int rank) {
+        if (!ranks.containsKey(rank) && ranks.size() >= MAX_KEPT_RANKS) {
+            ranks.values().removeIf(queue -> queue.size() == 0);
         }
+        return ranks.computeIfAbsent(rank, ignored -> new RankQueue<>());
     }
 }
--- a/policy/src/main/java/org/baobabcart/policy/admission/RankQueue.java
+++ b/policy/src/main/java/org/baobabcart/policy/admission/RankQueue.java
@@ -20,6 +20,16 @@
     private final FairQueue<T> overdue = new FairQueue<>();
     private final DispatchRateEstimator overdueRate = new DispatchRateEstimator();
     private double overdueCredit;
+    private double floorCredit;
+
+    /** Returns the dispatches that this rank is due because of its floor. */
+    double floorCredit() {
+        return floorCredit;
+    }
+
+    void setFloorCredit(double newFloorCredit) {
+        floorCredit = newFloorCredit;
+    }
 
     void addTimely(QueueEntry<T> entry) {
         timely.add(entry);
--- a/policy/src/main/java/org/baobabcart/policy/departure/DeparturePolicy.java
+++ b/policy/src/main/java/org/baobabcart/policy/departure/DeparturePolicy.java
@@ -93,7 +93,7 @@
                 .filter(outlook -> outlook.expectedNanos() <= limit)
                 .toList();
         double remaining = uniform.getAsDouble()
-                * fast.stream().mapToInt(DataCentreOutlook::freePlaces).sum();
+                * fast.stream().mapToLong(DataCentreOutlook::freePlaces).sum();
         for (DataCentreOutlook outlook : fast) {
             remaining -= outlook.freePlaces();
             if (remaining < 0) {
--- a/policy/src/test/java/org/baobabcart/policy/admission/AdmissionQueueTest.java
+++ b/policy/src/test/java/org/baobabcart/policy/admission/AdmissionQueueTest.java
@@ -22,6 +22,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.constraints.UniqueElements;
 import org.baobabcart.model.result.ResultCode;
 
 class AdmissionQueueTest {
@@ -32,6 +34,38 @@
     /** An arrival, or a dispatch if the rank is negative. */
     record Step(int rank, String workspace, long latestStart) {}
 
+    /** A queue for each rank up to that of an entry once took all memory. */
+    @Property(tries = 300)
+    void onlyTheOrderOfRanksMatters(
+            @ForAll @Size(min = 1, max = 40) List<@IntRange(max = 3) Integer> ranks,
+            @ForAll @Size(value = 4) @UniqueElements List<@IntRange Integer> numbers) {
+        List<Integer> ordered = numbers.stream().sorted().toList();
+        AdmissionQueue<Integer> small = AdmissionQueue.create(new AdmissionQueue.Settings(20, 10), () -> 0);
+        AdmissionQueue<Integer> large = AdmissionQueue.create(new AdmissionQueue.Settings(20, 10), () -> 0);
+        for (int item = 0; item < ranks.size(); item++) {
+            String workspace = "w" + item % 3;
+            QueueEntry<Integer> entry =
+                    new QueueEntry<>(ranks.get(item), workspace, 1, DISTANT_NANOS, DISTANT_NANOS, item);
+            QueueEntry<Integer> renumbered =
+                    new QueueEntry<>(ordered.get(ranks.get(item)), workspace, 1, DISTANT_NANOS, DISTANT_NANOS, item);
+            assertThat(items(large.offer(renumbered, item)), equalTo(items(small.offer(entry, item))));
+            if (item % 3 == 2) {
+                assertThat(
+                        large.poll(List.of(), item).map(QueueEntry::item),
+                        equalTo(small.poll(List.of(), item).map(QueueEntry::item)));
+            }
+        }
+        while (small.size() > 0) {
+            assertThat(
+                    large.poll(List.of(), ranks.size()).map(QueueEntry::item),
+                    equalTo(small.poll(List.of(), ranks.size()).map(QueueEntry::item)));
+        }
+    }
+
+    private static List<Integer> items(List<Rejection<Integer>> rejections) {
+        return rejections.stream().map(rejection -> rejection.entry().item()).toList();
+    }
+
     @Property(tries = 500, seed = "7301")
     void everyEntryLeavesOnceAndSizeIsBounded(@ForAll("histories") List<Step> steps) {
         AdmissionQueue<Integer> queue = AdmissionQueue.create(new AdmissionQueue.Settings(10, 5), () -> 0);
--- a/router/src/main/java/org/baobabcart/router/gateway/ModelSelection.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/ModelSelection.java
@@ -131,11 +131,11 @@
         if (parts.isEmpty() || models.isEmpty()) {
             return SlotRequest.UNKNOWN_GAIN;
         }
-        int sharedTokens = parts.subList(0, parts.size() - 1).stream()
-                .mapToInt(PromptPart::tokens)
+        long sharedTokens = parts.subList(0, parts.size() - 1).stream()
+                .mapToLong(PromptPart::tokens)
                 .sum();
         return runtime.firstByteEstimator()
-                .readNanos(largestModel(), sharedTokens)
+                .readNanos(largestModel(), (int) Math.min(Integer.MAX_VALUE, sharedTokens))
                 .orElse(SlotRequest.UNKNOWN_GAIN);
     }
 
--- a/router/src/main/java/org/baobabcart/router/upstream/Departures.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/Departures.java
@@ -89,8 +89,9 @@
     }
 
     private static int freePlaces(List<UpstreamCandidate> upstreams) {
-        return upstreams.stream()
-                .mapToInt(upstream -> Math.max(0, upstream.limit() - upstream.inFlight()))
+        long sum = upstreams.stream()
+                .mapToLong(upstream -> Math.max(0, upstream.limit() - upstream.inFlight()))
                 .sum();
+        return (int) Math.min(Integer.MAX_VALUE, sum);
     }
 }
