Failed calls to the store are no outage; a missing upstream gets no new work

Cause: ObjectInformer took two failures in a row for an outage of the store, in which registrations may lapse and come back. The grace for them began at the end of the failures, and anew with each failure while most objects were missing, although the store had answered everybody else.

Change: StoreContact takes the answers of all kinds together; an outage is a time without any answer of two registration intervals (heartbeatIntervalMs), the shortest that lets a registration lapse. The grace runs from its end and only another outage extends it. Meanwhile missing upstreams get no new work, unless their service has lost more than it has left (UnconfirmedUpstreams).

--- a/model/src/main/java/org/baobabcart/model/platform/VirtualMachine.java
+++ b/model/src/main/java/org/baobabcart/model/platform/VirtualMachine.java
@@ -52,6 +52,12 @@
                 name, role, dataCentre, state, address, model, version, service, newChecksFencing, slots, incarnation);
     }
 
+    /** Returns a copy with another state. */
+    public VirtualMachine withState(State newState) {
+        return new VirtualMachine(
+                name, role, dataCentre, newState, address, model, version, service, checksFencing, slots, incarnation);
+    }
+
     /** Returns a copy with other slots and another incarnation. */
     public VirtualMachine withCapacity(int newSlots, long newIncarnation) {
         return new VirtualMachine(
--- a/router/src/main/java/org/baobabcart/router/gateway/FleetParts.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/FleetParts.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
+import org.baobabcart.policy.outage.StoreContact;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.ControlLoop;
 import org.baobabcart.router.control.Controller;
@@ -53,7 +54,8 @@
                 timers,
                 RandomGenerator.getDefault(),
                 dependencies.timeline(),
-                dependencies.metrics());
+                dependencies.metrics(),
+                StoreContact.create(settings.shortestLapsingOutage(), timers.nanoTime()));
         this.registrations = registrations();
         FleetNews news = registrations.<FleetNews>map(controller -> controller).orElse(() -> FleetNews.NEVER);
         this.coldUpstreams = settings.warmUp()
--- a/router/src/main/java/org/baobabcart/router/gateway/FleetSettings.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/FleetSettings.java
@@ -12,6 +12,7 @@
  * @param firstPeerPort the first of the ports that are free for calls between routers; zero for none
  * @param lastPeerPort the last of these ports
  * @param changeBound the time within which changes of the configuration and of upstreams have to take effect
+ * @param registrationInterval the time between two registrations of an upstream, which lapse after three of these times
  */
 public record FleetSettings(
         boolean evacuations,
@@ -19,8 +20,10 @@
         String peerHost,
         int firstPeerPort,
         int lastPeerPort,
-        Duration changeBound) {
+        Duration changeBound,
+        Duration registrationInterval) {
     private static final Duration DEFAULT_CHANGE_BOUND = Duration.ofSeconds(2);
+    private static final Duration DEFAULT_REGISTRATION_INTERVAL = Duration.ofSeconds(1);
 
     /** Creates settings with the default bound on changes. */
     public FleetSettings(
@@ -29,7 +32,14 @@
             String peerHost,
             int firstPeerPort,
             int lastPeerPort) {
-        this(evacuations, warmUp, peerHost, firstPeerPort, lastPeerPort, DEFAULT_CHANGE_BOUND);
+        this(
+                evacuations,
+                warmUp,
+                peerHost,
+                firstPeerPort,
+                lastPeerPort,
+                DEFAULT_CHANGE_BOUND,
+                DEFAULT_REGISTRATION_INTERVAL);
     }
 
     /** Returns settings of a router that stands alone. */
@@ -39,7 +49,18 @@
 
     /** Returns these settings with another bound on changes. */
     public FleetSettings withChangeBound(Duration newBound) {
-        return new FleetSettings(evacuations, warmUp, peerHost, firstPeerPort, lastPeerPort, newBound);
+        return new FleetSettings(
+                evacuations, warmUp, peerHost, firstPeerPort, lastPeerPort, newBound, registrationInterval);
+    }
+
+    /** Returns these settings with another time between two registrations. */
+    public FleetSettings withRegistrationInterval(Duration newInterval) {
+        return new FleetSettings(evacuations, warmUp, peerHost, firstPeerPort, lastPeerPort, changeBound, newInterval);
+    }
+
+    /** Returns the shortest outage of the platform that lets a registration lapse, which was written up to one interval before. */
+    public Duration shortestLapsingOutage() {
+        return registrationInterval.multipliedBy(2);
     }
 
     /** Returns whether routers may call each other. */
--- a/router/src/main/java/org/baobabcart/router/gateway/UpstreamController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/UpstreamController.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.policy.outage.UnconfirmedUpstreams;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.platform.InformerSettings;
@@ -76,8 +77,8 @@
     }
 
     private void onChanged(Map<String, ListedUpstream> upstreams) {
-        List<VirtualMachine> machines =
-                upstreams.values().stream().map(ListedUpstream::machine).toList();
+        List<VirtualMachine> machines = UnconfirmedUpstreams.withoutNewWork(
+                upstreams.values().stream().map(ListedUpstream::machine).toList(), informer.unconfirmed());
         Set<String> removedNames = new HashSet<>(knownMachines.keySet());
         removedNames.removeAll(upstreams.keySet());
         removedNames.forEach(this::removeKnown);
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
@@ -16,6 +16,7 @@
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
+import org.baobabcart.policy.outage.StoreContact;
 import org.baobabcart.router.control.TimerService;
 import org.baobabcart.router.metrics.LabelledMetrics;
 import org.baobabcart.router.timeline.EventField;
@@ -36,17 +37,17 @@
  * failed call: everything is read and passed on again after a delay. A round that makes no progress, whatever the reason, is abandoned and
  * replaced by a new one.
  *
- * <p>While the platform is unreachable, the last known objects are kept. Objects that expired meanwhile are kept for a
- * grace period after the platform is reachable again, since their owners write them again. A single broken connection
- * is no such outage: what the next answer lacks is gone.
+ * <p>While the platform is unreachable, the last known objects are kept. Objects that expired meanwhile are kept as {@link #unconfirmed} for a
+ * grace period after the platform is reachable again, since their owners write them again. Failed calls alone are no such outage: what the next
+ * answer lacks is gone.
  *
  * @param <T> the immutable type of the values that the listener receives
  */
 public final class ObjectInformer<T> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final double NANOS_PER_SECOND = 1e9;
-    /** The failures that an outage stands for that another router saw: more than those of a single broken connection. */
-    private static final int REPORTED_OUTAGE_FAILURES = 2;
+    /** Two intervals of a second: a registration that lapses after three intervals of silence was written one interval before the outage. */
+    private static final Duration DEFAULT_SHORTEST_OUTAGE = Duration.ofSeconds(2);
 
     private final String kind;
     private final Dependencies dependencies;
@@ -59,6 +60,7 @@
     private long round;
     private long reconnectedNanos;
     private int failures;
+    private boolean outageReported;
     private volatile boolean synced;
     private volatile long lastResponseNanos;
     private long lastProgressNanos;
@@ -74,6 +76,7 @@
      * @param random the source of jitter for the retries of several routers
      * @param timeline the time line that records events
      * @param metrics the registry of the metric for the age of the objects
+     * @param contact when the platform was out of reach, as all informers of the router find together
      */
     public record Dependencies(
             ObjectStore store,
@@ -81,7 +84,26 @@
             TimerService timers,
             RandomGenerator random,
             Timeline timeline,
-            MetricRegistry metrics) {}
+            MetricRegistry metrics,
+            StoreContact contact) {
+        /** Creates dependencies of informers that share the default view of outages. */
+        public Dependencies(
+                ObjectStore store,
+                Executor loop,
+                TimerService timers,
+                RandomGenerator random,
+                Timeline timeline,
+                MetricRegistry metrics) {
+            this(
+                    store,
+                    loop,
+                    timers,
+                    random,
+                    timeline,
+                    metrics,
+                    StoreContact.create(DEFAULT_SHORTEST_OUTAGE, timers.nanoTime()));
+        }
+    }
 
     private ObjectInformer(
             String kind,
@@ -151,6 +173,11 @@
         return synced;
     }
 
+    /** Returns the names of the objects that the platform no longer lists and that are kept for the grace period. */
+    public Set<String> unconfirmed() {
+        return Set.copyOf(pendingRemovals.keySet());
+    }
+
     private void readSnapshot() {
         long current = ++round;
         lastProgressNanos = dependencies.timers().nanoTime();
@@ -165,6 +192,7 @@
     }
 
     private void applySnapshot(ObjectSnapshot snapshot) {
+        long lastBefore = lastResponseNanos;
         onResponse();
         Set<String> missing = objects.names();
         int known = missing.size();
@@ -172,10 +200,10 @@
             missing.remove(object.name());
             objects.put(object);
         });
-        if (mayHaveExpired(missing.size(), known)) {
-            reconnectedNanos = lastResponseNanos;
-        }
         pendingRemovals.keySet().retainAll(missing);
+        if (failures > 0) {
+            startGrace(lastBefore, missing.size() - pendingRemovals.size(), known);
+        }
         missing.forEach(this::remove);
         version = snapshot.resourceVersion();
         publish();
@@ -218,27 +246,31 @@
     }
 
     /**
-     * Returns whether objects that are missing after failures may only have expired while the platform was out of reach.
-     *
-     * <p>A single failure with an answer right after it is that of one connection, and the platform itself tells that
-     * the objects are gone, unless most of them are.
+     * Starts the grace period after failures if objects may only have expired while the platform was out of reach: it was,
+     * another router says so, or most objects are missing. The number of own failures says nothing about the platform.
      */
-    private boolean mayHaveExpired(int missing, int known) {
-        return failures > 1 || failures == 1 && 2 * missing > known;
+    private void startGrace(long lastResponseBefore, int newlyMissing, int known) {
+        boolean outage = dependencies.contact().hasOutageEndedSince(lastResponseBefore);
+        if (outage || outageReported) {
+            reconnectedNanos = outage ? dependencies.contact().outageEndNanos() : lastResponseNanos;
+            pendingRemovals.clear();
+        } else if (2 * newlyMissing > known) {
+            reconnectedNanos = lastResponseNanos;
+        }
     }
 
-    /** Removes an object, after the grace period if its owner may still write it again. */
+    /** Removes an object, after the grace period if its owner may still write it again. Only an outage extends that period. */
     private void remove(String name) {
+        if (pendingRemovals.containsKey(name)) {
+            return;
+        }
         long graceEnd = reconnectedNanos + settings.removalGrace().toNanos();
         long remaining = graceEnd - dependencies.timers().nanoTime();
         if (remaining <= 0) {
             objects.remove(name);
-            pendingRemovals.remove(name);
-            return;
-        }
-        if (Long.valueOf(graceEnd).equals(pendingRemovals.put(name, graceEnd))) {
             return;
         }
+        pendingRemovals.put(name, graceEnd);
         dependencies
                 .timers()
                 .after("lapse-" + kind, Duration.ofNanos(remaining), () -> removeAfterGrace(name, graceEnd));
@@ -271,6 +303,7 @@
 
     private void onResponse() {
         lastResponseNanos = dependencies.timers().nanoTime();
+        dependencies.contact().answered(lastResponseNanos);
         lastProgressNanos = lastResponseNanos;
     }
 
@@ -279,6 +312,7 @@
             record(EventType.DEPENDENCY_FOUND, "after " + failures + " failures");
         }
         failures = 0;
+        outageReported = false;
     }
 
     private void onFailure(Throwable failure) {
@@ -290,7 +324,8 @@
             return;
         }
         boolean isFirst = failures == 0;
-        failures += failure.getCause() instanceof ReportedOutageException ? REPORTED_OUTAGE_FAILURES : 1;
+        failures++;
+        outageReported |= failure.getCause() instanceof ReportedOutageException;
         if (isFirst) {
             record(EventType.DEPENDENCY_LOST, String.valueOf(failure.getMessage()));
         }
--- a/router/src/test/java/org/baobabcart/router/platform/ObjectInformerTest.java
+++ b/router/src/test/java/org/baobabcart/router/platform/ObjectInformerTest.java
@@ -17,6 +17,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.baobabcart.model.platform.StoredObject;
+import org.baobabcart.policy.outage.StoreContact;
 import org.baobabcart.router.testing.InMemoryObjectStore;
 import org.baobabcart.router.testing.ManualTimerService;
 import org.baobabcart.router.timeline.EventType;
@@ -35,6 +36,7 @@
 
     private final InMemoryObjectStore store = InMemoryObjectStore.create();
     private final ManualTimerService timers = ManualTimerService.create();
+    private final StoreContact contact = StoreContact.create(GRACE, timers.nanoTime());
     private Map<String, StoredObject> received = Map.of();
     private boolean syncedBeforeReceived;
     private final List<EventType> events = new ArrayList<>();
@@ -47,7 +49,8 @@
                     timers,
                     new Random(SEED),
                     (type, request, fields) -> events.add(type),
-                    new MetricRegistry()),
+                    new MetricRegistry(),
+                    contact),
             InformerSettings.defaults().withRemovalGrace(GRACE),
             this::decode,
             this::onObjects);
@@ -134,6 +137,67 @@
         assertThat(names(), containsInAnyOrder("b", "c"));
     }
 
+    /** Several failures in a row say nothing about the platform if no registration can have lapsed meanwhile. */
+    @Test
+    void removedObjectIsNotKeptAfterFailuresThatAreTooShortForALapse() {
+        List.of("a", "b", "c").forEach(this::create);
+        informer.start();
+        store.setOutage(true);
+        timers.advance(Duration.ofMillis(1_200));
+        store.removeSilently(KIND, "a");
+        store.setOutage(false);
+        timers.advance(MAX_BACKOFF);
+        store.expireWatches();
+        assertThat(names(), containsInAnyOrder("b", "c"));
+    }
+
+    /** Calls of one kind fail while others are answered, as after connections that go silent again and again. */
+    @Test
+    void removedObjectIsNotKeptIfThePlatformHasAnsweredOthers() {
+        List.of("a", "b", "c").forEach(this::create);
+        informer.start();
+        store.setOutage(true);
+        store.removeSilently(KIND, "a");
+        for (int answer = 0; answer < 10; answer++) {
+            timers.advance(Duration.ofMillis(500));
+            contact.answered(timers.nanoTime());
+        }
+        store.setOutage(false);
+        timers.advance(MAX_BACKOFF);
+        store.expireWatches();
+        assertThat(names(), containsInAnyOrder("b", "c"));
+    }
+
+    @Test
+    void graceIsNotExtendedByWatchesThatBreakWhileMostObjectsAreMissing() {
+        List.of("a", "b", "c").forEach(this::create);
+        informer.start();
+        store.breakWatches();
+        store.removeSilently(KIND, "a");
+        store.removeSilently(KIND, "b");
+        for (int round = 0; round < 6; round++) {
+            timers.advance(Duration.ofMillis(500));
+            store.breakWatches();
+        }
+        assertThat(names(), containsInAnyOrder("c"));
+    }
+
+    @Test
+    void objectsThatAreKeptAreUnconfirmed() {
+        List.of("a", "b").forEach(this::create);
+        informer.start();
+        store.setOutage(true);
+        timers.advance(Duration.ofSeconds(5));
+        store.removeSilently(KIND, "a");
+        store.setOutage(false);
+        timers.advance(MAX_BACKOFF);
+        store.expireWatches();
+        assertThat(names(), containsInAnyOrder("a", "b"));
+        assertThat(informer.unconfirmed(), containsInAnyOrder("a"));
+        create("a");
+        assertThat(informer.unconfirmed(), empty());
+    }
+
     @Test
     void graceIsNotExtendedByWatchesThatBreakAfterAnOutage() {
         List.of("a", "b", "c").forEach(this::create);
