AttemptLoop releases the slot of an attempt whose sending throws

Change: sendOrRelease hands the fault to handleFailure, which releases both; the handler's bookkeeping is guarded like the rest. No test of its own: no way was found to make these steps throw from outside. UpstreamFailureTest (16), CallerBehaviourTest (10), FullServiceTest (3), GatewayProcessTest (51) green.

--- a/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
+++ b/router/src/main/java/org/baobabcart/router/attempt/AttemptLoop.java
@@ -110,7 +110,7 @@
             if (!acquired.isComplete()) {
                 exchange.record(EventType.REQUEST_QUEUED, queuedFields(slotRequest));
             }
-            acquired.onSuccess(slot -> orFail(() -> send(slot, permit))).onFailure(failure -> {
+            acquired.onSuccess(slot -> sendOrRelease(slot, permit)).onFailure(failure -> {
                 permit.attemptEnded();
                 fail(failure);
             });
@@ -131,6 +131,14 @@
         return TimeUnit.NANOSECONDS.toMillis(nanos - System.nanoTime());
     }
 
+    private void sendOrRelease(Slot slot, CrashGuard.Permit permit) {
+        try {
+            send(slot, permit);
+        } catch (RuntimeException fault) {
+            handleFailure(slot, permit, fault, 0);
+        }
+    }
+
     private void send(Slot slot, CrashGuard.Permit permit) {
         attempts = attempts.withTry();
         answerBegun = false;
@@ -156,7 +164,7 @@
                 .compose(begun -> {
                     long nanos = System.nanoTime() - startNanos;
                     response = Optional.of(begun);
-                    record(() -> slot.responseStarted(
+                    runGuarded(() -> slot.responseStarted(
                             nanos,
                             begun.status(),
                             Optional.ofNullable(begun.headers().get(Headers.LOAD))));
@@ -164,14 +172,14 @@
                         answerBegun = true;
                         permit.responseStarted();
                     });
-                    record(() -> handler.responseStarted(upstream, nanos));
+                    runGuarded(() -> handler.responseStarted(upstream, nanos));
                     return handler.consume(upstream, begun);
                 })
                 .onSuccess(consumed -> {
-                    record(() -> slot.responseCompleted(System.nanoTime() - startNanos));
-                    record(() -> slot.release(Optional.empty()));
-                    record(permit::attemptEnded);
-                    record(() -> handler.succeeded(upstream));
+                    runGuarded(() -> slot.responseCompleted(System.nanoTime() - startNanos));
+                    runGuarded(() -> slot.release(Optional.empty()));
+                    runGuarded(permit::attemptEnded);
+                    runGuarded(() -> handler.succeeded(upstream));
                     result.complete(consumed);
                 })
                 .onFailure(
@@ -179,7 +187,7 @@
     }
 
     /** Updates statistics or shared state, whose failure must not cost the caller the response. */
-    private void record(Runnable update) {
+    private void runGuarded(Runnable update) {
         Callbacks.run(exchange.requestId(), update);
     }
 
@@ -277,7 +285,7 @@
                         .with(EventField.ANSWER_BEGUN, answerBegun)
                         .with(EventField.PARTS, String.join(",", handler.promptParts())));
         attempts = attempts.withFailedUpstream(slot.upstream().name());
-        handler.failed(slot.upstream(), failure.kind(), nanos);
+        runGuarded(() -> handler.failed(slot.upstream(), failure.kind(), nanos));
         Future<Void> sharedStateUpdated = updateSharedState(slot.upstream(), failure.kind(), permit);
         slot.release(Optional.of(failure.kind()));
         sharedStateUpdated.onComplete(ignored -> orFail(() -> {
