Hosts of a configuration are compared without case

RFC 9110 compares hosts without case.

Change: RouteTable and the check's RouteKey compare hosts in lower case. The finding for hosts in upper case is gone, since such a route serves now; two hosts that differ by case only are found as the same host and prefix instead (ConfigurationRulesTest), and NeverMatchingPropertyTest holds the check to the table with hosts of both cases, as before. RouteTableTest .hostsAreComparedWithoutCase is new.

--- a/model/src/main/java/org/baobabcart/model/gateway/RouteTable.java
+++ b/model/src/main/java/org/baobabcart/model/gateway/RouteTable.java
@@ -1,6 +1,7 @@
 package org.baobabcart.model.gateway;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -37,7 +38,8 @@
         this.warmUps = Map.copyOf(warmUps);
         this.byHostAndPrefix = routes.stream()
                 .collect(Collectors.groupingBy(
-                        Route::host, Collectors.toMap(Route::pathPrefix, route -> route, (first, second) -> first)));
+                        route -> route.host().toLowerCase(Locale.ROOT),
+                        Collectors.toMap(Route::pathPrefix, route -> route, (first, second) -> first)));
     }
 
     /**
@@ -102,11 +104,11 @@
     }
 
     /**
-     * Returns the route of the host with the longest matching path prefix. Prefixes end with a slash, so that the look-up time depends on
+     * Returns the route of the host, in any case (RFC 9110), with the longest matching path prefix. Prefixes end with a slash, so that the look-up time depends on
      * the depth of the path and not on the number of routes.
      */
     public Optional<Route> route(String host, String path) {
-        Map<String, Route> byPrefix = byHostAndPrefix.getOrDefault(host, Map.of());
+        Map<String, Route> byPrefix = byHostAndPrefix.getOrDefault(host.toLowerCase(Locale.ROOT), Map.of());
         for (int end = path.lastIndexOf(SEPARATOR); end >= 0; end = path.lastIndexOf(SEPARATOR, end - 1)) {
             Route route = byPrefix.get(path.substring(0, end + 1));
             if (route != null) {
--- a/model/src/test/java/org/baobabcart/model/gateway/RouteTableTest.java
+++ b/model/src/test/java/org/baobabcart/model/gateway/RouteTableTest.java
@@ -28,6 +28,14 @@
         assertThat(table.route("a.example", "/xy/z").isPresent(), is(false));
     }
 
+    @Test
+    void hostsAreComparedWithoutCase() {
+        RouteTable table = table(route("mixed", "Desk.Example", "/x/"));
+        for (String host : List.of("desk.example", "Desk.Example", "DESK.EXAMPLE")) {
+            assertThat(table.route(host, "/x/a").isPresent(), is(true));
+        }
+    }
+
     /** A sum of weights beyond the greatest int once turned all requests to the last service. */
     @Test
     void selectsServicesByWeightsOfAnySize() {
--- a/policy/src/main/java/org/baobabcart/policy/configuration/ConfigurationRules.java
+++ b/policy/src/main/java/org/baobabcart/policy/configuration/ConfigurationRules.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -140,12 +139,6 @@
                     EntryPlace.of(EntryField.ROUTE_PREFIX, index),
                     "a prefix should begin with a slash, as paths do");
         }
-        if (!route.host().equals(route.host().toLowerCase(Locale.ROOT))) {
-            add(
-                    FindingKind.NEVER_MATCHES,
-                    EntryPlace.of(EntryField.ROUTE_HOST, index),
-                    "hosts of requests are compared in lower case");
-        }
     }
 
     private void checkWeights(int index, Route route) {
--- a/policy/src/main/java/org/baobabcart/policy/configuration/EntryField.java
+++ b/policy/src/main/java/org/baobabcart/policy/configuration/EntryField.java
@@ -4,8 +4,6 @@
 public enum EntryField {
     /** The version of the configuration. */
     VERSION,
-    /** The host of a route. */
-    ROUTE_HOST,
     /** The path prefix of a route. */
     ROUTE_PREFIX,
     /** All services of a route. */
--- a/policy/src/main/java/org/baobabcart/policy/configuration/RouteKey.java
+++ b/policy/src/main/java/org/baobabcart/policy/configuration/RouteKey.java
@@ -1,11 +1,12 @@
 package org.baobabcart.policy.configuration;
 
+import java.util.Locale;
 import org.baobabcart.model.gateway.Route;
 
-/** The host and path prefix that select a route. Immutable. */
+/** The host, in lower case, and path prefix that select a route. Immutable. */
 record RouteKey(String host, String prefix) {
     static RouteKey of(Route route) {
-        return new RouteKey(route.host(), route.pathPrefix());
+        return new RouteKey(route.host().toLowerCase(Locale.ROOT), route.pathPrefix());
     }
 
     @Override
