A request whose caller has gone lets its connection begin its idle time

An HTTP/2 connection whose caller has reset its last stream would have stayed open without an idle time; on HTTP/1 the connection is closed anyway.

Change: CallerExchange runs the action in this case too. DisconnectedCallerTest red before, green after; ConnectionGuardTest 7, FailedCallbackTest 4 and StallTimerOutlivesItsRequestTest 3 green.

--- a/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
@@ -73,7 +73,7 @@
      *
      * @param closeRequested returns whether to close the connection after the response
      * @param endAction runs once when the response has ended or the caller has disconnected
-     * @param writtenAction runs once when the whole response has been written and the connection may be used again
+     * @param writtenAction runs once when nothing more is written and the connection may be used again
      */
     public static CallerExchange create(
             ExchangeDependencies dependencies,
@@ -367,6 +367,8 @@
         Callbacks.run(requestId, () -> record(type, fields));
         endActions.forEach(endAction -> Callbacks.run(requestId, endAction));
         if (callerGone) {
+            // An HTTP/2 connection outlives the stream that its caller has reset.
+            Callbacks.run(requestId, writtenAction);
             return;
         }
         long timer = EventLoopTimers.start(
