Refusals tell the version of the configuration in force; timeline of CONFIG

REQUEST_REFUSED and REQUEST_FAILED carry the generation, SHEET_APPLIED the revision at which the table was read, and gateway.generation is a metric. No logic changes.

--- a/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/CallerExchange.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -48,6 +49,7 @@
     private long deadlineTimer = -1;
     private long stallTimer = -1;
     private EventFields answerFields = EventFields.none();
+    private OptionalLong generation = OptionalLong.empty();
     private long answerBytes;
     private Optional<EventType> outcome = Optional.empty();
     private boolean ended;
@@ -190,6 +192,11 @@
         dependencies.timeline().record(type, requestId, fields);
     }
 
+    /** Sets the generation of the configuration by which the request is admitted or refused. */
+    public void setGeneration(long newGeneration) {
+        generation = OptionalLong.of(newGeneration);
+    }
+
     /** Sets the fields that describe the upstream's response once it is known to be complete. */
     public void describeAnswer(EventFields fields) {
         answerFields = fields;
@@ -314,6 +321,9 @@
                 .with(EventField.RAN, error.ran().text())
                 .with(EventField.TOOK_MS, tookMillis())
                 .with(EventField.CAUSE, String.valueOf(failure.getMessage()));
+        if (generation.isPresent()) {
+            fields = fields.with(EventField.GENERATION, generation.getAsLong());
+        }
         return error.retryAfterMillis().isPresent()
                 ? fields.with(
                         EventField.RETRY_AFTER_MS, error.retryAfterMillis().getAsLong())
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -168,6 +168,7 @@
         BodyBudget bodyBudget = BodyBudget.create(vertx, settings.clients().bodyBytes());
         metrics.gauge("gateway.running", () -> drain::running);
         metrics.gauge("process.heap-bytes", () -> GatewayProcess::usedHeapBytes);
+        metrics.gauge("gateway.generation", () -> () -> views.current().generation());
         metrics.gauge("gateway.waiting", () -> dispatcher::waiting);
         metrics.gauge("gateway.rate-limited-upstreams", () -> client.notices().rateLimits()::count);
         ColdUpstreams coldUpstreams = client.notices().coldUpstreams();
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -167,6 +167,7 @@
     /** Matches the request against the route table and records the request, also if it is rejected. */
     private RouteMatch matchRoute(CallerExchange exchange, RequestHead head) {
         TrafficView view = runtime.attempts().views().current();
+        exchange.setGeneration(view.generation());
         EventFields received = EventFields.of(EventField.METHOD, head.method().name())
                 .with(EventField.PATH, head.path())
                 .with(EventField.GENERATION, view.generation());
--- a/router/src/main/java/org/baobabcart/router/gateway/RouteController.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/RouteController.java
@@ -23,7 +23,7 @@
     private final GatewayObjectCodec objectCodec;
     private final Blackboard blackboard;
     private final Timeline timeline;
-    private final ObjectInformer<RouteTable> informer;
+    private final ObjectInformer<StoredTable> informer;
 
     private RouteController(
             GatewayObjectCodec objectCodec,
@@ -49,21 +49,24 @@
         return new RouteController(objectCodec, dependencies, blackboard, timeline);
     }
 
+    /** A route table and the version of the object that holds it. */
+    private record StoredTable(RouteTable table, String resourceVersion) {}
+
     @Override
-    ObjectInformer<RouteTable> informer() {
+    ObjectInformer<StoredTable> informer() {
         return informer;
     }
 
-    private Optional<RouteTable> decode(StoredObject object) {
+    private Optional<StoredTable> decode(StoredObject object) {
         try {
-            return objectCodec.routeTable(object);
+            return objectCodec.routeTable(object).map(table -> new StoredTable(table, object.resourceVersion()));
         } catch (BaobabcartException fault) {
             recordRejected(EventFields.of(EventField.NAME, object.name()).with(EventField.CAUSE, fault.getMessage()));
             throw fault;
         }
     }
 
-    private void onChanged(Map<String, RouteTable> tables) {
+    private void onChanged(Map<String, StoredTable> tables) {
         tables.values().forEach(this::apply);
     }
 
@@ -71,7 +74,8 @@
         timeline.record(EventType.SHEET_PUT_ASIDE, fields);
     }
 
-    private void apply(RouteTable table) {
+    private void apply(StoredTable stored) {
+        RouteTable table = stored.table();
         long activeVersion =
                 blackboard.read(Sections.ROUTES).map(RouteTable::version).orElse(Long.MIN_VALUE);
         if (table.version() < activeVersion) {
@@ -85,6 +89,7 @@
         timeline.record(
                 EventType.SHEET_APPLIED,
                 EventFields.of(EventField.GENERATION, table.version())
-                        .with(EventField.ROUTES, table.routes().size()));
+                        .with(EventField.ROUTES, table.routes().size())
+                        .with(EventField.RESOURCE_VERSION, stored.resourceVersion()));
     }
 }
--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -16,6 +16,7 @@
             EventField.GENERATION,
             EventField.NAME,
             EventField.ROUTES,
+            EventField.RESOURCE_VERSION,
             EventField.SOURCE),
     SHEET_PUT_ASIDE(
             "a table of routes was not taken; the one in force stays",
@@ -90,7 +91,8 @@
             EventField.RAN,
             EventField.RETRY_AFTER_MS,
             EventField.TOOK_MS,
-            EventField.CAUSE),
+            EventField.CAUSE,
+            EventField.GENERATION),
     REQUEST_QUEUED(
             "the request waits for an upstream",
             EventField.SERVICE,
@@ -165,7 +167,8 @@
             EventField.RAN,
             EventField.RETRY_AFTER_MS,
             EventField.TOOK_MS,
-            EventField.CAUSE),
+            EventField.CAUSE,
+            EventField.GENERATION),
     REQUEST_CANCELLED(
             "the caller left before its answer was whole", EventField.CODE, EventField.TOOK_MS, EventField.CAUSE),
     CLAIM_GRANTED("an idempotency key was claimed", EventField.ATTEMPT_ID),
