A store that comes back from an older copy hides no configuration

Cause: a revision was trusted as the identity of a content, for good. A store that comes back from an older copy gives revisions out again: a watch whose revision has been passed, a poll that waits across the return and a list with another content under the known revision each hide a change until the next one. An ABA of the whole store.

Ruled out: nothing; stops beside changes, versions put aside and silent connections were not brought about.

Change: a resource version holds the era of the store, so that versions of two eras are never equal and have no order. An answer of another era ends every watch, list and conditional write that an earlier one began; late answers change nothing; relays tell the era and a log belongs to one. An object is decoded whenever it is read, so that content decides also where the store tells no era.

--- a/model/src/main/java/org/baobabcart/model/gateway/RouteTable.java
+++ b/model/src/main/java/org/baobabcart/model/gateway/RouteTable.java
@@ -117,4 +117,22 @@
         }
         return Optional.empty();
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other
+                || other instanceof RouteTable table
+                        && version == table.version
+                        && keysRequired == table.keysRequired
+                        && routes.equals(table.routes)
+                        && healthPaths.equals(table.healthPaths)
+                        && keys.equals(table.keys)
+                        && limits.equals(table.limits)
+                        && warmUps.equals(table.warmUps);
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(version);
+    }
 }
--- a/model/src/main/java/org/baobabcart/model/platform/StoredObject.java
+++ b/model/src/main/java/org/baobabcart/model/platform/StoredObject.java
@@ -64,6 +64,11 @@
         return this;
     }
 
+    /** Returns a copy with another resource version. */
+    public StoredObject withResourceVersion(String newVersion) {
+        return new StoredObject(kind, name, newVersion, spec, status, created, fault);
+    }
+
     /** Returns a copy with another specification and the same resource version, for a conditional update. */
     public StoredObject withSpec(JsonNode newSpec) {
         return new StoredObject(kind, name, resourceVersion, newSpec, status, created, fault);
--- a/router/src/main/java/org/baobabcart/router/platform/CallEffect.java
+++ b/router/src/main/java/org/baobabcart/router/platform/CallEffect.java
@@ -32,6 +32,11 @@
         return BaobabcartException.of(code, String.valueOf(cause.getMessage())).withCause(cause);
     }
 
+    /** Returns the exception of a call whose response no longer holds. */
+    public BaobabcartException fromLateAnswer(String message) {
+        return BaobabcartException.of(ambiguousCode, message);
+    }
+
     /** Returns the exception of a call that got an error status. */
     public BaobabcartException fromStatus(int status, String message, String retryAfterSeconds) {
         ResultCode code = code(status);
--- a/router/src/main/java/org/baobabcart/router/platform/DecodedObjects.java
+++ b/router/src/main/java/org/baobabcart/router/platform/DecodedObjects.java
@@ -12,8 +12,10 @@
 import org.baobabcart.router.timeline.Timeline;
 
 /**
- * The values of the objects of a kind. Each object is decoded on its own: one that cannot be decoded is recorded once for each version, and the value
- * of its last valid version stays in force. Confined to the control thread.
+ * The values of the objects of a kind. Each object is decoded on its own: one that cannot be decoded is recorded once for each version and reason, and the
+ * value of its last valid version stays in force. Confined to the control thread.
+ *
+ * <p>An object is decoded whenever it is read: a store that has come back from an older copy may hold another content under a version that is known.
  *
  * @param <T> the type of the values
  */
@@ -29,9 +31,9 @@
      *
      * @param version the last version seen
      * @param value the value of the last valid version; empty if there is none or it is of no interest
-     * @param isValid whether the last version could be decoded
+     * @param fault why the last version cannot be decoded; empty if it can
      */
-    private record Entry<T>(String version, Optional<T> value, boolean isValid) {}
+    private record Entry<T>(String version, Optional<T> value, Optional<String> fault) {}
 
     DecodedObjects(String kind, ObjectDecoder<T> decoder, Timeline timeline) {
         this.kind = kind;
@@ -57,11 +59,8 @@
     }
 
     void put(StoredObject object) {
-        Entry<T> before = entries.get(object.name());
-        if (before == null || !before.version().equals(object.resourceVersion())) {
-            entries.put(object.name(), decode(object, before));
-            count();
-        }
+        entries.put(object.name(), decode(object, Optional.ofNullable(entries.get(object.name()))));
+        count();
     }
 
     void remove(String name) {
@@ -70,22 +69,29 @@
     }
 
     private void count() {
-        ignored = (int)
-                entries.values().stream().filter(entry -> !entry.isValid()).count();
+        ignored = (int) entries.values().stream()
+                .filter(entry -> entry.fault().isPresent())
+                .count();
     }
 
-    private Entry<T> decode(StoredObject object, Entry<T> before) {
+    private Entry<T> decode(StoredObject object, Optional<Entry<T>> before) {
         String version = object.resourceVersion();
         try {
-            return new Entry<>(version, decoder.decode(object.requireReadable()), true);
-        } catch (RuntimeException fault) {
-            timeline.record(
-                    EventType.OBJECT_IGNORED,
-                    EventFields.of(EventField.NAME, kind)
-                            .with(EventField.OBJECT, object.name())
-                            .with(EventField.RESOURCE_VERSION, version)
-                            .with(EventField.CAUSE, String.valueOf(fault.getMessage())));
-            return new Entry<>(version, before == null ? Optional.empty() : before.value(), false);
+            return new Entry<>(version, decoder.decode(object.requireReadable()), Optional.empty());
+        } catch (RuntimeException exception) {
+            Optional<String> fault = Optional.of(String.valueOf(exception.getMessage()));
+            boolean isKnown = before.filter(entry ->
+                            entry.version().equals(version) && entry.fault().equals(fault))
+                    .isPresent();
+            if (!isKnown) {
+                timeline.record(
+                        EventType.OBJECT_IGNORED,
+                        EventFields.of(EventField.NAME, kind)
+                                .with(EventField.OBJECT, object.name())
+                                .with(EventField.RESOURCE_VERSION, version)
+                                .with(EventField.CAUSE, fault.get()));
+            }
+            return new Entry<>(version, before.flatMap(Entry::value), fault);
         }
     }
 }
--- a/router/src/main/java/org/baobabcart/router/platform/MonitoredObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/MonitoredObjectStore.java
@@ -6,6 +6,7 @@
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.ObjectSnapshot;
@@ -15,6 +16,7 @@
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.Sections;
 import org.baobabcart.router.metrics.LabelledMetrics;
+import org.baobabcart.router.timeline.EventField;
 import org.baobabcart.router.timeline.EventFields;
 import org.baobabcart.router.timeline.EventType;
 import org.baobabcart.router.timeline.Timeline;
@@ -32,6 +34,7 @@
     private final Meter respondedCalls;
     private final Meter unansweredCalls;
     private volatile boolean reachable;
+    private volatile OptionalLong lastEra = OptionalLong.empty();
 
     private MonitoredObjectStore(
             ObjectStore store, Blackboard blackboard, Executor loop, Timeline timeline, MetricRegistry registry) {
@@ -41,6 +44,7 @@
         this.timeline = timeline;
         this.metrics = LabelledMetrics.create(registry);
         this.respondedCalls = metrics.meter("platform.calls", LabelledMetrics.labels("result", "answered"));
+        registry.gauge("platform.store-era", () -> () -> store.era().orElse(0));
         this.unansweredCalls = metrics.meter("platform.calls", LabelledMetrics.labels("result", "unanswered"));
     }
 
@@ -50,6 +54,11 @@
         return new MonitoredObjectStore(store, blackboard, loop, timeline, metrics);
     }
 
+    @Override
+    public OptionalLong era() {
+        return store.era();
+    }
+
     @Override
     public Uni<StoredObject> read(String kind, String name) {
         return monitored(StoreVerb.READ, kind, store.read(kind, name));
@@ -132,12 +141,29 @@
     }
 
     private void onResult(boolean responded) {
+        OptionalLong era = store.era();
+        if (!era.equals(lastEra)) {
+            loop.execute(() -> setEra(era));
+        }
         (responded ? respondedCalls : unansweredCalls).mark();
         if (reachable != responded) {
             loop.execute(() -> setReachable(responded));
         }
     }
 
+    private void setEra(OptionalLong era) {
+        OptionalLong before = lastEra;
+        if (era.equals(before)) {
+            return;
+        }
+        lastEra = era;
+        if (before.isPresent()) {
+            timeline.record(
+                    EventType.STORE_ERA_CHANGED,
+                    EventFields.of(EventField.ERA, era.orElseThrow()).with(EventField.EARLIER_ERA, before.getAsLong()));
+        }
+    }
+
     private void setReachable(boolean responded) {
         if (reachable == responded) {
             return;
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectInformer.java
@@ -13,6 +13,7 @@
 import java.util.random.RandomGenerator;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.ObjectSnapshot;
+import org.baobabcart.model.platform.ResourceVersion;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
@@ -59,6 +60,7 @@
     private String version = "";
     private long round;
     private long reconnectedNanos;
+    private long expiredNanos;
     private int failures;
     private boolean outageReported;
     private volatile boolean synced;
@@ -117,6 +119,8 @@
         this.listener = listener;
         this.objects = new DecodedObjects<>(kind, decoder, dependencies.timeline());
         this.lastResponseNanos = dependencies.timers().nanoTime();
+        this.expiredNanos =
+                dependencies.timers().nanoTime() - settings.maxRetryDelay().toNanos();
         this.reconnectedNanos =
                 dependencies.timers().nanoTime() - settings.removalGrace().toNanos();
     }
@@ -201,7 +205,11 @@
             objects.put(object);
         });
         pendingRemovals.keySet().retainAll(missing);
-        if (failures > 0) {
+        boolean isOtherEra =
+                synced && !ResourceVersion.parse(version).isSameEra(ResourceVersion.parse(snapshot.resourceVersion()));
+        // What was written since the copy was taken is lost, and its owners write it again as after an outage.
+        outageReported |= isOtherEra;
+        if (failures > 0 || isOtherEra) {
             startGrace(lastBefore, missing.size() - pendingRemovals.size(), known);
         }
         missing.forEach(this::remove);
@@ -319,8 +327,8 @@
         endRound();
         lastProgressNanos = dependencies.timers().nanoTime();
         if (failure instanceof BaobabcartException exception && exception.code() == ResultCode.WATCH_EXPIRED) {
-            record(EventType.WATCH_EXPIRED, "no history after version " + version);
-            readSnapshot();
+            record(EventType.WATCH_EXPIRED, failure.getMessage() + " after version " + version);
+            readSnapshotAfterExpiry();
             return;
         }
         boolean isFirst = failures == 0;
@@ -333,6 +341,21 @@
         dependencies.timers().after("follow-" + kind, backoff(), () -> ifCurrentRound(current, this::readSnapshot));
     }
 
+    /** A list is read at once, unless the watch after the last one has expired as well. */
+    private void readSnapshotAfterExpiry() {
+        long now = dependencies.timers().nanoTime();
+        boolean isRepeated = now - expiredNanos < settings.maxRetryDelay().toNanos();
+        expiredNanos = now;
+        if (!isRepeated) {
+            readSnapshot();
+            return;
+        }
+        long current = round;
+        dependencies
+                .timers()
+                .after("follow-" + kind, settings.maxRetryDelay(), () -> ifCurrentRound(current, this::readSnapshot));
+    }
+
     private void endRound() {
         round++;
         currentWatch.ifPresent(Cancellable::cancel);
--- a/router/src/main/java/org/baobabcart/router/platform/ObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/platform/ObjectStore.java
@@ -59,6 +59,14 @@
         return watch(kind, fromResourceVersion);
     }
 
+    /**
+     * Returns the era of the store, which changes when it comes back from an older copy; empty if it tells none. Resource versions of one era cannot be
+     * compared with those of another, and watches and conditional writes from one fail in another. May be called on any thread.
+     */
+    default OptionalLong era() {
+        return OptionalLong.empty();
+    }
+
     /**
      * Returns how long ago the platform itself has confirmed what the last watch of a kind has told; empty if its news come from the platform at
      * once. May be called on any thread.
--- a/router/src/main/java/org/baobabcart/router/relay/FollowedChanges.java
+++ b/router/src/main/java/org/baobabcart/router/relay/FollowedChanges.java
@@ -6,25 +6,28 @@
 import java.util.Map;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.ObjectSnapshot;
+import org.baobabcart.model.platform.ResourceVersion;
 import org.baobabcart.model.platform.StoredObject;
 
 /**
  * The changes of a kind of objects that have been taken, from the store itself or from several logs, in the order of the store. Never goes back to
  * an earlier state of an object. Confined to the control thread.
+ *
+ * <p>Revisions are compared within one era of the store, to which all of them belong.
  */
 final class FollowedChanges {
     private final Map<String, Long> revisions = new HashMap<>();
-    private long position = -1;
+    private ResourceVersion position = ResourceVersion.of(ResourceVersion.UNKNOWN_REVISION);
 
-    /** Returns the revision up to which all changes have been taken; negative before the first list. */
-    long position() {
+    /** Returns the version up to which all changes have been taken; unknown before the first list. */
+    ResourceVersion position() {
         return position;
     }
 
     /** Starts from a list of all objects. */
     void start(ObjectSnapshot snapshot) {
         revisions.clear();
-        snapshot.objects().forEach(object -> revisions.put(object.name(), Revisions.number(object)));
+        snapshot.objects().forEach(object -> revisions.put(object.name(), revision(object)));
     }
 
     /** Returns the changes that lead from what is known to a list; a deletion bears the revision of the last known state. */
@@ -33,12 +36,14 @@
         Map<String, Long> missing = new HashMap<>(revisions);
         for (StoredObject object : snapshot.objects()) {
             Long known = missing.remove(object.name());
-            if (known == null || Revisions.number(object) != known) {
+            if (known == null || revision(object) != known) {
                 events.add(new ObjectEvent(ObjectEvent.Type.MODIFIED, object));
             }
         }
         missing.forEach((name, revision) -> events.add(new ObjectEvent(
-                ObjectEvent.Type.DELETED, StoredObject.unreadable(kind, name, Long.toString(revision), "gone"))));
+                ObjectEvent.Type.DELETED,
+                StoredObject.unreadable(
+                        kind, name, position.withRevision(revision).text(), "gone"))));
         return events;
     }
 
@@ -47,34 +52,38 @@
         return revisions.size();
     }
 
-    /** Continues at the revision from which a reader wants the changes. */
-    void continueAt(long revision) {
-        position = revision;
+    /** Continues at the version from which a reader wants the changes. */
+    void continueAt(ResourceVersion version) {
+        position = version;
+    }
+
+    private void advanceTo(long revision) {
+        position = position.withRevision(Math.max(position.revision(), revision));
     }
 
     /** Notes a change that the store itself has sent. */
     void observe(ObjectEvent event) {
         StoredObject object = event.object();
         switch (event.type()) {
-            case BOOKMARK -> position = Math.max(position, Revisions.number(object));
+            case BOOKMARK -> advanceTo(revision(object));
             case DELETED -> revisions.remove(object.name());
-            default -> revisions.merge(object.name(), Revisions.number(object), Math::max);
+            default -> revisions.merge(object.name(), revision(object), Math::max);
         }
     }
 
-    /** Takes the changes in a log beyond the position, which the log must cover; moves the position to the log's end. */
+    /** Takes the changes in a log beyond the position, which the log must cover, of the same era; moves the position to the log's end. */
     List<ObjectEvent> take(ChangeLog log) {
         List<ObjectEvent> taken = new ArrayList<>();
-        for (ChangeBatch batch : log.after(position)) {
+        for (ChangeBatch batch : log.after(position.revision())) {
             for (ObjectEvent event : batch.events()) {
                 if (isNew(event)) {
                     observe(event);
                     taken.add(event);
                 }
             }
-            position = batch.to();
+            advanceTo(batch.to());
         }
-        position = Math.max(position, log.end());
+        advanceTo(log.end());
         return taken;
     }
 
@@ -84,11 +93,17 @@
      */
     private boolean isNew(ObjectEvent event) {
         StoredObject object = event.object();
-        long revision = Revisions.number(object);
+        long revision = revision(object);
         if (revision < 0) {
             return true;
         }
         long known = revisions.getOrDefault(object.name(), -1L);
-        return event.type() == ObjectEvent.Type.DELETED ? known <= revision : revision > position && revision > known;
+        return event.type() == ObjectEvent.Type.DELETED
+                ? known <= revision
+                : revision > position.revision() && revision > known;
+    }
+
+    private static long revision(StoredObject object) {
+        return ResourceVersion.of(object).revision();
     }
 }
--- a/router/src/main/java/org/baobabcart/router/relay/KindWatch.java
+++ b/router/src/main/java/org/baobabcart/router/relay/KindWatch.java
@@ -14,6 +14,7 @@
 import java.util.function.LongSupplier;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.ObjectSnapshot;
+import org.baobabcart.model.platform.ResourceVersion;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
@@ -85,9 +86,10 @@
                 .filter(event -> event.type() == ObjectEvent.Type.DELETED)
                 .count();
         boolean mayHaveExpired = failures > 1 || failures == 1 && 2 * missing > changes.objects();
-        long revision = Revisions.number(snapshot.resourceVersion());
-        if (!mayHaveExpired && revision >= 0 && source.endsAt(kind, changes.position())) {
-            source.onAnswer(kind, revision, events, timing.longestPoll(kind));
+        ResourceVersion version = ResourceVersion.parse(snapshot.resourceVersion());
+        boolean isContinued = version.isKnown() && version.isSameEra(changes.position());
+        if (!mayHaveExpired && isContinued && source.endsAt(kind, changes.position())) {
+            source.onAnswer(kind, version, events, timing.longestPoll(kind));
             failures = 0;
         }
     }
@@ -106,14 +108,13 @@
         newReader.onTermination(() -> loop.execute(() -> endRound(current)));
         reader = Optional.of(newReader);
         bookmarkNanos = clock.getAsLong();
-        long revision = Revisions.number(version);
-        changes.continueAt(revision);
+        changes.continueAt(ResourceVersion.parse(version));
         if (mayBeRelayed()) {
             source.end(kind);
             failures = 0;
             review();
         } else {
-            watchStore(version, revision, current);
+            watchStore(version, current);
         }
     }
 
@@ -145,8 +146,8 @@
         reader.ifPresent(current -> current.emit(event));
     }
 
-    private void watchStore(String version, long revision, long current) {
-        source.begin(kind, revision, failures);
+    private void watchStore(String version, long current) {
+        source.begin(kind, changes.position(), failures);
         failures = 0;
         unfinished = new ArrayList<>();
         isPrompt = isPromptWanted();
@@ -180,7 +181,7 @@
         prove(clock.getAsLong());
         List<ObjectEvent> finished = unfinished;
         unfinished = new ArrayList<>();
-        source.onAnswer(kind, Revisions.number(event.object()), finished, timing.longestPoll(kind));
+        source.onAnswer(kind, ResourceVersion.of(event.object()), finished, timing.longestPoll(kind));
         boolean isOther = relays.followsDirectly() ? isPrompt != isPromptWanted() : mayBeRelayed();
         if (isOther) {
             complete();
@@ -207,6 +208,10 @@
             complete();
             return;
         }
+        if (isOtherEra()) {
+            fail(BaobabcartException.of(ResultCode.WATCH_EXPIRED, "the store is in another era"));
+            return;
+        }
         boolean hasChanges = takeAll();
         long now = clock.getAsLong();
         if (!isContinuable() || isStale(now)) {
@@ -217,6 +222,11 @@
         }
     }
 
+    private boolean isOtherEra() {
+        OptionalLong era = store.era();
+        return era.isPresent() && !era.equals(changes.position().era());
+    }
+
     private boolean takeAll() {
         boolean hasChanges = false;
         for (RelayedNews news : relays.news()) {
@@ -265,7 +275,7 @@
     private boolean hasFreshRelay() {
         long now = clock.getAsLong();
         long limit = timing.ageLimit(kind).toNanos();
-        return changes.position() >= 0
+        return changes.position().isKnown()
                 && relays.news().stream()
                         .filter(news -> news.log(kind, changes.position()).isPresent())
                         .anyMatch(news -> news.proofNanos(kind)
@@ -293,7 +303,7 @@
     private void emitBookmark(long now) {
         bookmarkNanos = now;
         StoredObject object =
-                new StoredObject(kind, "", Long.toString(changes.position()), JsonNodeFactory.instance.objectNode());
+                new StoredObject(kind, "", changes.position().text(), JsonNodeFactory.instance.objectNode());
         emit(new ObjectEvent(ObjectEvent.Type.BOOKMARK, object));
     }
 
--- a/router/src/main/java/org/baobabcart/router/relay/RelayLine.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayLine.java
@@ -5,7 +5,9 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.ResourceVersion;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
@@ -28,6 +30,7 @@
     static final String KIND = "kind";
     static final String REVISION = "resourceVersion";
     static final String FAILURES = "failures";
+    static final String ERA = "era";
     static final String MILLIS = "millis";
     static final String KINDS = "kinds";
 
@@ -38,25 +41,46 @@
     /** The age of a relay's news of a kind and the revision up to which it knows all changes. */
     record Age(long revision, long millis) {}
 
+    /** Returns events with their revisions; the line with which the log begins tells the era. */
     static Buffer events(List<ObjectEvent> events) {
         Buffer lines = Buffer.buffer();
-        events.forEach(event -> lines.appendBytes(ObjectJson.line(event)).appendByte(LINE_END));
+        events.forEach(
+                event -> lines.appendBytes(ObjectJson.line(withoutEra(event))).appendByte(LINE_END));
         return lines;
     }
 
+    private static ObjectEvent withoutEra(ObjectEvent event) {
+        ResourceVersion version = ResourceVersion.of(event.object());
+        return version.era().isEmpty()
+                ? event
+                : new ObjectEvent(event.type(), event.object().withResourceVersion(Long.toString(version.revision())));
+    }
+
+    /** Returns an event that was read from a line, with the era of its log. */
+    static ObjectEvent withEra(ObjectEvent event, OptionalLong era) {
+        ResourceVersion version = ResourceVersion.of(event.object());
+        return era.isEmpty()
+                ? event
+                : new ObjectEvent(
+                        event.type(),
+                        event.object().withResourceVersion(new ResourceVersion(era, version.revision()).text()));
+    }
+
     static Buffer bookmark(String kind, long revision) {
         StoredObject object =
                 new StoredObject(kind, "", Long.toString(revision), JsonNodeFactory.instance.objectNode());
         return events(List.of(new ObjectEvent(ObjectEvent.Type.BOOKMARK, object)));
     }
 
-    static Buffer restart(String kind, long revision, int failures) {
-        return line(JsonNodeFactory.instance
+    static Buffer restart(String kind, ResourceVersion begin, int failures) {
+        ObjectNode root = JsonNodeFactory.instance
                 .objectNode()
                 .put(TYPE, RESTART)
                 .put(KIND, kind)
-                .put(REVISION, revision)
-                .put(FAILURES, failures));
+                .put(REVISION, begin.revision())
+                .put(FAILURES, failures);
+        begin.era().ifPresent(era -> root.put(ERA, era));
+        return line(root);
     }
 
     static Buffer end(String kind) {
--- a/router/src/main/java/org/baobabcart/router/relay/RelaySource.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelaySource.java
@@ -6,9 +6,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.ResourceVersion;
 
 /**
  * What this router hears from the store itself, kept for those who subscribe to it. Confined to the control thread.
@@ -43,17 +45,27 @@
 
     /** A kind that this router follows directly. */
     private static final class Followed {
+        private final OptionalLong era;
         private ChangeLog log;
         private final int failures;
         private long answeredNanos;
         private boolean hasProof;
         private long proofNanos;
 
-        private Followed(ChangeLog log, long nowNanos, int failures) {
-            this.log = log;
+        private Followed(ResourceVersion begin, long nowNanos, int failures) {
+            this.era = begin.era();
+            this.log = ChangeLog.startingAt(begin.revision());
             this.answeredNanos = nowNanos;
             this.failures = failures;
         }
+
+        private ResourceVersion begin() {
+            return new ResourceVersion(era, log.begin());
+        }
+
+        private ResourceVersion end() {
+            return new ResourceVersion(era, log.end());
+        }
     }
 
     private RelaySource(LongSupplier clock) {
@@ -64,21 +76,19 @@
         return new RelaySource(clock);
     }
 
-    /** Begins to follow a kind at a revision; keeps the log if it ends there. */
-    void begin(String kind, long revision, int failures) {
-        Followed known = followed.get(kind);
-        if (known != null && known.log.end() == revision && failures == 0) {
+    /** Begins to follow a kind at a version; keeps the log if it ends there. */
+    void begin(String kind, ResourceVersion version, int failures) {
+        if (endsAt(kind, version) && failures == 0) {
             return;
         }
-        Followed begun = new Followed(ChangeLog.startingAt(revision), clock.getAsLong(), failures);
-        followed.put(kind, begun);
-        send(RelayLine.restart(kind, revision, failures));
+        followed.put(kind, new Followed(version, clock.getAsLong(), failures));
+        send(RelayLine.restart(kind, version, failures));
     }
 
-    /** Returns whether a kind is followed and its log ends at a revision. */
-    boolean endsAt(String kind, long revision) {
+    /** Returns whether a kind is followed and its log ends at a version. */
+    boolean endsAt(String kind, ResourceVersion version) {
         Followed known = followed.get(kind);
-        return known != null && known.log.end() == revision;
+        return known != null && known.end().equals(version);
     }
 
     /** Ends following a kind, of which this router no longer hears from the store. */
@@ -89,14 +99,14 @@
     }
 
     /**
-     * Takes the answer to a poll.
+     * Takes the answer to a poll, unless it is of another era than the log.
      *
-     * @param revision the revision up to which the changes are complete
+     * @param version the version up to which the changes are complete
      * @param longestPoll the longest time from one answer to the next
      */
-    void onAnswer(String kind, long revision, List<ObjectEvent> events, Duration longestPoll) {
+    void onAnswer(String kind, ResourceVersion version, List<ObjectEvent> events, Duration longestPoll) {
         Followed known = followed.get(kind);
-        if (known == null) {
+        if (known == null || !known.era.equals(version.era())) {
             return;
         }
         long now = clock.getAsLong();
@@ -105,13 +115,14 @@
         known.hasProof = true;
         Buffer lines = RelayLine.events(events);
         if (lines.length() > MAX_BATCH_BYTES) {
-            known.log = ChangeLog.startingAt(revision);
-            send(RelayLine.restart(kind, revision, 0));
+            known.log = ChangeLog.startingAt(version.revision());
+            send(RelayLine.restart(kind, version, 0));
             return;
         }
-        boolean hasNews = known.log.append(revision, events, lines.length()).isPresent();
+        boolean hasNews =
+                known.log.append(version.revision(), events, lines.length()).isPresent();
         if (hasNews && !events.isEmpty()) {
-            send(lines.appendBuffer(RelayLine.bookmark(kind, revision)));
+            send(lines.appendBuffer(RelayLine.bookmark(kind, version.revision())));
         }
     }
 
@@ -122,7 +133,7 @@
         }
         Buffer lines = Buffer.buffer();
         followed.forEach((kind, known) -> {
-            lines.appendBuffer(RelayLine.restart(kind, known.log.begin(), known.failures));
+            lines.appendBuffer(RelayLine.restart(kind, known.begin(), known.failures));
             known.log
                     .after(known.log.begin())
                     .forEach(batch -> lines.appendBuffer(RelayLine.events(batch.events()))
--- a/router/src/main/java/org/baobabcart/router/relay/RelayedNews.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayedNews.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.ResourceVersion;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
 import org.baobabcart.router.platform.JsonSlice;
@@ -44,6 +46,7 @@
 
     /** What a relay has told of one kind. */
     private static final class KindNews {
+        private final OptionalLong era;
         private ChangeLog log;
         private List<ObjectEvent> pending = new ArrayList<>();
         private int pendingBytes;
@@ -51,8 +54,13 @@
         private long proofNanos;
         private int failures;
 
-        private KindNews(long revision) {
-            log = ChangeLog.startingAt(revision);
+        private KindNews(ResourceVersion begin) {
+            era = begin.era();
+            log = ChangeLog.startingAt(begin.revision());
+        }
+
+        private boolean isSameEra(ResourceVersion position) {
+            return era.equals(position.era());
         }
     }
 
@@ -80,8 +88,10 @@
 
     private void onRestart(Map<String, JsonSlice> members) {
         String kind = RelayLine.required(members, RelayLine.KIND).parse().asText();
-        KindNews news = new KindNews(
-                RelayLine.required(members, RelayLine.REVISION).parse().asLong());
+        JsonSlice era = members.get(RelayLine.ERA);
+        KindNews news = new KindNews(new ResourceVersion(
+                era == null ? OptionalLong.empty() : OptionalLong.of(era.parse().asLong()),
+                RelayLine.required(members, RelayLine.REVISION).parse().asLong()));
         news.failures = RelayLine.required(members, RelayLine.FAILURES).parse().asInt();
         if (kinds.size() < MAX_KINDS || kinds.containsKey(kind)) {
             kinds.put(kind, news);
@@ -94,13 +104,13 @@
             return false;
         }
         if (event.type() != ObjectEvent.Type.BOOKMARK) {
-            news.pending.add(event);
+            news.pending.add(RelayLine.withEra(event, news.era));
             news.pendingBytes += bytes;
             events++;
             requireBounded(news.pendingBytes);
             return false;
         }
-        news.log.append(Revisions.number(event.object()), news.pending, news.pendingBytes);
+        news.log.append(ResourceVersion.of(event.object()).revision(), news.pending, news.pendingBytes);
         news.pending = new ArrayList<>();
         news.pendingBytes = 0;
         return true;
@@ -126,21 +136,24 @@
         });
     }
 
-    /** Returns the log of a kind if it holds every change after a revision. */
-    Optional<ChangeLog> log(String kind, long revision) {
-        return Optional.ofNullable(kinds.get(kind)).map(news -> news.log).filter(log -> log.covers(revision));
+    /** Returns the log of a kind if it holds every change after a version. */
+    Optional<ChangeLog> log(String kind, ResourceVersion position) {
+        return Optional.ofNullable(kinds.get(kind))
+                .filter(news -> news.isSameEra(position))
+                .map(news -> news.log)
+                .filter(log -> log.covers(position.revision()));
     }
 
-    /** Returns whether the relay tells every change of a kind after a revision, at once or when it has caught up. */
-    boolean continues(String kind, long revision) {
+    /** Returns whether the relay tells every change of a kind after a version, at once or when it has caught up. */
+    boolean continues(String kind, ResourceVersion position) {
         KindNews news = kinds.get(kind);
-        return news != null && news.log.begin() <= revision;
+        return news != null && news.isSameEra(position) && news.log.begin() <= position.revision();
     }
 
-    /** Returns whether the relay lacks changes after a revision. */
-    boolean beginsAfter(String kind, long revision) {
+    /** Returns whether the relay lacks changes after a version, as it began later or in another era of the store. */
+    boolean beginsAfter(String kind, ResourceVersion position) {
         KindNews news = kinds.get(kind);
-        return news != null && news.log.begin() > revision;
+        return news != null && (!news.isSameEra(position) || news.log.begin() > position.revision());
     }
 
     /** Returns when, by this process's clock, the store still answered the relay about a kind; empty if the relay has not told. */
--- a/router/src/main/java/org/baobabcart/router/relay/RelayedObjectStore.java
+++ b/router/src/main/java/org/baobabcart/router/relay/RelayedObjectStore.java
@@ -10,6 +10,7 @@
 import java.util.function.LongSupplier;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.ObjectSnapshot;
+import org.baobabcart.model.platform.ResourceVersion;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.router.platform.ObjectStore;
 
@@ -68,13 +69,18 @@
 
     @Override
     public Multi<ObjectEvent> watch(String kind, String fromResourceVersion) {
-        if (Revisions.number(fromResourceVersion) == Revisions.UNKNOWN) {
+        if (!ResourceVersion.parse(fromResourceVersion).isKnown()) {
             return store.watch(kind, fromResourceVersion);
         }
         return Multi.createFrom()
                 .emitter(emitter -> loop.execute(() -> watch(kind).open(fromResourceVersion, emitter)));
     }
 
+    @Override
+    public OptionalLong era() {
+        return store.era();
+    }
+
     @Override
     public OptionalLong newsAgeNanos(String kind) {
         KindWatch watch = watches.get(kind);
--- a/router/src/main/java/org/baobabcart/router/timeline/EventField.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventField.java
@@ -21,6 +21,8 @@
     CROWDING("what a request adds to the lateness of others at the largest model, 1 being an answer's whole worth"),
     DATA_CENTRE("name of a data centre"),
     DEADLINE_MS("time left until the caller's deadline"),
+    EARLIER_ERA("era of the store before"),
+    ERA("era of the store"),
     ESCALATED("whether a larger model is asked"),
     EVENTS("events of a stream that were passed to the caller"),
     FAILURE("how the attempt failed"),
--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -73,6 +73,8 @@
             "the store no longer keeps the changes since the last answer; all is read anew",
             EventField.NAME,
             EventField.CAUSE),
+    STORE_ERA_CHANGED(
+            "the store has come back from an older copy; all is read anew", EventField.ERA, EventField.EARLIER_ERA),
     PLATFORM_LOST("the platform's store does not answer"),
     PLATFORM_FOUND("the platform's store answers"),
     REQUEST_RECEIVED(
--- a/router/src/test/java/org/baobabcart/router/gateway/TestOrderCodec.java
+++ b/router/src/test/java/org/baobabcart/router/gateway/TestOrderCodec.java
@@ -15,7 +15,7 @@
 import org.baobabcart.model.result.ResultCode;
 
 /** Test codec for orders in an in-memory store, with one order of one service to another version. Stateless. */
-final class TestOrderCodec implements GatewayObjectCodec {
+class TestOrderCodec implements GatewayObjectCodec {
     static final String KIND = "orders";
     static final String EVACUATION_KIND = "evacuated";
     static final String SERVICE = "service";
--- a/router/src/test/java/org/baobabcart/router/relay/MergedChangesPropertyTest.java
+++ b/router/src/test/java/org/baobabcart/router/relay/MergedChangesPropertyTest.java
@@ -13,18 +13,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.Random;
+import java.util.stream.Collectors;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.ObjectSnapshot;
+import org.baobabcart.model.platform.ResourceVersion;
 import org.baobabcart.model.platform.StoredObject;
 
 /**
- * Streams of two relays in any order of lost lines, broken connections, frozen, late, behind and restarted relays, merged by one subscriber: at every step it is
- * in the state that the store had at the subscriber's revision, and it either reaches the store's last revision or is told to read a list.
+ * Streams of two relays in any order of lost lines, broken connections, frozen, late, behind and restarted relays and of a store that comes back from an older
+ * copy, merged by one subscriber: at every step it is in the state that the store had at the subscriber's revision, and it either reaches the store's last revision or is told to read a list.
  */
 class MergedChangesPropertyTest {
     private static final String KIND = "upstreams";
@@ -32,55 +35,85 @@
     private static final int RELAYS = 2;
     private static final Duration POLL = Duration.ofSeconds(1);
 
-    /** The store with its whole history, in which a deletion bears the revision of the last state or its own. */
+    /**
+     * The store with its whole history, in which a deletion bears the revision of the last state or its own. Each state of an object has a content of
+     * its own, while a store that comes back from an older copy gives revisions out again.
+     */
     private static final class Store {
         private final Random random;
         private final boolean deletionsBearLastState;
-        private final List<ObjectEvent> events = new ArrayList<>();
-        private final List<Map<String, Long>> states = new ArrayList<>(List.of(Map.of()));
+        private final List<List<Map<String, StoredObject>>> eras = new ArrayList<>();
+        private List<ObjectEvent> events = new ArrayList<>();
+        private List<Map<String, StoredObject>> states = new ArrayList<>(List.of(Map.of()));
+        private int contents;
 
         private Store(Random random) {
             this.random = random;
             this.deletionsBearLastState = random.nextBoolean();
+            eras.add(states);
         }
 
         private int revision() {
             return states.size() - 1;
         }
 
-        private Map<String, Long> state(long revision) {
-            return states.get((int) revision);
+        private ResourceVersion version() {
+            return version(revision());
+        }
+
+        private ResourceVersion version(long revision) {
+            return new ResourceVersion(OptionalLong.of(eras.size()), revision);
+        }
+
+        private Map<String, Integer> state(ResourceVersion version) {
+            Map<String, StoredObject> state =
+                    eras.get((int) version.era().orElseThrow() - 1).get((int) version.revision());
+            return state.entrySet().stream()
+                    .collect(Collectors.toMap(Map.Entry::getKey, entry -> content(entry.getValue())));
+        }
+
+        private static int content(StoredObject object) {
+            return object.spec().path("content").asInt();
         }
 
         private void change() {
-            Map<String, Long> state = new HashMap<>(state(revision()));
+            Map<String, StoredObject> state = new HashMap<>(states.get(revision()));
             long next = revision() + 1;
             String name = "upstream-" + random.nextInt(NAMES);
-            Long known = state.get(name);
+            StoredObject known = state.get(name);
             if (known != null && random.nextBoolean()) {
                 state.remove(name);
-                events.add(event(ObjectEvent.Type.DELETED, name, deletionsBearLastState ? known : next));
+                events.add(new ObjectEvent(
+                        ObjectEvent.Type.DELETED,
+                        deletionsBearLastState
+                                ? known
+                                : known.withResourceVersion(version(next).text())));
             } else {
-                state.put(name, next);
-                events.add(event(ObjectEvent.Type.MODIFIED, name, next));
+                StoredObject object = new StoredObject(
+                        KIND,
+                        name,
+                        version(next).text(),
+                        JsonNodeFactory.instance.objectNode().put("content", ++contents));
+                state.put(name, object);
+                events.add(new ObjectEvent(ObjectEvent.Type.MODIFIED, object));
             }
             states.add(state);
         }
 
-        private static ObjectEvent event(ObjectEvent.Type type, String name, long revision) {
-            return new ObjectEvent(type, object(name, revision));
-        }
-
-        private static StoredObject object(String name, long revision) {
-            return new StoredObject(KIND, name, Long.toString(revision), JsonNodeFactory.instance.objectNode());
+        /** Loses what was changed since a revision, and begins another era. */
+        private void restore(int revision) {
+            List<Map<String, StoredObject>> kept = new ArrayList<>(states.subList(0, revision + 1));
+            events = new ArrayList<>(events.subList(0, revision));
+            states = kept;
+            eras.add(states);
         }
 
         private ObjectSnapshot snapshot() {
-            return new ObjectSnapshot(
-                    state(revision()).entrySet().stream()
-                            .map(entry -> object(entry.getKey(), entry.getValue()))
-                            .toList(),
-                    Long.toString(revision()));
+            List<StoredObject> objects = states.get(revision()).values().stream()
+                    .map(object -> object.withResourceVersion(
+                            version(ResourceVersion.of(object).revision()).text()))
+                    .toList();
+            return new ObjectSnapshot(objects, version().text());
         }
     }
 
@@ -88,7 +121,7 @@
     private static final class Relay {
         private final Store store;
         private RelaySource source;
-        private long position;
+        private ResourceVersion position;
         private Queue<byte[]> lines = new ArrayDeque<>();
         private RelayedNews news = RelayedNews.create(0);
 
@@ -100,8 +133,8 @@
         /** Starts the relay anew at a revision, also one that is older than what it told before. */
         private void restart(long revision) {
             source = RelaySource.create(() -> 0);
-            position = revision;
-            source.begin(KIND, revision, 0);
+            position = store.version(revision);
+            source.begin(KIND, position, 0);
             connect();
         }
 
@@ -126,17 +159,22 @@
             });
         }
 
-        /** Polls the store, whose answer may hold only a part of the changes. */
-        private void poll(long upTo) {
-            List<ObjectEvent> events = store.events.subList((int) position, (int) Math.max(position, upTo));
-            position = Math.max(position, upTo);
-            source.onAnswer(KIND, position, List.copyOf(events), POLL);
+        /** Polls the store, whose answer may hold only a part of the changes; it answers no poll from another era. */
+        private void poll(double share) {
+            if (!position.isSameEra(store.version())) {
+                readList();
+                return;
+            }
+            int from = (int) position.revision();
+            int upTo = from + (int) Math.round(share * (store.revision() - from));
+            position = position.withRevision(upTo);
+            source.onAnswer(KIND, position, List.copyOf(store.events.subList(from, upTo)), POLL);
             source.sendAges();
         }
 
         /** The relay's own watch broke, and it read a list. */
         private void readList() {
-            position = store.revision();
+            position = store.version();
             source.begin(KIND, position, 1);
         }
 
@@ -151,7 +189,7 @@
     private static final class Subscriber {
         private final Store store;
         private final FollowedChanges changes = new FollowedChanges();
-        private final Map<String, Long> state = new HashMap<>();
+        private final Map<String, Integer> state = new HashMap<>();
 
         private Subscriber(Store store) {
             this.store = store;
@@ -160,9 +198,9 @@
 
         private void readList() {
             state.clear();
-            state.putAll(store.state(store.revision()));
+            state.putAll(store.state(store.version()));
             changes.start(store.snapshot());
-            changes.continueAt(store.revision());
+            changes.continueAt(store.version());
         }
 
         private void take(RelayedNews news) {
@@ -177,8 +215,8 @@
             if (event.type() == ObjectEvent.Type.DELETED) {
                 state.remove(event.object().name());
             } else {
-                Long before = state.put(event.object().name(), Revisions.number(event.object()));
-                assertThat(before == null || before < Revisions.number(event.object()), is(true));
+                Integer before = state.put(event.object().name(), Store.content(event.object()));
+                assertThat(before == null || before < Store.content(event.object()), is(true));
             }
         }
     }
@@ -191,12 +229,13 @@
         Subscriber subscriber = new Subscriber(store);
         for (int step = 0; step < steps; step++) {
             Relay relay = relays.get(random.nextInt(RELAYS));
-            switch (random.nextInt(10)) {
+            switch (random.nextInt(11)) {
                 case 0, 1, 2 -> store.change();
-                case 3, 4 -> relay.poll(relay.position + random.nextInt(store.revision() + 1 - (int) relay.position));
+                case 3, 4 -> relay.poll(random.nextDouble());
                 case 5, 6 -> relay.deliver(1 + random.nextInt(5));
                 case 7 -> relay.connect();
                 case 8 -> relay.readList();
+                case 9 -> store.restore(random.nextInt(store.revision() + 1));
                 default -> relay.restart(random.nextInt(store.revision() + 1));
             }
             subscriber.take(relay.news);
@@ -205,11 +244,11 @@
             }
         }
         for (Relay relay : relays) {
-            relay.poll(store.revision());
+            relay.poll(1);
             relay.deliver(relay.lines.size());
             subscriber.take(relay.news);
         }
         boolean isTold = relays.stream().anyMatch(each -> each.news.continues(KIND, subscriber.changes.position()));
-        assertThat(!isTold || subscriber.changes.position() == store.revision(), is(true));
+        assertThat(!isTold || subscriber.changes.position().equals(store.version()), is(true));
     }
 }
--- a/router/src/test/java/org/baobabcart/router/relay/RelayFleet.java
+++ b/router/src/test/java/org/baobabcart/router/relay/RelayFleet.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.baobabcart.model.platform.ResourceVersion;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.router.control.Blackboard;
 import org.baobabcart.router.control.TimerService;
@@ -114,7 +115,9 @@
             Map<String, StoredObject> before = objects.put(kind, values);
             values.forEach((objectName, object) -> {
                 StoredObject earlier = before == null ? null : before.get(objectName);
-                if (earlier != null && Revisions.number(earlier) > Revisions.number(object)) {
+                if (earlier != null
+                        && ResourceVersion.of(earlier).revision()
+                                > ResourceVersion.of(object).revision()) {
                     regressions++;
                 }
             });
--- a/router/src/test/java/org/baobabcart/router/relay/RelayServerTest.java
+++ b/router/src/test/java/org/baobabcart/router/relay/RelayServerTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.ResourceVersion;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.router.control.ControlLoop;
 import org.junit.jupiter.api.AfterEach;
@@ -104,15 +105,15 @@
     @Test
     void aSubscriberReceivesTheLogAndLaterChanges() throws InterruptedException {
         loop.execute(() -> {
-            source.begin(KIND, 5, 0);
-            source.onAnswer(KIND, 6, List.of(change(6, "first")), POLL);
+            source.begin(KIND, ResourceVersion.of(5), 0);
+            source.onAnswer(KIND, ResourceVersion.of(6), List.of(change(6, "first")), POLL);
         });
         connect("a");
         assertThat(next(received), containsString(RelayLine.RESTART));
         assertThat(next(received), containsString("first"));
         assertThat(next(received), containsString("BOOKMARK"));
         assertThat(next(received), containsString(RelayLine.AGES));
-        loop.execute(() -> source.onAnswer(KIND, 8, List.of(change(8, "second")), POLL));
+        loop.execute(() -> source.onAnswer(KIND, ResourceVersion.of(8), List.of(change(8, "second")), POLL));
         assertThat(next(received), containsString("second"));
     }
 
@@ -159,7 +160,7 @@
     /** A subscriber that does not read is cut off, however much is sent meanwhile. */
     @Test
     void aSubscriberThatDoesNotReadIsCutOff() throws IOException, InterruptedException {
-        loop.execute(() -> source.begin(KIND, 1, 0));
+        loop.execute(() -> source.begin(KIND, ResourceVersion.of(1), 0));
         try (Socket socket = new Socket(HOST, port)) {
             socket.getOutputStream()
                     .write(("GET " + RelayServer.PATH + "?router=slow HTTP/1.1\r\nHost: relay\r\n\r\n")
@@ -169,7 +170,8 @@
             Integer subscribers = null;
             for (int revision = 2; subscribers == null && revision < 2_000; revision++) {
                 long current = revision;
-                loop.execute(() -> source.onAnswer(KIND, current, List.of(change(current, text)), POLL));
+                loop.execute(
+                        () -> source.onAnswer(KIND, ResourceVersion.of(current), List.of(change(current, text)), POLL));
                 subscribers = subscriberCounts.poll(20, TimeUnit.MILLISECONDS);
             }
             assertThat(subscribers, is(0));
--- a/router/src/test/java/org/baobabcart/router/relay/RelayedNewsTest.java
+++ b/router/src/test/java/org/baobabcart/router/relay/RelayedNewsTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.baobabcart.model.platform.ObjectEvent;
+import org.baobabcart.model.platform.ResourceVersion;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.junit.jupiter.api.Test;
@@ -53,16 +54,16 @@
     /** An answer that arrives seconds after the end of its poll was late on its way, and may lack what was changed since. */
     @Test
     void aLateAnswerProvesNoMoreThanItsPoll() {
-        source.begin(KIND, 1, 0);
+        source.begin(KIND, ResourceVersion.of(1), 0);
         source.sendAges();
         assertThat(news.proofNanos(KIND), is(Optional.empty()));
         advance(POLL.multipliedBy(4));
-        source.onAnswer(KIND, 1, List.of(), POLL);
+        source.onAnswer(KIND, ResourceVersion.of(1), List.of(), POLL);
         source.sendAges();
         long age = nowNanos - news.proofNanos(KIND).orElseThrow();
         assertThat(age >= POLL.multipliedBy(3).toNanos(), is(true));
         advance(POLL);
-        source.onAnswer(KIND, 1, List.of(), POLL);
+        source.onAnswer(KIND, ResourceVersion.of(1), List.of(), POLL);
         source.sendAges();
         age = nowNanos - news.proofNanos(KIND).orElseThrow();
         assertThat(age < Duration.ofMillis(2).toNanos(), is(true));
@@ -78,10 +79,13 @@
                 JsonNodeFactory.instance.objectNode().put("state", "done"),
                 "17");
         StoredObject unreadable = StoredObject.unreadable(KIND, "odd", "3", "not an object");
-        source.begin(KIND, 1, 0);
-        source.onAnswer(KIND, 3, List.of(event(object), event(unreadable)), POLL);
-        List<ObjectEvent> events =
-                news.log(KIND, 1).orElseThrow().after(1).get(0).events();
+        source.begin(KIND, ResourceVersion.of(1), 0);
+        source.onAnswer(KIND, ResourceVersion.of(3), List.of(event(object), event(unreadable)), POLL);
+        List<ObjectEvent> events = news.log(KIND, ResourceVersion.of(1))
+                .orElseThrow()
+                .after(1)
+                .get(0)
+                .events();
         assertThat(events, is(List.of(event(object), event(unreadable))));
     }
 
@@ -90,22 +94,22 @@
     void aLargeBatchBeginsTheLogAnew() {
         StoredObject object = new StoredObject(
                 KIND, "main", "2", JsonNodeFactory.instance.objectNode().put("a", "x".repeat(200_000)));
-        source.begin(KIND, 1, 0);
-        source.onAnswer(KIND, 2, List.of(event(object)), POLL);
-        assertThat(news.beginsAfter(KIND, 1), is(true));
-        assertThat(news.continues(KIND, 2), is(true));
+        source.begin(KIND, ResourceVersion.of(1), 0);
+        source.onAnswer(KIND, ResourceVersion.of(2), List.of(event(object)), POLL);
+        assertThat(news.beginsAfter(KIND, ResourceVersion.of(1)), is(true));
+        assertThat(news.continues(KIND, ResourceVersion.of(2)), is(true));
     }
 
     @Test
     void theLogIsBounded() {
-        source.begin(KIND, 1, 0);
+        source.begin(KIND, ResourceVersion.of(1), 0);
         for (int revision = 2; revision < 500; revision++) {
             StoredObject object =
                     new StoredObject(KIND, "main", Integer.toString(revision), JsonNodeFactory.instance.objectNode());
-            source.onAnswer(KIND, revision, List.of(event(object)), POLL);
+            source.onAnswer(KIND, ResourceVersion.of(revision), List.of(event(object)), POLL);
         }
-        assertThat(news.continues(KIND, 1), is(false));
-        assertThat(news.continues(KIND, 490), is(true));
+        assertThat(news.continues(KIND, ResourceVersion.of(1)), is(false));
+        assertThat(news.continues(KIND, ResourceVersion.of(490)), is(true));
     }
 
     @Test
@@ -125,8 +129,8 @@
 
     @Test
     void aKindThatIsNoLongerFollowedIsForgotten() {
-        source.begin(KIND, 1, 0);
+        source.begin(KIND, ResourceVersion.of(1), 0);
         source.end(KIND);
-        assertThat(news.continues(KIND, 1), is(false));
+        assertThat(news.continues(KIND, ResourceVersion.of(1)), is(false));
     }
 }
--- a/router/src/test/java/org/baobabcart/router/testing/InMemoryObjectStore.java
+++ b/router/src/test/java/org/baobabcart/router/testing/InMemoryObjectStore.java
@@ -7,10 +7,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.platform.ObjectSnapshot;
+import org.baobabcart.model.platform.ResourceVersion;
 import org.baobabcart.model.platform.StoredObject;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.model.result.ResultCode;
@@ -26,6 +28,7 @@
     private final Map<String, StoredObject> objects = new TreeMap<>();
     private final List<Watcher> watchers = new ArrayList<>();
     private long version;
+    private OptionalLong era = OptionalLong.empty();
     private boolean outage;
     private boolean watchesSilent;
     private boolean loseResponses;
@@ -49,6 +52,18 @@
         }
     }
 
+    /** Tells an era in all versions from now on, also in those of objects that exist, and ends all watches. */
+    public synchronized void setEra(long newEra) {
+        era = OptionalLong.of(newEra);
+        objects.replaceAll((key, object) ->
+                object.withResourceVersion(version(ResourceVersion.of(object).revision())));
+        expireWatches();
+    }
+
+    private String version(long revision) {
+        return new ResourceVersion(era, revision).text();
+    }
+
     /** While active, watches emit no events, neither for objects changed before their start nor for later changes. */
     public synchronized void setWatchesSilent(boolean active) {
         watchesSilent = active;
@@ -113,7 +128,7 @@
 
     @Override
     public Uni<ObjectSnapshot> snapshot(String kind) {
-        return list(kind).map(found -> new ObjectSnapshot(found, Long.toString(version)));
+        return list(kind).map(found -> new ObjectSnapshot(found, version(version)));
     }
 
     @Override
@@ -182,10 +197,10 @@
         if (watchesSilent) {
             return;
         }
-        long fromVersion = from.isEmpty() ? 0 : Long.parseLong(from);
+        long fromVersion = from.isEmpty() ? 0 : ResourceVersion.parse(from).revision();
         objects.values().stream()
                 .filter(object -> object.kind().equals(kind))
-                .filter(object -> Long.parseLong(object.resourceVersion()) > fromVersion)
+                .filter(object -> ResourceVersion.of(object).revision() > fromVersion)
                 .forEach(object -> emitter.emit(new ObjectEvent(ObjectEvent.Type.MODIFIED, object)));
     }
 
@@ -245,8 +260,8 @@
 
     private StoredObject stored(StoredObject object, ObjectEvent.Type type) {
         version++;
-        StoredObject stored = new StoredObject(
-                object.kind(), object.name(), Long.toString(version), object.spec(), object.status(), "");
+        StoredObject stored =
+                new StoredObject(object.kind(), object.name(), version(version), object.spec(), object.status(), "");
         objects.put(key(object.kind(), object.name()), stored);
         publish(new ObjectEvent(type, stored));
         return stored;
