A router that has lost all upstreams is not ready

Cause: readiness counted a router as cut off only if the platform was out of reach too, so that it refused all callers at once and told the balancer that it was ready. Ruled out: slow detection alone (all upstreams were known to be unreachable 1.7 s after the cut, of 12 s).

A router none of whose connections opens is isolated: not ready, refuses at once, ends connections with each answer and closes idle ones when the balancer has had time to notice.

--- a/router/src/main/java/org/baobabcart/router/exchange/ConnectionGuard.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/ConnectionGuard.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -121,6 +122,17 @@
         }
     }
 
+    /** Closes the connections that wait for a request of which nothing has arrived. */
+    public void closeIdle() {
+        List.copyOf(timers.keySet()).stream()
+                .filter(connection ->
+                        gates.get(connection) == null || !gates.get(connection).hasBegunHead())
+                .forEach(connection -> {
+                    cancelTimer(connection);
+                    connection.close();
+                });
+    }
+
     private void startTimer(HttpConnection connection, Duration limit) {
         long timer = EventLoopTimers.start(vertx, limit, () -> {
             timers.remove(connection);
--- a/router/src/main/java/org/baobabcart/router/exchange/RequestHeadGate.java
+++ b/router/src/main/java/org/baobabcart/router/exchange/RequestHeadGate.java
@@ -420,6 +420,11 @@
         }
     }
 
+    /** Returns whether a part of a head has arrived. */
+    boolean hasBegunHead() {
+        return headTimer != null;
+    }
+
     /** Refuses a head that has begun and whose time is over. Returns false if the connection has no response to send. */
     boolean refuseIncompleteHead() {
         if (headTimer != null) {
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -49,6 +50,7 @@
 import org.baobabcart.router.upstream.ColdUpstreams;
 import org.baobabcart.router.upstream.Dispatcher;
 import org.baobabcart.router.upstream.DispatcherSettings;
+import org.baobabcart.router.upstream.IsolationDetector;
 import org.baobabcart.router.upstream.UpstreamClient;
 import org.baobabcart.router.upstream.UpstreamClientSettings;
 import org.baobabcart.router.upstream.UpstreamHealth;
@@ -97,6 +99,7 @@
                 dependencies.settings().name(), timers.wallClockMillis(), timers::nanoTime, timeline);
         this.runtime = runtime(outcomeRecorder, crashes);
         this.server = GatewayServer.create(runtime, drain);
+        runtime.reachability().onIsolationChange(this::isolationChanged);
         this.fleet = FleetParts.create(
                 dependencies,
                 store,
@@ -157,6 +160,17 @@
                 UpstreamNotices.create(dependencies.timeline()),
                 dependencies.timeline());
         UpstreamHealth health = UpstreamHealth.create(vertx, client, views, dependencies.timeline());
+        IsolationDetector isolation = IsolationDetector.create(new IsolationDetector.Dependencies(
+                loop,
+                timers,
+                new Random(),
+                views,
+                health::isUnreachable,
+                client::isReachable,
+                client::lastActivityNanos,
+                dependencies.timeline()));
+        health.onUnreachable(isolation::upstreamUnreachable);
+        metrics.gauge("gateway.isolated", () -> () -> isolation.isIsolated() ? 1 : 0);
         Dispatcher dispatcher = Dispatcher.create(
                 vertx,
                 new DispatcherSettings(settings.name(), settings.dataCentre(), settings.queue())
@@ -191,7 +205,7 @@
                         GatewayErrorFormat.of(dependencies.codec()),
                         settings.callerStall()),
                 new AttemptDependencies(views, dispatcher, client, health, crashGuard, drain),
-                Reachability.of(health),
+                Reachability.of(health, isolation),
                 ServiceRetryBudgets.create(settings.retries(), metrics),
                 outcomeRecorder,
                 LatencyPressure.create(),
@@ -241,6 +255,17 @@
                 .mapEmpty());
     }
 
+    /** Callers whose connections are closed once the balancer has noticed come back at another router. */
+    private void isolationChanged(boolean isolated) {
+        if (isolated) {
+            timers.after("idle-callers", dependencies.stopTimes().balancerDelay(), () -> {
+                if (runtime.reachability().isIsolated()) {
+                    server.closeIdleConnections();
+                }
+            });
+        }
+    }
+
     /** Closes connections to upstreams that are no longer listed; called on the control thread. */
     private void retainConnections(List<VirtualMachine> machines) {
         runtime.attempts().upstreams().retainOnly(machines);
--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayServer.java
@@ -1,12 +1,15 @@
 package org.baobabcart.router.gateway;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.baobabcart.model.gateway.CallerLimits;
 import org.baobabcart.model.gateway.RouteTable;
@@ -47,6 +50,9 @@
     private final RunningRequests running = RunningRequests.create();
 
     private HttpServer server;
+    /** The context of the event loop on which all connections are handled. */
+    private volatile Optional<Context> context = Optional.empty();
+
     private volatile boolean rejecting;
 
     private GatewayServer(GatewayRuntime runtime, DrainState drain) {
@@ -83,12 +89,22 @@
                 .setTcpKeepAlive(true);
         server = runtime.vertx()
                 .createHttpServer(options)
-                .connectionHandler(guard::connectionOpened)
+                .connectionHandler(this::connectionOpened)
                 .invalidRequestHandler(this::rejectInvalid)
                 .requestHandler(this::handle);
         return server.listen(port, host).map(HttpServer::actualPort);
     }
 
+    private void connectionOpened(HttpConnection connection) {
+        context = Optional.of(runtime.vertx().getOrCreateContext());
+        guard.connectionOpened(connection);
+    }
+
+    /** Closes the connections on which callers have no request. */
+    void closeIdleConnections() {
+        context.ifPresent(known -> known.runOnContext(ignored -> guard.closeIdle()));
+    }
+
     /** Rejects all requests that arrive from now on. */
     void rejectNewRequests() {
         rejecting = true;
@@ -127,7 +143,10 @@
         CallerExchange exchange = CallerExchange.create(
                 runtime.exchanges(),
                 request,
-                () -> chunked || drain.isDraining() || !guard.isReuseAllowed(),
+                () -> chunked
+                        || drain.isDraining()
+                        || !guard.isReuseAllowed()
+                        || runtime.reachability().isIsolated(),
                 () -> requestEnded(request),
                 () -> guard.responseWritten(request.connection()));
         running.add(runtime.vertx(), exchange);
--- a/router/src/main/java/org/baobabcart/router/gateway/Reachability.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/Reachability.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.baobabcart.model.platform.VirtualMachine;
+import org.baobabcart.router.upstream.IsolationDetector;
 import org.baobabcart.router.upstream.UpstreamHealth;
 import org.baobabcart.router.view.TrafficView;
 
@@ -15,14 +17,26 @@
  */
 final class Reachability {
     private final UpstreamHealth health;
+    private final IsolationDetector isolation;
     private volatile boolean platformReachable = true;
 
-    private Reachability(UpstreamHealth health) {
+    private Reachability(UpstreamHealth health, IsolationDetector isolation) {
         this.health = health;
+        this.isolation = isolation;
     }
 
-    static Reachability of(UpstreamHealth health) {
-        return new Reachability(health);
+    static Reachability of(UpstreamHealth health, IsolationDetector isolation) {
+        return new Reachability(health, isolation);
+    }
+
+    /** Returns whether all upstreams are out of reach. */
+    boolean isIsolated() {
+        return isolation.isIsolated();
+    }
+
+    /** Calls an action on the control thread when all upstreams are out of reach, and when one is within reach again. */
+    void onIsolationChange(Consumer<Boolean> listener) {
+        isolation.onChange(listener);
     }
 
     void setPlatformReachable(boolean reachable) {
@@ -31,7 +45,7 @@
 
     /** Returns whether any upstream of a pool may be reachable; true for an empty pool, which is reported as another error. */
     boolean mayServe(List<VirtualMachine> members) {
-        return members.isEmpty() || isAnyReachable(members);
+        return members.isEmpty() || !isIsolated() && isAnyReachable(members);
     }
 
     /** Returns whether any upstream of a pool is reachable as far as known. */
@@ -40,10 +54,13 @@
     }
 
     /**
-     * Returns whether neither the platform nor any upstream of at least one service is reachable; other routers probably can reach
-     * them.
+     * Returns whether no upstream at all, or neither the platform nor any upstream of at least one service is reachable; other routers probably can
+     * reach them.
      */
     boolean isCutOff(TrafficView view) {
+        if (isIsolated()) {
+            return true;
+        }
         if (platformReachable) {
             return false;
         }
--- a/router/src/main/java/org/baobabcart/router/timeline/EventType.java
+++ b/router/src/main/java/org/baobabcart/router/timeline/EventType.java
@@ -49,6 +49,10 @@
             EventField.VERSION,
             EventField.CHANGE),
     UPSTREAM_SUSPECTED("an upstream is passed over until a health check succeeds", EventField.UPSTREAM),
+    ISOLATION_CHANGED(
+            "all upstreams are out of this router's reach, which is not ready then, or one is within reach again",
+            EventField.STATE,
+            EventField.UPSTREAMS),
     UPSTREAM_BACK("a health check of an upstream that was passed over has succeeded", EventField.UPSTREAM),
     DATA_CENTRE_CHANGED(
             "the operator's order on a data centre was learned, renewed or taken back",
--- a/router/src/main/java/org/baobabcart/router/upstream/SilentUpstreamDetector.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/SilentUpstreamDetector.java
@@ -23,6 +23,7 @@
     private final Duration limit;
     private final Function<VirtualMachine, Future<Boolean>> reachable;
     private final Map<String, UpstreamActivity> activities = new ConcurrentHashMap<>();
+    private volatile long lastActivityNanos = System.nanoTime();
 
     private SilentUpstreamDetector(Duration limit, Function<VirtualMachine, Future<Boolean>> reachable) {
         this.limit = limit;
@@ -48,7 +49,12 @@
     Registration register(VirtualMachine upstream, Consumer<AttemptException> fail, BooleanSupplier replaceable) {
         UpstreamActivity activity =
                 activities.computeIfAbsent(upstream.name(), ignored -> new UpstreamActivity(upstream));
-        return activity.register(fail, replaceable);
+        return activity.register(() -> lastActivityNanos = System.nanoTime(), fail, replaceable);
+    }
+
+    /** Returns when anything last arrived from any upstream, or when this instance was created. */
+    long lastActivityNanos() {
+        return lastActivityNanos;
     }
 
     /** Probes the upstreams that have been silent for longer than the limit. */
@@ -89,8 +95,9 @@
             this.upstream = upstream;
         }
 
-        private synchronized Registration register(Consumer<AttemptException> fail, BooleanSupplier replaceable) {
-            Registration registration = new Registration(this, replaceable);
+        private synchronized Registration register(
+                Runnable onActivity, Consumer<AttemptException> fail, BooleanSupplier replaceable) {
+            Registration registration = new Registration(this, onActivity, replaceable);
             if (attempts.isEmpty()) {
                 lastActivityNanos = System.nanoTime();
             }
@@ -144,16 +151,19 @@
     /** The registration of one attempt. Thread-safe. */
     static final class Registration {
         private final UpstreamActivity activity;
+        private final Runnable onActivity;
         private final BooleanSupplier replaceable;
 
-        private Registration(UpstreamActivity activity, BooleanSupplier replaceable) {
+        private Registration(UpstreamActivity activity, Runnable onActivity, BooleanSupplier replaceable) {
             this.activity = activity;
+            this.onActivity = onActivity;
             this.replaceable = replaceable;
         }
 
         /** Records activity of the upstream. */
         void recordActivity() {
             activity.recordActivity();
+            onActivity.run();
         }
 
         /** Removes the attempt when it has ended. */
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamClient.java
@@ -145,6 +145,11 @@
         return connectProbe.isReachable(address.getHost(), portOf(address));
     }
 
+    /** Returns when any part of a response last arrived from any upstream. */
+    public long lastActivityNanos() {
+        return silentUpstreams.lastActivityNanos();
+    }
+
     /**
      * Checks the health of an upstream on a new connection.
      *
--- a/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
+++ b/router/src/main/java/org/baobabcart/router/upstream/UpstreamHealth.java
@@ -35,6 +35,7 @@
     private final Timeline timeline;
     private final Map<String, Suspicion> suspicions = new ConcurrentHashMap<>();
     private final Map<String, Long> unavailableUntil = new ConcurrentHashMap<>();
+    private volatile Runnable unreachableListener = () -> {};
 
     private UpstreamHealth(Vertx vertx, UpstreamClient client, TrafficViewSource views, Timeline timeline) {
         this.vertx = vertx;
@@ -49,6 +50,11 @@
         return new UpstreamHealth(vertx, client, views, timeline);
     }
 
+    /** Sets an action that is called on any thread whenever a connection to an upstream or its health check has failed. */
+    public void onUnreachable(Runnable listener) {
+        unreachableListener = listener;
+    }
+
     /** Returns whether the upstream should receive requests only if no other can. */
     public boolean isDeprioritized(String upstream) {
         if (isSuspected(upstream)) {
@@ -168,6 +174,7 @@
         suspicions.computeIfPresent(
                 upstream.name(),
                 (name, suspicion) -> suspicion.timer() == timer ? suspicion.withConfirmation(result) : suspicion);
+        unreachableListener.run();
     }
 
     /** Marks the upstream as declining requests for a default time, unless it has sent a time itself. */
