A response whose head breaks the syntax is no answer

Cause: the decoder is lenient, and ResponseHeadRules see only what it has made of the bytes. A malformed message was repaired and trusted.

Found in addition: nothing checked heads on the connections of watches, relays and orders.

Change: ResponseHeadSyntax checks the bytes of each head before the decoder's result is used: a status is three digits from 100 to 599, a name is a token right before its colon, no line begins with a blank. A violation fails the attempt and closes the connection, as with two heads in one. Watches, relays and orders read through the same check (StrictHttpClient); store, health checks, bookings and upstreams did already go through ResponseBoundary.

--- a/router/src/main/java/org/baobabcart/router/order/HttpEngineOrderClient.java
+++ b/router/src/main/java/org/baobabcart/router/order/HttpEngineOrderClient.java
@@ -11,12 +11,14 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 import org.baobabcart.model.platform.VirtualMachine;
 import org.baobabcart.router.control.Futures;
 import org.baobabcart.router.transport.InterimResponses;
+import org.baobabcart.router.transport.StrictHttpClient;
 import org.baobabcart.router.transport.Transport;
 
 /** Sends orders by {@code POST /orders} with a JSON body. Thread-safe. */
@@ -40,7 +42,8 @@
         int connectMillis = (int) timeout.toMillis();
         HttpClientOptions options =
                 new HttpClientOptions().setConnectTimeout(connectMillis).setKeepAlive(false);
-        return new HttpEngineOrderClient(vertx.createHttpClient(transport.toUpstreams(options)), timeout);
+        return new HttpEngineOrderClient(
+                StrictHttpClient.create(vertx, transport.toUpstreams(options), new PoolOptions()), timeout);
     }
 
     @Override
--- a/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
+++ b/router/src/main/java/org/baobabcart/router/platform/WatchStream.java
@@ -18,6 +18,7 @@
 import org.baobabcart.model.platform.ObjectEvent;
 import org.baobabcart.model.result.BaobabcartException;
 import org.baobabcart.router.transport.InterimResponses;
+import org.baobabcart.router.transport.StrictHttpClient;
 
 /**
  * Watches over HTTP: one streamed response with one JSON object per line. Thread-safe.
@@ -39,8 +40,8 @@
                 .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
                 .setIdleTimeout((int)
                         settings.watchDuration().plus(settings.watchEndGrace()).toMillis());
-        this.client = vertx.createHttpClient(
-                settings.transport().toUpstreams(options), new PoolOptions().setHttp1MaxSize(MAX_WATCHES));
+        this.client = StrictHttpClient.create(
+                vertx, settings.transport().toUpstreams(options), new PoolOptions().setHttp1MaxSize(MAX_WATCHES));
     }
 
     static WatchStream create(Vertx vertx, PlatformSettings settings) {
--- a/router/src/main/java/org/baobabcart/router/relay/HttpRelayNetwork.java
+++ b/router/src/main/java/org/baobabcart/router/relay/HttpRelayNetwork.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.baobabcart.router.transport.InterimResponses;
+import org.baobabcart.router.transport.StrictHttpClient;
 
 /** Connects to relays over HTTP: one streamed response with one JSON object per line. Thread-safe. */
 final class HttpRelayNetwork implements RelayNetwork {
@@ -34,7 +35,8 @@
     private final String query;
 
     private HttpRelayNetwork(Vertx vertx, Executor loop, String router) {
-        this.client = vertx.createHttpClient(
+        this.client = StrictHttpClient.create(
+                vertx,
                 new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                         .setKeepAlive(false)
--- a/router/src/main/java/org/baobabcart/router/transport/ResponseBoundary.java
+++ b/router/src/main/java/org/baobabcart/router/transport/ResponseBoundary.java
@@ -46,6 +46,7 @@
     private boolean headRead;
 
     private final StatusLineCounter statusLines = new StatusLineCounter();
+    private final ResponseHeadSyntax headSyntax = new ResponseHeadSyntax();
     /** The data that was read from the connection and not passed to the decoder yet. */
     private ByteBuf unread = Unpooled.EMPTY_BUFFER;
     /** Whether bytes that belong to no response have arrived. */
@@ -87,6 +88,7 @@
     private boolean continuesLine(byte next) {
         if (!headRead) {
             statusLines.read(next);
+            headSyntax.read(next);
         }
         if (next == '\n') {
             boolean empty = lineEmpty;
@@ -113,6 +115,7 @@
             bodyBytesLeft = UNKNOWN_LENGTH;
             headRead = false;
             statusLines.reset();
+            headSyntax.reset();
             lineEmpty = true;
             if (!interim) {
                 endResponse();
@@ -163,6 +166,9 @@
         if (statusLines.count() > 1) {
             return Optional.of("the head contains a second status line");
         }
+        if (headSyntax.violation().isPresent()) {
+            return headSyntax.violation();
+        }
         if (response.decoderResult().isSuccess()) {
             return ResponseHeadRules.violationOf(response);
         }
