--- a/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
+++ b/router/src/main/java/org/baobabcart/router/gateway/GatewayProcess.java
@@ -160,17 +160,6 @@
                 UpstreamNotices.create(dependencies.timeline()),
                 dependencies.timeline());
         UpstreamHealth health = UpstreamHealth.create(vertx, client, views, dependencies.timeline());
-        IsolationDetector isolation = IsolationDetector.create(new IsolationDetector.Dependencies(
-                loop,
-                timers,
-                new Random(),
-                views,
-                health::isUnreachable,
-                client::isReachable,
-                client::lastActivityNanos,
-                dependencies.timeline()));
-        health.onUnreachable(isolation::upstreamUnreachable);
-        metrics.gauge("gateway.isolated", () -> () -> isolation.isIsolated() ? 1 : 0);
         Dispatcher dispatcher = Dispatcher.create(
                 vertx,
                 new DispatcherSettings(settings.name(), settings.dataCentre(), settings.queue())
@@ -205,7 +194,7 @@
                         GatewayErrorFormat.of(dependencies.codec()),
                         settings.callerStall()),
                 new AttemptDependencies(views, dispatcher, client, health, crashGuard, drain),
-                Reachability.of(health, isolation),
+                Reachability.of(health, isolationDetector(client, health)),
                 ServiceRetryBudgets.create(settings.retries(), metrics),
                 outcomeRecorder,
                 LatencyPressure.create(),
@@ -215,6 +204,21 @@
                 ClientMemory.create(settings.clients(), metrics));
     }
 
+    private IsolationDetector isolationDetector(UpstreamClient client, UpstreamHealth health) {
+        IsolationDetector isolation = IsolationDetector.create(new IsolationDetector.Dependencies(
+                loop,
+                timers,
+                new Random(),
+                views,
+                health::isUnreachable,
+                client::isReachable,
+                client::lastActivityNanos,
+                dependencies.timeline()));
+        health.onUnreachable(isolation::upstreamUnreachable);
+        metrics.gauge("gateway.isolated", () -> () -> isolation.isIsolated() ? 1 : 0);
+        return isolation;
+    }
+
     private EvacuationController evacuations(ObjectInformer.Dependencies informerDependencies) {
         Dispatcher dispatcher = runtime.attempts().dispatcher();
         metrics.gauge(
